--- /dev/null
+++ b/crates/wirehost/src/decode.rs
@@ -0,0 +1,272 @@
+//! Lines of the wire, read into what the decision module is told.
+
+use kitepass::{
+    Charter, ColdStart, Counted, Ending, Group, Listed, Moment, Plan, Repeats, Span, Standing, Workload,
+};
+use serde_json::Value;
+
+/// Why a line cannot be taken: the field, and what was expected there.
+pub type Refusal = String;
+
+/// The values of one line.
+pub struct Fields<'a>(Vec<(&'a str, &'a str)>);
+
+/// The one field that holds free text to the end of its line.
+const TO_THE_END: &str = "Options";
+
+impl<'a> Fields<'a> {
+    pub fn read(mut rest: &'a str) -> Result<Self, Refusal> {
+        let mut fields = Vec::with_capacity(10);
+        while !rest.is_empty() {
+            let Some((name, value)) = rest.split_once('=') else {
+                return Err(format!("'{}': expected name=value", clip(rest)));
+            };
+            if name.is_empty() || name.contains(' ') {
+                return Err(format!("'{}': expected name=value", clip(rest)));
+            }
+            let (value, after) = match value.split_once(' ') {
+                Some(parts) if name != TO_THE_END => parts,
+                _ => (value, ""),
+            };
+            fields.push((name, value));
+            rest = after;
+        }
+        Ok(Fields(fields))
+    }
+
+    pub fn get(&self, name: &str) -> Option<&'a str> {
+        self.0.iter().find(|(n, _)| *n == name).map(|(_, v)| *v)
+    }
+
+    pub fn text(&self, name: &str) -> Result<&'a str, Refusal> {
+        match self.get(name) {
+            Some(value) if !value.is_empty() => Ok(value),
+            _ => Err(format!("{name}: expected a value, found none")),
+        }
+    }
+
+    pub fn moment(&self, name: &str) -> Result<Moment, Refusal> {
+        micros(name, self.text(name)?).map(Moment::from_micros)
+    }
+
+    pub fn span_or_zero(&self, name: &str) -> Result<Span, Refusal> {
+        self.get(name).map_or(Ok(Span::ZERO), |value| micros(name, value).map(Span::from_micros))
+    }
+
+    pub fn number_or(&self, name: &str, absent: f64) -> Result<f64, Refusal> {
+        let Some(value) = self.get(name) else {
+            return Ok(absent);
+        };
+        match value.parse::<f64>() {
+            Ok(number) if number.is_finite() => Ok(number),
+            _ => Err(format!("{name}: expected a number, found '{}'", clip(value))),
+        }
+    }
+
+    pub fn whole<T: std::str::FromStr>(&self, name: &str) -> Result<T, Refusal> {
+        let value = self.text(name)?;
+        value.parse().map_err(|_| format!("{name}: expected a whole number, found '{}'", clip(value)))
+    }
+
+    pub fn flag(&self, name: &str) -> Result<bool, Refusal> {
+        match self.get(name) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(other) => Err(format!("{name}: expected 1 or 0, found '{}'", clip(other))),
+        }
+    }
+}
+
+fn clip(text: &str) -> &str {
+    text.char_indices().nth(40).map_or(text, |(end, _)| &text[..end])
+}
+
+/// Decimal seconds as whole microseconds, to the digit.
+fn micros(name: &str, text: &str) -> Result<i64, Refusal> {
+    let wrong = || format!("{name}: expected a time in seconds, found '{}'", clip(text));
+    let (negative, digits) = text.strip_prefix('-').map_or((false, text), |rest| (true, rest));
+    let (whole, part) = digits.split_once('.').unwrap_or((digits, ""));
+    let plain = |s: &str| s.bytes().all(|b| b.is_ascii_digit());
+    if whole.is_empty() || !plain(whole) || !plain(part) {
+        // A figure in another notation, with an exponent for one.
+        let seconds = text.parse::<f64>().ok().filter(|s| s.abs() < 1e12).ok_or_else(wrong)?;
+        return Ok((seconds * 1e6).round() as i64);
+    }
+    let mut total = whole.parse::<i64>().ok().and_then(|s| s.checked_mul(1_000_000)).ok_or_else(wrong)?;
+    let mut place = 100_000;
+    for digit in part.bytes().take(6) {
+        total += i64::from(digit - b'0') * place;
+        place /= 10;
+    }
+    Ok(if negative { -total } else { total })
+}
+
+pub fn ending(fields: &Fields) -> Result<Ending, Refusal> {
+    Ok(match fields.text("Ending")? {
+        "served" => Ending::Settled,
+        "server_error" => Ending::Error,
+        "turned_away" => Ending::TurnedAway,
+        "no_answer" => Ending::Silent,
+        "no_connection" => Ending::Unreachable,
+        "connection_lost" => Ending::Broken,
+        "called_off" => Ending::CalledOff,
+        "not_sent" => Ending::Unsent,
+        other => return Err(format!("Ending: expected an outcome, found '{}'", clip(other))),
+    })
+}
+
+pub fn counted(fields: &Fields) -> Result<Counted, Refusal> {
+    Ok(match ending(fields)? {
+        Ending::Settled => Counted::Total(fields.number_or("Sum", 0.0)?),
+        ending if ending.never_ran() => Counted::NotAdded,
+        _ => Counted::Unknown,
+    })
+}
+
+pub fn listed(fields: &Fields) -> Result<Listed, Refusal> {
+    let started = fields.span_or_zero("Born")?;
+    Ok(Listed {
+        id: fields.text("Backend")?.to_owned(),
+        zone: fields.get("Campus").unwrap_or_default().to_owned(),
+        kind: fields.get("Hw").unwrap_or_default().to_owned(),
+        cell: fields.number_or("Pod", 0.0)? as i64,
+        standing: match fields.text("Status")? {
+            "live" => Standing::Live,
+            "quiescing" => Standing::Draining,
+            "dead" => Standing::Gone,
+            other => return Err(format!("Status: expected a standing, found '{}'", clip(other))),
+        },
+        size: Some(fields.number_or("Nominal", 1.0)?).filter(|size| *size > 0.0).unwrap_or(1.0),
+        started: Some(Moment::from_micros(started.micros())).filter(|_| started > Span::ZERO),
+    })
+}
+
+/// The settings, as far as the module reads them.
+pub fn charter(fields: &Fields) -> Result<Charter, Refusal> {
+    let text = fields.text(TO_THE_END)?;
+    let all: Value = serde_json::from_str(text).map_err(|e| format!("{TO_THE_END}: expected JSON, {e}"))?;
+    if !all.is_object() {
+        return Err(format!("{TO_THE_END}: expected a JSON object"));
+    }
+    let (caps, family, safety) = (&all["Caps"], &all["FamilyInfo"], &all["Safety"]);
+    let counter = yes(family, "SharedCounter")?.then(|| span(family, "CounterTimeout", 0.05)).transpose()?;
+    let advised = yes(caps, "RetryAfter")?.then(|| span(caps, "MaxRetryAfter", 1.0)).transpose()?;
+    Ok(Charter {
+        gateways: number(&all, "ReplicasOfMe", 1.0)?.max(1.0) as u32,
+        workloads: entries(&all, "Classes")?.iter().map(workload).collect::<Result<_, _>>()?,
+        plans: entries(&all, "Plans")?.iter().map(plan).collect::<Result<_, _>>()?,
+        counter,
+        settles_later: yes(family, "Settles")?,
+        largest: number(family, "MaxUnits", 1.0)?,
+        copies: yes(caps, "MayDuplicate")?,
+        most_legs: number(caps, "TryLimit", 1.0)?.max(1.0) as u32,
+        longest_advice: advised,
+        cold_start: ColdStart {
+            least: number(safety, "ColdFrom", 1.0)?,
+            warm_within: span(safety, "WarmWithin", 0.0)?,
+            multiple: number(safety, "FallMultiple", 1.0)?,
+            window: span(safety, "Fall", 1.0)?,
+        },
+    })
+}
+
+fn workload(value: &Value) -> Result<Workload, Refusal> {
+    let group = match word(value, "Group", "all")? {
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        _ => Group::All,
+    };
+    Ok(Workload {
+        name: word(value, "Name", "")?.to_owned(),
+        repeats: match word(value, "Effect", "fragile")? {
+            "retryable" => Repeats::Repeatable,
+            "dedup" => Repeats::Tagged { group, memory: span(value, "Window", 0.0)? },
+            _ => Repeats::OnceOnly,
+        },
+        contract: span(value, "Objective", 1.0)?,
+        late_share: number(value, "LateWorth", 0.0)?,
+        value: number(value, "Gain", 1.0)?,
+    })
+}
+
+fn plan(value: &Value) -> Result<Plan, Refusal> {
+    Ok(Plan {
+        name: word(value, "Name", "")?.to_owned(),
+        rate: number(value, "Refill", 0.0)?,
+        store: number(value, "StoreSize", 0.0)?,
+        legs_out: number(value, "Open", 0.0)? as u32,
+        pays: number(value, "Pays", 1.0)?,
+        beyond_earns: number(value, "BeyondEarns", 0.0)?,
+        overrun_cost: number(value, "OverrunCost", 0.0)?,
+        ceiling_rate: number(value, "CeilingRate", 0.0)?,
+        ceiling_depth: number(value, "NeverOverDepth", 0.0)?,
+    })
+}
+
+fn entries<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], Refusal> {
+    match &value[key] {
+        Value::Null => Ok(&[]),
+        Value::Array(entries) => Ok(entries),
+        _ => Err(format!("{TO_THE_END}.{key}: expected an array")),
+    }
+}
+
+fn number(value: &Value, key: &str, absent: f64) -> Result<f64, Refusal> {
+    match &value[key] {
+        Value::Null => Ok(absent),
+        found => found.as_f64().ok_or_else(|| format!("{TO_THE_END}.{key}: expected a number")),
+    }
+}
+
+fn span(value: &Value, key: &str, absent: f64) -> Result<Span, Refusal> {
+    number(value, key, absent).map(|seconds| Span::from_micros((seconds * 1e6).round() as i64))
+}
+
+fn yes(value: &Value, key: &str) -> Result<bool, Refusal> {
+    match &value[key] {
+        Value::Null => Ok(false),
+        found => found.as_bool().ok_or_else(|| format!("{TO_THE_END}.{key}: expected true or false")),
+    }
+}
+
+fn word<'a>(value: &'a Value, key: &str, absent: &'a str) -> Result<&'a str, Refusal> {
+    match &value[key] {
+        Value::Null => Ok(absent),
+        found => found.as_str().ok_or_else(|| format!("{TO_THE_END}.{key}: expected text")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_exact_to_the_microsecond() {
+        let read = |text| micros("T", text).unwrap();
+        assert_eq!(read("8.41225"), 8_412_250);
+        assert_eq!(read("1234567.000001"), 1_234_567_000_001);
+        assert_eq!(read("-0.5"), -500_000);
+        assert_eq!(read("1e-3"), 1_000);
+        for wrong in ["", "soon", ".", "1.2.3", "nan", "99999999999999999999"] {
+            assert!(micros("T", wrong).unwrap_err().starts_with("T: expected a time"), "{wrong}");
+        }
+    }
+
+    #[test]
+    fn fields_come_in_any_order_and_text_runs_to_the_end() {
+        let fields = Fields::read("B=2 A=x= Options={\"a b\": 1}").unwrap();
+        assert_eq!((fields.get("A"), fields.get("B"), fields.get("C")), (Some("x="), Some("2"), None));
+        assert_eq!(fields.get("Options"), Some("{\"a b\": 1}"));
+        assert!(Fields::read("A=1 loose").is_err());
+    }
+
+    #[test]
+    fn settings_name_what_is_wrong() {
+        let read = |line| charter(&Fields::read(line).unwrap());
+        assert!(read("Options=[1]").unwrap_err().contains("JSON object"));
+        assert!(read("Options={").unwrap_err().contains("expected JSON"));
+        assert!(read("Options={\"Plans\":[{\"Refill\":\"x\"}]}").unwrap_err().contains("Refill"));
+        let plain = read("Options={\"Unknown\":{},\"ReplicasOfMe\":3}").unwrap();
+        assert_eq!((plain.gateways, plain.counter), (3, None));
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,285 @@
+//! The instances of one process, and the batches that drive them.
+
+use crate::decode::{self, Fields, Refusal};
+use kitepass::{Asked, Gateway, LegEnd, Listed, Moment, Orders, Span};
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::io::{self, BufRead, Write};
+use std::rc::Rc;
+
+/// The lists of backends that events refer to are numbered from 0 up to this, exclusive.
+const LISTS: usize = 16;
+
+/// Why the wire cannot go on.
+#[derive(Debug)]
+pub enum Trouble {
+    Input { line: u64, what: Refusal },
+    Stream(io::Error),
+}
+
+impl Display for Trouble {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Trouble::Input { line, what } => write!(f, "line {line}: {what}"),
+            Trouble::Stream(error) => write!(f, "cannot go on: {error}"),
+        }
+    }
+}
+
+impl From<io::Error> for Trouble {
+    fn from(error: io::Error) -> Self {
+        Trouble::Stream(error)
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    now: Moment,
+    gateways: HashMap<String, Gateway>,
+    lists: Vec<Vec<Listed>>,
+    /// The list being read and how many of its lines are still to come.
+    pending: Option<(usize, usize)>,
+}
+
+/// Plays batches until the input ends. A reply is written only once its whole batch has been taken.
+pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), Trouble> {
+    let mut host = Host { lists: vec![Vec::new(); LISTS], ..Host::default() };
+    let (mut line, mut number, mut inside) = (Vec::new(), 0_u64, false);
+    let mut reply = Reply::default();
+    loop {
+        line.clear();
+        if input.read_until(b'\n', &mut line)? == 0 {
+            return if inside {
+                Err(trouble(number, "expected EOB before the end of input"))
+            } else {
+                Ok(())
+            };
+        }
+        number += 1;
+        let text = std::str::from_utf8(&line).map_err(|_| trouble(number, "expected UTF-8"))?;
+        let text = text.trim_end_matches(['\n', '\r']);
+        let (name, rest) = text.split_once(' ').unwrap_or((text, ""));
+        match (name, inside) {
+            ("", _) => {}
+            ("FRAME", false) => {
+                let clock = Fields::read(rest).and_then(|fields| fields.moment("Wall"));
+                host.now = clock.map_err(|what| trouble(number, &format!("FRAME {what}")))?;
+                inside = true;
+            }
+            ("EOB", true) => {
+                if host.pending.is_some() {
+                    return Err(trouble(number, "EOB: expected an ITEM line"));
+                }
+                reply.text.extend_from_slice(b"READY\n");
+                output.write_all(&reply.text)?;
+                output.flush()?;
+                reply.text.clear();
+                inside = false;
+            }
+            (_, true) => {
+                let taken = Fields::read(rest).and_then(|fields| host.take(name, &fields, &mut reply));
+                taken.map_err(|what| trouble(number, &format!("{name} {what}")))?;
+            }
+            (_, false) => return Err(trouble(number, &format!("'{name}': expected FRAME"))),
+        }
+    }
+}
+
+fn trouble(line: u64, what: &str) -> Trouble {
+    Trouble::Input { line, what: what.to_owned() }
+}
+
+impl Host {
+    fn take(&mut self, name: &str, fields: &Fields, reply: &mut Reply) -> Result<(), Refusal> {
+        if let Some((list, left)) = self.pending {
+            if name != "ITEM" {
+                return Err(format!("in a list: expected {left} more ITEM lines"));
+            }
+            self.lists[list].push(decode::listed(fields)?);
+            self.pending = Some((list, left - 1)).filter(|_| left > 1);
+            return Ok(());
+        }
+        if name == "LEDGER" {
+            let list = list_number(fields)?;
+            let entries: usize = fields.whole("Entries")?;
+            self.lists[list].clear();
+            self.pending = Some((list, entries)).filter(|_| entries > 0);
+            return Ok(());
+        }
+        let id = fields.text("GatewayId")?;
+        if name == "OPEN_INSTANCE" {
+            let seed = fields.whole::<i128>("RngSeed")? as u64;
+            let charter = Rc::new(decode::charter(fields)?);
+            self.gateways.insert(id.to_owned(), Gateway::open(charter, seed, self.now));
+            return Ok(());
+        }
+        let now = self.now;
+        let Some(gateway) = self.gateways.get_mut(id) else {
+            return Err(format!("GatewayId: expected an open instance, found '{id}'"));
+        };
+        reply.gateway.clear();
+        reply.gateway.push_str(id);
+        match name {
+            "TEARDOWN" => drop(self.gateways.remove(id)),
+            "TOPOLOGY" => {
+                let whole = match fields.text("Kind")? {
+                    "full" | "cached" => true,
+                    "delta" => false,
+                    "failed" => return Ok(()),
+                    other => return Err(format!("Kind: expected a kind of list, found '{other}'")),
+                };
+                gateway.roster(now, whole, &self.lists[list_number(fields)?]);
+            }
+            "JOB_IN" => {
+                let asked = Asked {
+                    id: fields.text("Id")?,
+                    customer: fields.get("UserKey").unwrap_or_default(),
+                    workload: fields.get("Type").unwrap_or_default(),
+                    plan: fields.get("Terms").unwrap_or_default(),
+                    outer_limit: fields.moment("ClientDeadline")?,
+                    units: fields.number_or("CostUnits", 1.0)?,
+                    width: fields.number_or("Width", 0.0)? as u32,
+                };
+                gateway.command(now, &asked, reply);
+            }
+            "RESULT" => {
+                let end = LegEnd {
+                    command: fields.text("Id")?,
+                    leg: fields.get("N").map_or(Ok(0), |_| fields.whole("N"))?,
+                    backend: fields.text("Backend")?,
+                    ending: decode::ending(fields)?,
+                    over: fields.flag("Ended")?,
+                    took: fields.span_or_zero("Rtt")?,
+                    true_units: Some(fields.number_or("Cost", 0.0)?).filter(|units| *units > 0.0),
+                };
+                gateway.leg_ended(now, &end, reply);
+            }
+            "CLIENT_LEFT" => gateway.client_left(fields.text("Id")?),
+            "LEDGER_REPLY" => gateway.counted(now, fields.text("TallyId")?, decode::counted(fields)?),
+            "ALARM" => gateway.woken(now, fields.text("Token")?, reply),
+            // Nothing is decided on these yet; they are checked as far as they name an instance.
+            "STREAMING" | "MAIL" | "PROBE_DONE" => {}
+            _ => return Err("expected an event".to_owned()),
+        }
+        Ok(())
+    }
+}
+
+fn list_number(fields: &Fields) -> Result<usize, Refusal> {
+    let number: usize = fields.whole("SetId")?;
+    if number < LISTS {
+        Ok(number)
+    } else {
+        Err(format!("SetId: expected 0 to {}, found {number}", LISTS - 1))
+    }
+}
+
+/// The orders of a batch as lines of its reply.
+#[derive(Default)]
+struct Reply {
+    gateway: String,
+    text: Vec<u8>,
+}
+
+impl Reply {
+    fn line(&mut self, action: &str, rest: std::fmt::Arguments) {
+        // Writing to memory cannot fail.
+        let _ = writeln!(self.text, "{action} GatewayId={}{rest}", self.gateway);
+    }
+}
+
+struct Seconds(Span);
+
+impl Display for Seconds {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let micros = self.0.micros();
+        let sign = if micros < 0 { "-" } else { "" };
+        write!(f, "{sign}{}.{:06}", micros.unsigned_abs() / 1_000_000, micros.unsigned_abs() % 1_000_000)
+    }
+}
+
+impl Orders for Reply {
+    fn leg(&mut self, command: &str, backend: &str, allow: Span) {
+        let allow = Seconds(allow);
+        self.line("CALL_OUT", format_args!(" Id={command} AllowFor={allow} Backend={backend}"));
+    }
+    fn call_off(&mut self, command: &str, leg: u32) {
+        self.line("STOP_ATTEMPT", format_args!(" Id={command} N={leg}"));
+    }
+    fn bounce(&mut self, command: &str, retry_in: Option<Span>) {
+        match retry_in {
+            Some(away) => self.line("BUSY", format_args!(" Id={command} RetryIn={}", Seconds(away))),
+            None => self.line("BUSY", format_args!(" Id={command}")),
+        }
+    }
+    fn scrap(&mut self, command: &str) {
+        self.line("RESPOND_ERROR", format_args!(" Id={command}"));
+    }
+    fn count(&mut self, name: &str, amount: f64, keep: Span) {
+        let keep = Seconds(keep);
+        self.line("POST_AMOUNT", format_args!(" Lives={keep} Delta={amount} TallyId={name}"));
+    }
+    fn wake(&mut self, token: &str, after: Span) {
+        self.line("NOTIFY_ME", format_args!(" Token={token} In={}", Seconds(after)));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: &str = "FRAME Wall=5\nLEDGER SetId=3 Entries=1\nITEM Status=live Backend=b1 Extra=1\n\
+        OPEN_INSTANCE GatewayId=gateway_1 RngSeed=7 Options={\"Caps\":{\"TryLimit\":2,\"RetryAfter\":true,\
+        \"MaxRetryAfter\":0.5},\"Classes\":[{\"Name\":\"w\",\"Effect\":\"retryable\",\"Objective\":2}],\
+        \"Plans\":[{\"Name\":\"p\",\"Refill\":5,\"StoreSize\":9}]}\n\
+        TOPOLOGY GatewayId=gateway_1 Kind=cached Index=1 SetId=3\nEOB\n";
+
+    fn play(more: &str) -> (Result<(), Trouble>, String) {
+        let mut output = Vec::new();
+        let done = run(format!("{START}{more}").as_bytes(), &mut output);
+        (done, String::from_utf8(output).unwrap())
+    }
+
+    #[test]
+    fn a_command_goes_out_and_its_leg_comes_back() {
+        let job =
+            "JOB_IN Width=1 CostUnits=1 Terms=p Type=w UserKey=k ClientDeadline=9 Id=c1 GatewayId=gateway_1";
+        let (done, output) = play(&format!(
+            "FRAME Wall=5.5\n{job}\nEOB\nFRAME Wall=6\nRESULT GatewayId=gateway_1 Id=c1 N=0 Ending=turned_away \
+             Rtt=0.1 Backend=b1\nEOB\nFRAME Wall=7\nRESULT GatewayId=gateway_1 Id=c1 N=1 Ending=turned_away \
+             Rtt=0.1 Backend=b1\nRESULT GatewayId=gateway_1 Id=old N=0 Ending=served Rtt=1 Backend=b9\nEOB\n"
+        ));
+        assert!(done.is_ok());
+        assert_eq!(output.matches("CALL_OUT GatewayId=gateway_1 Id=c1 AllowFor=").count(), 2);
+        assert!(output.contains("BUSY GatewayId=gateway_1 Id=c1 RetryIn=0.500000\nREADY\n"), "{output}");
+        assert_eq!(output.matches("READY\n").count(), 4);
+    }
+
+    #[test]
+    fn bad_input_names_line_and_field_and_leaves_no_half_reply() {
+        for (line, what) in [
+            ("JOB_IN GatewayId=gateway_1 Id=x", "line 8: JOB_IN ClientDeadline: expected"),
+            ("JOB_IN GatewayId=gateway_9 Id=x", "line 8: JOB_IN GatewayId: expected an open instance"),
+            ("ALARM GatewayId=gateway_1", "line 8: ALARM Token: expected"),
+            ("NOISE GatewayId=gateway_1", "line 8: NOISE expected an event"),
+            ("LEDGER SetId=16 Entries=0", "line 8: LEDGER SetId: expected 0 to 15"),
+            ("RESULT GatewayId=gateway_1 Id=x Backend=b Ending=odd", "line 8: RESULT Ending: expected"),
+            ("ALARM loose", "line 8: ALARM 'loose': expected name=value"),
+        ] {
+            let (done, output) = play(&format!("FRAME Wall=6\n{line}\nEOB\n"));
+            let message = done.expect_err(line).to_string();
+            assert!(message.starts_with(what), "{message}");
+            assert_eq!(output, "READY\n");
+        }
+        assert!(play("FRAME Wall=6\n").0.is_err(), "a batch cut short");
+    }
+
+    #[test]
+    fn a_killed_instance_starts_from_nothing() {
+        let again = START.replace("FRAME Wall=5\n", "FRAME Wall=6\nTEARDOWN GatewayId=gateway_1\n");
+        let late = "FRAME Wall=7\nRESULT GatewayId=gateway_1 Id=c1 N=0 Ending=served Rtt=1 Backend=b1\nEOB\n";
+        let (done, output) = play(&format!("{again}{late}"));
+        assert!(done.is_ok());
+        assert_eq!(output, "READY\n".repeat(3));
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,733 @@
+//! All decisions of kitepass. A host opens one [`Gateway`] an instance, tells it in order what happens, each
+//! time with its clock and an [`Orders`] that carries out what the gateway orders: `roster`, `command`,
+//! `leg_ended`, `client_left`, `counted`, `woken`. Types in and the trait stand in `interface.rs`.
+//! docs/design.md tells which parts are the article's mechanism and which are departures from it.
+
+use crate::clock::{Moment, Span};
+use crate::interface::*;
+use oorandom::Rand64;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// The article's period, and the stay-away that a bounce advises.
+const PERIOD: Span = Span::from_secs(1);
+/// Part of the store that is not given away while other gateways draw on it unseen.
+const RESERVE: f64 = 0.125;
+/// Mean deviations past the mean after which a leg counts as overdue.
+const OVERDUE: f64 = 6.0;
+/// Share of the contract time beyond which the usual time of an answer means an overload.
+const PRESSED: f64 = 0.5;
+/// Share of what tips a cold backend over that is used at most.
+const COLD_SHARE: f64 = 0.5;
+/// Share of the fleet's size that is to be warm where its usual flow is learnt.
+const WARM: f64 = 0.75;
+/// How long a backend's good and bad ends count.
+const MEMORY: Span = Span::from_secs(5);
+/// What is left of the odds of the backend that had the leg before.
+const AGAIN: f64 = 0.0625;
+/// Share of the limit from which a customer's total is read again when all adds are in.
+const NEAR: f64 = 0.5;
+/// Weight of the newest in running means.
+const NEWEST: f64 = 0.0625;
+
+/// A command's states. `shift` alone changes them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Taken in; no leg out.
+    Held,
+    /// This many legs are out.
+    Out(u32),
+    /// It has its final answer; only ends of legs can follow.
+    Over,
+}
+
+struct Command {
+    state: State,
+    workload: usize,
+    customer: Rc<str>,
+    came: Moment,
+    outer_limit: Moment,
+    legs: u32,
+    units: f64,
+    /// Where the first leg that may have run went, and when.
+    bound: Option<(Rc<str>, Moment)>,
+    last_backend: Option<Rc<str>>,
+    beyond: bool,
+}
+
+/// One customer as this gateway sees it.
+struct Customer {
+    plan: usize,
+    width: f64,
+    /// Units thought to be in the store, and when that was reckoned.
+    store: f64,
+    as_of: Moment,
+    /// Units offered here within about a period, the newest counting most.
+    demand: f64,
+    /// Offered and refused here since the period began.
+    offered: f64,
+    refused: f64,
+    /// Taken off the store for the other gateways since the period began.
+    presumed: f64,
+    /// The closed period while its count is out.
+    closed: Option<Closed>,
+    /// Units a period that the others offer and send on, and what this gateway was offered beside them.
+    others_offered: f64,
+    others_sent: f64,
+    usual: f64,
+    /// A total has been read: no longer an unseen customer.
+    seen: bool,
+    /// Units left of this gateway's own share of the hard ceiling.
+    ceiling: f64,
+    out: u32,
+    idle: u32,
+}
+
+struct Closed {
+    period: i64,
+    sent: f64,
+    refused: f64,
+    presumed: f64,
+}
+
+/// All that is known about a backend.
+struct Backend {
+    listed: Listed,
+    /// Decayed ends of legs that went well and that went wrong.
+    good: f64,
+    bad: f64,
+    judged: Moment,
+    /// Time taken as a multiple of what the fleet takes for the like.
+    slow: f64,
+    /// When the legs that are out were sent.
+    out: Vec<Moment>,
+    /// Legs sent within the window of the cold rule.
+    sent: Vec<Moment>,
+}
+
+/// What a workload's answers usually take.
+struct Pace {
+    mean: Span,
+    deviation: Span,
+}
+
+pub struct Gateway {
+    charter: Rc<Charter>,
+    chance: Rand64,
+    opened: Moment,
+    backends: BTreeMap<Rc<str>, Backend>,
+    commands: HashMap<Rc<str>, Command>,
+    customers: HashMap<Rc<str>, Customer>,
+    paces: Vec<Pace>,
+    /// Legs sent in about a window of the cold rule, and the usual number for each unit of size.
+    flow: f64,
+    flow_at: Moment,
+    taken: f64,
+    /// Time taken of late as a multiple of the contract time.
+    strain: f64,
+}
+
+impl Gateway {
+    pub fn open(charter: Rc<Charter>, seed: u64, now: Moment) -> Self {
+        let pace = |w: &Workload| Pace { mean: w.contract / 8, deviation: w.contract / 16 };
+        Gateway {
+            chance: Rand64::new(u128::from(seed)),
+            opened: now,
+            backends: BTreeMap::new(),
+            commands: HashMap::new(),
+            customers: HashMap::new(),
+            paces: charter.workloads.iter().map(pace).collect(),
+            flow: 0.0,
+            flow_at: now,
+            taken: 0.0,
+            strain: 0.0,
+            charter,
+        }
+    }
+
+    /// Changes of the list of backends; a whole list also tells what is gone.
+    pub fn roster(&mut self, now: Moment, whole: bool, lines: &[Listed]) {
+        if whole {
+            for backend in self.backends.values_mut() {
+                backend.listed.standing = Standing::Gone;
+            }
+        }
+        for line in lines {
+            let id: Rc<str> = line.id.as_str().into();
+            let fresh = || Backend {
+                listed: line.clone(),
+                good: 0.0,
+                bad: 0.0,
+                judged: now,
+                slow: 1.0,
+                out: Vec::new(),
+                sent: Vec::new(),
+            };
+            let known = self.backends.entry(id).or_insert_with(fresh);
+            if known.listed.started != line.started {
+                // A known id that has started again is a cold backend: old praise and blame are void.
+                (known.good, known.bad, known.slow) = (0.0, 0.0, 1.0);
+            }
+            known.listed = line.clone();
+        }
+        self.backends.retain(|_, b| b.listed.standing != Standing::Gone || !b.out.is_empty());
+    }
+
+    /// A command has come in.
+    pub fn command(&mut self, now: Moment, asked: &Asked, orders: &mut impl Orders) {
+        let charter = self.charter.clone();
+        let workload = charter.workloads.iter().position(|w| w.name == asked.workload);
+        let plan = charter.plans.iter().position(|p| p.name == asked.plan);
+        let (Some(workload), Some(plan)) = (workload, plan) else {
+            // What nobody has set terms for is nobody's to send on.
+            return orders.bounce(asked.id, self.advice());
+        };
+        let id: Rc<str> = asked.id.into();
+        let customer = self.meet(now, asked, plan, orders);
+        let command = Command {
+            state: State::Held,
+            workload,
+            customer: customer.clone(),
+            came: now,
+            outer_limit: asked.outer_limit,
+            legs: 0,
+            units: asked.units,
+            bound: None,
+            last_backend: None,
+            beyond: false,
+        };
+        self.commands.insert(id.clone(), command);
+        let ratio = self.ratio(&customer, asked.units);
+        let pressure = if self.strain > PRESSED { (self.strain - PRESSED) / self.strain } else { 0.0 };
+        let beyond = &charter.plans[plan];
+        // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
+        let lenient = beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
+        let refused = !lenient && self.chance.rand_float() < ratio;
+        if refused || self.chance.rand_float() < pressure {
+            self.refuse(&id, orders);
+        } else {
+            self.advance(now, &id, orders);
+        }
+    }
+
+    /// A leg has ended.
+    pub fn leg_ended(&mut self, now: Moment, end: &LegEnd, orders: &mut impl Orders) {
+        self.judge(now, end);
+        let Some((id, command)) = self.commands.get_key_value(end.command) else {
+            return;
+        };
+        let (id, state) = (id.clone(), command.state);
+        if let Some(customer) = self.customers.get_mut(&command.customer) {
+            customer.out = customer.out.saturating_sub(1);
+            if let (Some(units), false) = (end.true_units, command.beyond) {
+                customer.store -= units - command.units;
+            }
+        }
+        if end.over || state == State::Over {
+            return self.shift(&id, State::Over);
+        }
+        let command = self.commands.get_mut(&id).expect("found above");
+        if !end.ending.never_ran() && command.bound.is_none() {
+            command.bound = Some((end.backend.into(), now - end.took));
+        }
+        match state {
+            State::Out(n) if n > 1 => self.shift(&id, State::Out(n - 1)),
+            _ => {
+                self.shift(&id, State::Held);
+                self.advance(now, &id, orders);
+            }
+        }
+    }
+
+    /// The client has gone; nothing is owed for the command any more.
+    pub fn client_left(&mut self, id: &str) {
+        if let Some((id, _)) = self.commands.get_key_value(id) {
+            let id = id.clone();
+            self.shift(&id, State::Over);
+        }
+    }
+
+    /// Every change of a command's state.
+    fn shift(&mut self, id: &Rc<str>, to: State) {
+        if let Some(command) = self.commands.get_mut(id) {
+            command.state = to;
+            if to == State::Over {
+                self.commands.remove(id);
+            }
+        }
+    }
+
+    // ---- The quota: the article's mechanism -------------------------------------------------------------
+
+    /// Books the offered units and sets the customer's timer if there is none.
+    fn meet(&mut self, now: Moment, asked: &Asked, plan: usize, orders: &mut impl Orders) -> Rc<str> {
+        let terms = &self.charter.plans[plan];
+        let width = f64::from(if asked.width == 0 { self.charter.gateways } else { asked.width }.max(1));
+        let id = match self.customers.get_key_value(asked.customer) {
+            Some((id, _)) => id.clone(),
+            None => {
+                let id: Rc<str> = asked.customer.into();
+                // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
+                // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
+                let customer = Customer {
+                    plan,
+                    width,
+                    store: terms.store / width,
+                    as_of: now,
+                    demand: 0.0,
+                    offered: 0.0,
+                    refused: 0.0,
+                    presumed: 0.0,
+                    closed: None,
+                    others_offered: 0.0,
+                    others_sent: 0.0,
+                    usual: 0.0,
+                    seen: false,
+                    ceiling: (terms.ceiling_rate / width * (now - self.opened).over(PERIOD))
+                        .min(terms.ceiling_depth / width),
+                    out: 0,
+                    idle: 0,
+                };
+                self.customers.insert(id.clone(), customer);
+                orders.wake(&format!("period.{id}"), until_close(now, &id));
+                id
+            }
+        };
+        let customer = self.customers.get_mut(&id).expect("just met");
+        customer.reckon(now, terms);
+        customer.demand += asked.units;
+        customer.offered += asked.units;
+        customer.idle = 0;
+        id
+    }
+
+    /// The article's ratio for one command: (actual - limit) / actual, never below zero.
+    fn ratio(&self, id: &str, units: f64) -> f64 {
+        let customer = &self.customers[id];
+        let terms = &self.charter.plans[customer.plan];
+        if terms.rate <= 0.0 {
+            return 0.0;
+        }
+        let share = if customer.seen { 1.0 } else { 1.0 / customer.width };
+        let reserve = if customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
+        let actual = customer.demand + customer.others_now(terms);
+        let limit = terms.rate * share * PERIOD.over(Span::from_secs(1)) + customer.store - reserve;
+        // The command alone against the store: chance over many is too coarse where one is large.
+        ((actual - limit) / actual).max((units - customer.store) / units).clamp(0.0, 1.0)
+    }
+
+    /// A timer is due.
+    pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
+        match token.split_once('.') {
+            Some(("period", id)) => self.close_period(now, id, orders),
+            Some(("read", id)) => self.read_total(id, orders),
+            Some(("held", id)) => {
+                if let Some((id, Command { state: State::Held, .. })) = self.commands.get_key_value(id) {
+                    let id = id.clone();
+                    self.advance(now, &id, orders);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A customer's period has ended: its offered units go to the counter, if there are any.
+    fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
+        let Some((id, _)) = self.customers.get_key_value(id) else {
+            return;
+        };
+        let id = id.clone();
+        let customer = self.customers.get_mut(&id).expect("just found");
+        let terms = &self.charter.plans[customer.plan];
+        customer.reckon(now, terms);
+        customer.usual += (customer.offered - customer.usual) / 2.0;
+        customer.closed = None;
+        let sent = customer.offered - customer.refused;
+        if customer.offered <= 0.0 || sent < 0.0 {
+            customer.idle += 1;
+            customer.others_offered /= 2.0;
+            customer.others_sent /= 2.0;
+            // Old customers are dropped once their store must be full again.
+            let full =
+                (terms.store / terms.rate.max(f64::EPSILON)).min(60.0) * Span::from_secs(1).over(PERIOD);
+            if f64::from(customer.idle) > full && customer.out == 0 {
+                self.customers.remove(&id);
+                return;
+            }
+        } else if let (Some(patience), true) =
+            (self.charter.counter, customer.width > 1.0 && terms.rate > 0.0)
+        {
+            let period = period_of(now, &id) - 1;
+            let closed = Closed {
+                period,
+                sent,
+                refused: customer.refused,
+                presumed: std::mem::take(&mut customer.presumed),
+            };
+            orders.count(&format!("{id}.{period}"), packed(sent, customer.refused, terms), PERIOD * 4);
+            customer.closed = Some(closed);
+            (customer.offered, customer.refused) = (0.0, 0.0);
+            // The total that the add gives back may lack the adds of others; where it matters it is read
+            // again when theirs are in.
+            let near =
+                customer.usual * customer.width + customer.others_offered > NEAR * terms.rate * secs(PERIOD);
+            if near || customer.store < NEAR * terms.store {
+                orders.wake(&format!("read.{id}"), patience);
+            }
+        }
+        orders.wake(&format!("period.{id}"), until_close(now, &id));
+    }
+
+    fn read_total(&mut self, id: &str, orders: &mut impl Orders) {
+        if let Some(Closed { period, .. }) = self.customers.get(id).and_then(|c| c.closed.as_ref()) {
+            orders.count(&format!("{id}.{period}"), 0.0, PERIOD * 4);
+        }
+    }
+
+    /// The counter has answered a call, or not.
+    pub fn counted(&mut self, now: Moment, name: &str, counted: Counted) {
+        let Some((id, period)) = name.rsplit_once('.') else {
+            return;
+        };
+        let Some(customer) = self.customers.get_mut(id) else {
+            return;
+        };
+        let Some(closed) = customer.closed.as_mut() else {
+            return;
+        };
+        if closed.period.to_string() != period {
+            return;
+        }
+        let terms = &self.charter.plans[customer.plan];
+        match counted {
+            Counted::Total(total) => {
+                let (sent, refused) = unpacked(total, terms);
+                // A total under this gateway's own part is a counter that has lost its counts: the last
+                // reading stays, as it does through silence.
+                if sent + refused + 0.5 < closed.sent + closed.refused {
+                    return;
+                }
+                let others_sent = (sent - closed.sent).max(0.0);
+                customer.others_offered = others_sent + (refused - closed.refused).max(0.0);
+                customer.others_sent = others_sent;
+                let correction = closed.presumed - others_sent;
+                closed.presumed = others_sent;
+                customer.seen = true;
+                customer.reckon(now, terms);
+                customer.store = (customer.store + correction).clamp(-self.charter.largest, terms.store);
+            }
+            Counted::NotAdded => {
+                customer.offered += closed.sent + closed.refused;
+                customer.refused += closed.refused;
+                customer.presumed += closed.presumed;
+                customer.closed = None;
+            }
+            Counted::Unknown => {}
+        }
+    }
+
+    // ---- Answers and legs ---------------------------------------------------------------------------------
+
+    fn advice(&self) -> Option<Span> {
+        self.charter.longest_advice.map(|longest| longest.min(PERIOD))
+    }
+
+    /// Refuses a command before its first leg.
+    fn refuse(&mut self, id: &Rc<str>, orders: &mut impl Orders) {
+        let command = &self.commands[id];
+        if let (0, Some(customer)) = (command.legs, self.customers.get_mut(&command.customer)) {
+            customer.refused += command.units;
+        }
+        self.give_up(id, orders);
+    }
+
+    /// The final answer of a command that is given up: a bounce only where a retry is harmless.
+    fn give_up(&mut self, id: &Rc<str>, orders: &mut impl Orders) {
+        let command = &self.commands[id];
+        let harmless = command.bound.is_none()
+            || match self.charter.workloads[command.workload].repeats {
+                Repeats::Repeatable => true,
+                Repeats::Tagged { group, .. } => group == Group::All,
+                Repeats::OnceOnly => false,
+            };
+        if harmless {
+            orders.bounce(id, self.advice());
+        } else {
+            orders.scrap(id);
+        }
+        self.shift(id, State::Over);
+    }
+
+    /// Sends a held command's next leg, holds it on, or gives it up.
+    fn advance(&mut self, now: Moment, id: &Rc<str>, orders: &mut impl Orders) {
+        let charter = self.charter.clone();
+        let command = &self.commands[id];
+        let workload = &charter.workloads[command.workload];
+        let (expected, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
+        let contract_end = command.came + workload.contract;
+        let end = if workload.late_share > 0.0 {
+            command.outer_limit
+        } else {
+            command.outer_limit.min(contract_end)
+        };
+        let left = end - now;
+        let barred = match (workload.repeats, &command.bound) {
+            (Repeats::OnceOnly, Some(_)) => true,
+            (Repeats::Tagged { memory, .. }, Some((_, sent))) => now - *sent >= memory,
+            _ => false,
+        };
+        let least = if command.legs > 0 { expected } else { Span::ZERO };
+        if barred || command.legs >= charter.most_legs || left <= least {
+            return self.refuse(id, orders);
+        }
+        let Some(backend) = self.pick(now, id) else {
+            // No backend may take it now: hold it while an answer within the contract time can be hoped for.
+            let pause = workload.contract / 16;
+            if left.min(contract_end - now) > pause + expected {
+                return orders.wake(&format!("held.{id}"), pause);
+            }
+            return self.refuse(id, orders);
+        };
+        // A further leg may follow an overdue one only if there is time for both.
+        let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected;
+        let allow = if again { overdue } else { left };
+        let command = self.commands.get_mut(id).expect("found above");
+        if let (Some(customer), true) = (self.customers.get_mut(&command.customer), command.legs == 0) {
+            let terms = &charter.plans[customer.plan];
+            // A hard ceiling holds whatever the others do: the whole command fits this gateway's own share.
+            if terms.ceiling_rate > 0.0 {
+                if customer.ceiling < command.units {
+                    return self.refuse(id, orders);
+                }
+                customer.ceiling -= command.units;
+            }
+            command.beyond = customer.store < command.units;
+            if !command.beyond {
+                customer.store -= command.units;
+            }
+        }
+        if let Some(customer) = self.customers.get_mut(&command.customer) {
+            customer.out += 1;
+        }
+        command.legs += 1;
+        command.last_backend = Some(backend.clone());
+        self.flow = self.flow * (-(now - self.flow_at).over(charter.cold_start.window)).exp() + 1.0;
+        self.flow_at = now;
+        let record = self.backends.get_mut(&backend).expect("picked from these");
+        record.out.push(now);
+        if record.warmth(now, &charter.cold_start) < 1.0 {
+            record.sent.push(now);
+        }
+        orders.leg(id, &backend, allow);
+        self.shift(id, State::Out(1));
+    }
+
+    // ---- Backends -----------------------------------------------------------------------------------------
+
+    /// Draws one backend, odds in step with the room that each is thought to have.
+    fn pick(&mut self, now: Moment, id: &Rc<str>) -> Option<Rc<str>> {
+        let cold_start = self.charter.cold_start;
+        let command = &self.commands[id];
+        let overdue = self.paces[command.workload].overdue();
+        let home = command.bound.as_ref().and_then(|(b, _)| self.backends.get(b));
+        let home = home.map(|b| (b.listed.zone.clone(), b.listed.cell));
+        let group = match self.charter.workloads[command.workload].repeats {
+            Repeats::Tagged { group, .. } if command.bound.is_some() => group,
+            _ => Group::All,
+        };
+        let fits = |b: &Listed| match (group, &home) {
+            (Group::All, _) => true,
+            (Group::Zone, Some((zone, _))) => b.zone == *zone,
+            (Group::Cell, Some((_, cell))) => b.cell == *cell,
+            (_, None) => false,
+        };
+        let (mut worth, mut size, mut able, mut out) = (0.0, 0.0, 0.0, 1.0);
+        for b in self.backends.values().filter(|b| b.listed.standing == Standing::Live) {
+            let warmth = b.warmth(now, &cold_start);
+            worth += b.listed.size / b.slow * warmth;
+            able += b.listed.size * warmth;
+            size += b.listed.size;
+            out += b.out.len() as f64;
+        }
+        // What a unit of size takes is learnt while most of the fleet is warm, and kept for when it is not.
+        if able > WARM * size && (now - self.opened) > cold_start.window {
+            let flow = self.flow * (-(now - self.flow_at).over(cold_start.window)).exp() / able;
+            self.taken += (flow - self.taken) * NEWEST;
+        }
+        let (mut odds, mut sum) = (Vec::with_capacity(self.backends.len()), 0.0);
+        for (id, b) in &mut self.backends {
+            if b.listed.standing != Standing::Live || !fits(&b.listed) {
+                continue;
+            }
+            let warmth = b.warmth(now, &cold_start);
+            if warmth < 1.0 {
+                // A cold backend falls over if all gateways together send too much: this one sends no more
+                // than in step with what it sends to warm ones of like size, one leg at least.
+                b.sent.retain(|sent| now - *sent < cold_start.window);
+                let budget = COLD_SHARE * cold_start.multiple * warmth * b.listed.size * self.taken;
+                if b.sent.len() as f64 + 1.0 > budget.max(1.0) {
+                    continue;
+                }
+            }
+            let share = b.listed.size / b.slow * warmth / worth;
+            let room = (out * share + 1.0 - b.out.len() as f64).max(share);
+            let mut odd = room * b.trust(now, overdue, &mut self.chance);
+            if command.last_backend.as_ref() == Some(id) {
+                odd *= AGAIN;
+            }
+            sum += odd;
+            odds.push((id, odd));
+        }
+        let mut draw = self.chance.rand_float() * sum;
+        for (id, odd) in &odds {
+            draw -= odd;
+            if draw <= 0.0 {
+                return Some((*id).clone());
+            }
+        }
+        odds.last().map(|(id, _)| (*id).clone())
+    }
+
+    /// Books what a leg's end tells about its backend, its workload and the fleet.
+    fn judge(&mut self, now: Moment, end: &LegEnd) {
+        let cold_start = self.charter.cold_start;
+        let workload = self.commands.get(end.command).map_or(0, |c| c.workload);
+        let went_well = end.ending == Ending::Settled;
+        let telling = went_well || end.ending == Ending::Silent;
+        let (Some(terms), Some(pace)) = (self.charter.workloads.get(workload), self.paces.get_mut(workload))
+        else {
+            return;
+        };
+        let usual = pace.mean;
+        if telling {
+            pace.learn(end.took);
+            self.strain += (end.took.over(terms.contract) - self.strain) * NEWEST;
+        }
+        let Some(b) = self.backends.get_mut(end.backend) else {
+            return;
+        };
+        let sent = now - end.took;
+        if let Some(nearest) = (0..b.out.len()).min_by_key(|&i| (b.out[i] - sent).micros().abs()) {
+            b.out.swap_remove(nearest);
+        }
+        b.forget(now);
+        if went_well {
+            b.good += 1.0;
+            b.bad /= 2.0;
+        } else if !matches!(end.ending, Ending::CalledOff | Ending::Unsent) {
+            b.bad += 1.0;
+            b.good /= 2.0;
+        }
+        if telling && b.warmth(now, &cold_start) >= 1.0 {
+            b.slow += (end.took.over(usual.max(Span::from_micros(1))) - b.slow) * NEWEST * 2.0;
+            b.slow = b.slow.clamp(0.25, 16.0);
+        }
+    }
+}
+
+impl Customer {
+    /// Brings the store, the share of the ceiling and the demand up to now.
+    fn reckon(&mut self, now: Moment, terms: &Plan) {
+        let past = now - self.as_of;
+        self.as_of = now;
+        let seconds = secs(past);
+        let others = if self.seen { self.others_sent * self.surge(terms) * past.over(PERIOD) } else { 0.0 };
+        let rate = if self.seen { terms.rate } else { terms.rate / self.width };
+        self.presumed += others;
+        let floor = self.store.min(0.0);
+        self.store = (self.store + rate * seconds - others).clamp(floor, terms.store);
+        self.ceiling =
+            (self.ceiling + terms.ceiling_rate / self.width * seconds).min(terms.ceiling_depth / self.width);
+        self.demand *= (-past.over(PERIOD)).exp();
+    }
+
+    /// How demand here has grown since the last reading; the others' is taken to have grown alike.
+    fn surge(&self, terms: &Plan) -> f64 {
+        let calm = terms.rate * secs(PERIOD) / self.width;
+        ((self.demand + calm) / (self.usual + calm)).max(1.0)
+    }
+
+    fn others_now(&self, terms: &Plan) -> f64 {
+        self.others_offered * self.surge(terms)
+    }
+}
+
+impl Backend {
+    /// The share of its capacity that a backend has at least.
+    fn warmth(&self, now: Moment, cold_start: &ColdStart) -> f64 {
+        let Some(started) = self.listed.started else {
+            return 1.0;
+        };
+        let age = (now - started).over(cold_start.warm_within).max(0.0);
+        (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
+    }
+
+    /// Praise and blame fade.
+    fn forget(&mut self, now: Moment) {
+        let fade = (-(now - self.judged).over(MEMORY)).exp();
+        self.good *= fade;
+        self.bad *= fade;
+        self.judged = now;
+    }
+
+    /// One draw from the posterior of its chance of success; legs overdue weigh like failures.
+    fn trust(&mut self, now: Moment, overdue: Span, chance: &mut Rand64) -> f64 {
+        self.forget(now);
+        let late = self.out.iter().filter(|sent| now - **sent > overdue).count() as f64;
+        if self.bad + late < 0.1 {
+            return 1.0;
+        }
+        let (a, b) = (1.0 + self.good * (-late).exp2(), 1.0 + self.bad + late);
+        let (mean, n) = (a / (a + b), a + b + 1.0);
+        // A Beta's mean and spread, drawn near enough by the sum of three uniforms.
+        let z = 2.0 * (chance.rand_float() + chance.rand_float() + chance.rand_float() - 1.5);
+        (mean + z * (mean * (1.0 - mean) / n).sqrt()).clamp(0.001, 1.0)
+    }
+}
+
+impl Pace {
+    fn learn(&mut self, took: Span) {
+        let off = took - self.mean;
+        self.mean = self.mean + off.times(NEWEST);
+        self.deviation = self.deviation + (off.max(Span::ZERO - off) - self.deviation).times(NEWEST);
+    }
+
+    fn overdue(&self) -> Span {
+        self.mean + self.deviation.times(OVERDUE)
+    }
+}
+
+fn secs(span: Span) -> f64 {
+    span.over(Span::from_secs(1))
+}
+
+/// A customer's periods end at its own phase, alike at all gateways, so that neither calls nor ratios
+/// nor the clients they turn away come all at once.
+fn phase(id: &str) -> Span {
+    let hash =
+        id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    PERIOD.times((hash >> 40) as f64 / f64::from(1 << 24))
+}
+
+fn period_of(now: Moment, id: &str) -> i64 {
+    (now - phase(id)).micros().div_euclid(PERIOD.micros())
+}
+
+fn until_close(now: Moment, id: &str) -> Span {
+    PERIOD - Span::from_micros((now - phase(id)).micros().rem_euclid(PERIOD.micros()))
+}
+
+/// One amount carries offered units in two parts, sent on and refused, so that all gateways know what the
+/// store gave; the parts are set apart by far more than a period can send on.
+fn packed(sent: f64, refused: f64, terms: &Plan) -> f64 {
+    sent + refused * apart(terms)
+}
+
+fn unpacked(total: f64, terms: &Plan) -> (f64, f64) {
+    let refused = (total / apart(terms)).floor();
+    (total - refused * apart(terms), refused)
+}
+
+fn apart(terms: &Plan) -> f64 {
+    10f64.powf((10.0 * (terms.rate * secs(PERIOD) + terms.store)).max(1.0).log10().ceil())
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,166 @@
+//! What a host tells the decision module, and the trait through which the module gives its orders.
+
+use crate::clock::{Moment, Span};
+
+/// What a gateway is told once, at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Charter {
+    /// How many gateways serve the same customers, this one included.
+    pub gateways: u32,
+    pub workloads: Vec<Workload>,
+    pub plans: Vec<Plan>,
+    /// How long a call to the quota counter may take; none where there is no counter.
+    pub counter: Option<Span>,
+    /// The units of a command are a guess and its answer tells the true ones.
+    pub settles_later: bool,
+    /// The most units that one command counts.
+    pub largest: f64,
+    /// Two legs of one command may be out at once.
+    pub copies: bool,
+    pub most_legs: u32,
+    /// The longest stay-away that clients heed; none if they are given no advice.
+    pub longest_advice: Option<Span>,
+    pub cold_start: ColdStart,
+}
+
+/// How a backend comes up, and what makes it fall over.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdStart {
+    /// The least share of its full capacity that a backend starts with.
+    pub least: f64,
+    pub warm_within: Span,
+    /// Sent more than this multiple of its present capacity for `window`, it falls over.
+    pub multiple: f64,
+    pub window: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub name: String,
+    pub repeats: Repeats,
+    pub contract: Span,
+    /// Share of the value that an answer after the contract time still earns.
+    pub late_share: f64,
+    pub value: f64,
+}
+
+/// What running a command again would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Repeatable,
+    /// The group's backends drop repeats for the memory time.
+    Tagged {
+        group: Group,
+        memory: Span,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub name: String,
+    /// Units a second, and the units that the store holds; no such quota at rate 0.
+    pub rate: f64,
+    pub store: f64,
+    /// Legs that a customer may have out at once; 0 for no such quota.
+    pub legs_out: u32,
+    pub pays: f64,
+    pub beyond_earns: f64,
+    pub overrun_cost: f64,
+    /// The hard ceiling's units a second and depth; none at rate 0.
+    pub ceiling_rate: f64,
+    pub ceiling_depth: f64,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub id: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: i64,
+    pub standing: Standing,
+    /// Its size beside the others'.
+    pub size: f64,
+    /// Its last start, if that is not long ago.
+    pub started: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Live,
+    Draining,
+    Gone,
+}
+
+/// A command as it comes in.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    pub id: &'a str,
+    pub customer: &'a str,
+    pub workload: &'a str,
+    pub plan: &'a str,
+    pub outer_limit: Moment,
+    pub units: f64,
+    /// Through how many gateways this customer's commands come; 0 if it is not told.
+    pub width: u32,
+}
+
+/// How a leg ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Settled,
+    Error,
+    TurnedAway,
+    Silent,
+    Unreachable,
+    Broken,
+    CalledOff,
+    Unsent,
+}
+
+impl Ending {
+    /// The ending proves that the leg had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unreachable | Ending::Unsent)
+    }
+}
+
+/// The end of a leg.
+#[derive(Clone, Debug)]
+pub struct LegEnd<'a> {
+    pub command: &'a str,
+    pub leg: u32,
+    pub backend: &'a str,
+    pub ending: Ending,
+    /// The command has its final answer already.
+    pub over: bool,
+    pub took: Span,
+    /// The true units of the command, where they are settled by its answer.
+    pub true_units: Option<f64>,
+}
+
+/// What came of a call to the quota counter.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Counted {
+    Total(f64),
+    NotAdded,
+    Unknown,
+}
+
+/// How the module gives its orders; they take effect in the order given.
+pub trait Orders {
+    fn leg(&mut self, command: &str, backend: &str, allow: Span);
+    fn call_off(&mut self, command: &str, leg: u32);
+    fn bounce(&mut self, command: &str, retry_in: Option<Span>);
+    fn scrap(&mut self, command: &str);
+    fn count(&mut self, name: &str, amount: f64, keep: Span);
+    fn wake(&mut self, token: &str, after: Span);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! kitepass: quotas for a shared API, kept by gateways that share nothing but a counter.
+
+mod choice;
+mod clock;
+mod interface;
+
+pub use choice::Gateway;
+pub use clock::{Moment, Span};
+pub use interface::*;
