--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,7 +15,7 @@
 const RESERVE: f64 = 0.125;
 /// Mean deviations past the mean after which a leg counts as overdue.
 const OVERDUE: f64 = 6.0;
-/// Share of the contract time beyond which the usual time of an answer means an overload.
+/// Share of the contract time that legs may be out for; more means an overload.
 const PRESSED: f64 = 0.5;
 /// Share of what tips a cold backend over that is used at most.
 const COLD_SHARE: f64 = 0.5;
@@ -123,8 +123,9 @@
     flow: f64,
     flow_at: Moment,
     taken: f64,
-    /// Time taken of late as a multiple of the contract time.
-    strain: f64,
+    /// Legs settled in about one contract time.
+    settled: f64,
+    settled_at: Moment,
 }
 
 impl Gateway {
@@ -140,7 +141,8 @@
             flow: 0.0,
             flow_at: now,
             taken: 0.0,
-            strain: 0.0,
+            settled: 0.0,
+            settled_at: now,
             charter,
         }
     }
@@ -198,7 +200,7 @@
         };
         self.commands.insert(id.clone(), command);
         let ratio = self.ratio(&customer, asked.units);
-        let pressure = if self.strain > PRESSED { (self.strain - PRESSED) / self.strain } else { 0.0 };
+        let pressure = self.pressure(now, workload);
         let beyond = &charter.plans[plan];
         // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
         let lenient = beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
@@ -480,6 +482,9 @@
         if barred || command.legs >= charter.most_legs || left <= least {
             return self.refuse(id, orders);
         }
+        if command.legs > 0 && self.chance.rand_float() < self.pressure(now, command.workload) {
+            return self.refuse(id, orders);
+        }
         let Some(backend) = self.pick(now, id) else {
             // No backend may take it now: hold it while an answer within the contract time can be hoped for.
             let pause = workload.contract / 16;
@@ -522,6 +527,23 @@
         self.shift(id, State::Out(1));
     }
 
+    /// The article's ratio once more, for the fleet: legs out against what settles in the part of the contract
+    /// time that they may take, one a backend at least. An overload from any cause (a surge, slow or lost
+    /// backends, retries) shows here before answers are late, and queues that are past use drain. It may
+    /// refuse too much for a moment when answers that were all delayed come at once.
+    fn pressure(&self, now: Moment, workload: usize) -> f64 {
+        let contract = self.charter.workloads[workload].contract;
+        let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
+        let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
+        let settled = self.settled * (-(now - self.settled_at).over(contract)).exp();
+        let limit = live + PRESSED * settled;
+        if out > limit {
+            (out - limit) / out
+        } else {
+            0.0
+        }
+    }
+
     // ---- Backends -----------------------------------------------------------------------------------------
 
     /// Draws one backend, odds in step with the room that each is thought to have.
@@ -601,7 +623,10 @@
         let usual = pace.mean;
         if telling {
             pace.learn(end.took);
-            self.strain += (end.took.over(terms.contract) - self.strain) * NEWEST;
+        }
+        if went_well {
+            self.settled = self.settled * (-(now - self.settled_at).over(terms.contract)).exp() + 1.0;
+            self.settled_at = now;
         }
         let Some(b) = self.backends.get_mut(end.backend) else {
             return;
