Overload ratio: what asks for a leg against what settles and the room left

Cause on the two incidents: queues of overdue work that never drain, since a ratio of legs out alone lets hundreds a second by. The same formula as the quota's, with settled legs as the rate and unused room below a cap of legs out as the store.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -120,12 +120,11 @@
     customers: HashMap<Rc<str>, Customer>,
     paces: Vec<Pace>,
     /// Legs sent in about a window of the cold rule, and the usual number for each unit of size.
-    flow: f64,
-    flow_at: Moment,
+    flow: Tally,
     taken: f64,
-    /// Legs settled in about one contract time.
-    settled: f64,
-    settled_at: Moment,
+    /// Legs asked for and legs settled in about a period.
+    wanted: Tally,
+    settled: Tally,
 }
 
 impl Gateway {
@@ -138,11 +137,10 @@
             commands: HashMap::new(),
             customers: HashMap::new(),
             paces: charter.workloads.iter().map(pace).collect(),
-            flow: 0.0,
-            flow_at: now,
+            flow: Tally::over(charter.cold_start.window, now),
             taken: 0.0,
-            settled: 0.0,
-            settled_at: now,
+            wanted: Tally::over(PERIOD, now),
+            settled: Tally::over(PERIOD, now),
             charter,
         }
     }
@@ -205,6 +203,9 @@
         // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
         let lenient = beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
+        if !refused {
+            self.wanted.add(now, 1.0);
+        }
         if refused || self.chance.rand_float() < pressure {
             self.refuse(&id, orders);
         } else {
@@ -516,8 +517,7 @@
         }
         command.legs += 1;
         command.last_backend = Some(backend.clone());
-        self.flow = self.flow * (-(now - self.flow_at).over(charter.cold_start.window)).exp() + 1.0;
-        self.flow_at = now;
+        self.flow.add(now, 1.0);
         let record = self.backends.get_mut(&backend).expect("picked from these");
         record.out.push(now);
         if record.warmth(now, &charter.cold_start) < 1.0 {
@@ -527,18 +527,18 @@
         self.shift(id, State::Out(1));
     }
 
-    /// The article's ratio once more, for the fleet: legs out against what settles in the part of the contract
-    /// time that they may take, one a backend at least. An overload from any cause (a surge, slow or lost
-    /// backends, retries) shows here before answers are late, and queues that are past use drain. It may
-    /// refuse too much for a moment when answers that were all delayed come at once.
-    fn pressure(&self, now: Moment, workload: usize) -> f64 {
-        let contract = self.charter.workloads[workload].contract;
+    /// The article's ratio once more, for the fleet: actual is what asks for a leg in a period, the limit what
+    /// settles in one and the room below the legs that may be out. An overload from any cause (a surge, slow
+    /// or lost backends, retries) shows here before answers are late, and queues that are past use drain. It
+    /// may refuse too much for a moment when answers that were all delayed come at once.
+    fn pressure(&mut self, now: Moment, workload: usize) -> f64 {
+        let patience = self.charter.workloads[workload].contract.over(PERIOD) * PRESSED;
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
-        let settled = self.settled * (-(now - self.settled_at).over(contract)).exp();
-        let limit = live + PRESSED * settled;
-        if out > limit {
-            (out - limit) / out
+        let (wanted, settled) = (self.wanted.at(now), self.settled.at(now));
+        let limit = settled + live + patience * settled - out;
+        if wanted > limit {
+            ((wanted - limit) / wanted).min(1.0)
         } else {
             0.0
         }
@@ -573,7 +573,7 @@
         }
         // What a unit of size takes is learnt while most of the fleet is warm, and kept for when it is not.
         if able > WARM * size && (now - self.opened) > cold_start.window {
-            let flow = self.flow * (-(now - self.flow_at).over(cold_start.window)).exp() / able;
+            let flow = self.flow.at(now) / able;
             self.taken += (flow - self.taken) * NEWEST;
         }
         let (mut odds, mut sum) = (Vec::with_capacity(self.backends.len()), 0.0);
@@ -625,8 +625,7 @@
             pace.learn(end.took);
         }
         if went_well {
-            self.settled = self.settled * (-(now - self.settled_at).over(terms.contract)).exp() + 1.0;
-            self.settled_at = now;
+            self.settled.add(now, 1.0);
         }
         let Some(b) = self.backends.get_mut(end.backend) else {
             return;
@@ -710,6 +709,29 @@
     }
 }
 
+/// A count that fades, so that it stands for about the last `memory`.
+struct Tally {
+    count: f64,
+    at: Moment,
+    memory: Span,
+}
+
+impl Tally {
+    fn over(memory: Span, at: Moment) -> Self {
+        Tally { count: 0.0, at, memory }
+    }
+
+    fn at(&mut self, now: Moment) -> f64 {
+        self.count *= (-(now - self.at).over(self.memory)).exp();
+        self.at = now;
+        self.count
+    }
+
+    fn add(&mut self, now: Moment, amount: f64) {
+        self.count = self.at(now) + amount;
+    }
+}
+
 impl Pace {
     fn learn(&mut self, took: Span) {
         let off = took - self.mean;
