--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,6 +27,8 @@
 const AGAIN: f64 = 0.0625;
 /// Share of the limit from which a customer's total is read again when all adds are in.
 const NEAR: f64 = 0.5;
+/// Periods without use after which a customer is forgotten.
+const KEPT: u32 = 60;
 /// Weight of the newest in running means.
 const NEWEST: f64 = 0.0625;
 
@@ -312,7 +314,12 @@
             return 0.0;
         }
         let share = if customer.seen { 1.0 } else { 1.0 / customer.width };
-        let reserve = if customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
+        // An unseen customer has its share alone, and chance is too coarse for its first command.
+        let first = !customer.seen && customer.demand <= units;
+        let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
+        if first {
+            return 0.0;
+        }
         let actual = customer.demand + customer.others_now(terms);
         let limit = terms.rate * share * PERIOD.over(Span::from_secs(1)) + customer.store - reserve;
         // The command alone against the store: chance over many is too coarse where one is large.
@@ -350,10 +357,8 @@
             customer.idle += 1;
             customer.others_offered /= 2.0;
             customer.others_sent /= 2.0;
-            // Old customers are dropped once their store must be full again.
-            let full =
-                (terms.store / terms.rate.max(f64::EPSILON)).min(60.0) * Span::from_secs(1).over(PERIOD);
-            if f64::from(customer.idle) > full && customer.out == 0 {
+            // Old customers are dropped; by then their store is full again.
+            if customer.idle > KEPT && customer.out == 0 {
                 self.customers.remove(&id);
                 return;
             }
@@ -616,10 +621,7 @@
         let workload = self.commands.get(end.command).map_or(0, |c| c.workload);
         let went_well = end.ending == Ending::Settled;
         let telling = went_well || end.ending == Ending::Silent;
-        let (Some(terms), Some(pace)) = (self.charter.workloads.get(workload), self.paces.get_mut(workload))
-        else {
-            return;
-        };
+        let Some(pace) = self.paces.get_mut(workload) else { return };
         let usual = pace.mean;
         if telling {
             pace.learn(end.took);
@@ -668,7 +670,7 @@
     /// How demand here has grown since the last reading; the others' is taken to have grown alike.
     fn surge(&self, terms: &Plan) -> f64 {
         let calm = terms.rate * secs(PERIOD) / self.width;
-        ((self.demand + calm) / (self.usual + calm)).max(1.0)
+        ((self.demand + calm) / (self.usual + calm)).max(0.5)
     }
 
     fn others_now(&self, terms: &Plan) -> f64 {
