--- a/src/choice.rs
+++ b/src/choice.rs
@@ -322,8 +322,13 @@
         }
         let actual = customer.demand + customer.others_now(terms);
         let limit = terms.rate * share * PERIOD.over(Span::from_secs(1)) + customer.store - reserve;
-        // The command alone against the store: chance over many is too coarse where one is large.
-        ((actual - limit) / actual).max((units - customer.store) / units).clamp(0.0, 1.0)
+        // What the store cannot hold is beyond the quota for certain: chance over many commands is too coarse
+        // where one is large against the store.
+        if customer.store < units {
+            1.0
+        } else {
+            ((actual - limit) / actual).clamp(0.0, 1.0)
+        }
     }
 
     /// A timer is due.
