Without a current reading a gateway gives its own share only

Cause: with the counter down or slow the last reading of calm customers let every gateway give the whole quota. Also covers a crowded counter and one behind a cut link.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,8 @@
 const NEAR: f64 = 0.5;
 /// Periods without use after which a customer is forgotten.
 const KEPT: u32 = 60;
+/// Calls in a row without a total after which the last reading is no longer current.
+const SILENT: u32 = 2;
 /// Weight of the newest in running means.
 const NEWEST: f64 = 0.0625;
 
@@ -79,6 +81,8 @@
     usual: f64,
     /// A total has been read: no longer an unseen customer.
     seen: bool,
+    /// Calls in a row that brought no total.
+    silent: u32,
     /// Units left of this gateway's own share of the hard ceiling.
     ceiling: f64,
     out: u32,
@@ -288,6 +292,7 @@
                     others_sent: 0.0,
                     usual: 0.0,
                     seen: false,
+                    silent: 0,
                     ceiling: (terms.ceiling_rate / width * (now - self.opened).over(PERIOD))
                         .min(terms.ceiling_depth / width),
                     out: 0,
@@ -313,7 +318,7 @@
         if terms.rate <= 0.0 {
             return 0.0;
         }
-        let share = if customer.seen { 1.0 } else { 1.0 / customer.width };
+        let share = customer.share(terms);
         // An unseen customer has its share alone, and chance is too coarse for its first command.
         let first = !customer.seen && customer.demand <= units;
         let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
@@ -418,6 +423,7 @@
                 // A total under this gateway's own part is a counter that has lost its counts: the last
                 // reading stays, as it does through silence.
                 if sent + refused + 0.5 < closed.sent + closed.refused {
+                    customer.silent += 1;
                     return;
                 }
                 let others_sent = (sent - closed.sent).max(0.0);
@@ -425,7 +431,7 @@
                 customer.others_sent = others_sent;
                 let correction = closed.presumed - others_sent;
                 closed.presumed = others_sent;
-                customer.seen = true;
+                (customer.seen, customer.silent) = (true, 0);
                 customer.reckon(now, terms);
                 customer.store = (customer.store + correction).clamp(-self.charter.largest, terms.store);
             }
@@ -434,8 +440,9 @@
                 customer.refused += closed.refused;
                 customer.presumed += closed.presumed;
                 customer.closed = None;
+                customer.silent += 1;
             }
-            Counted::Unknown => {}
+            Counted::Unknown => customer.silent += 1,
         }
     }
 
@@ -662,16 +669,29 @@
         let past = now - self.as_of;
         self.as_of = now;
         let seconds = secs(past);
-        let others = if self.seen { self.others_sent * self.surge(terms) * past.over(PERIOD) } else { 0.0 };
-        let rate = if self.seen { terms.rate } else { terms.rate / self.width };
+        let share = self.share(terms);
+        // Without a current reading the others are held to spend their own shares, not out of this one.
+        let drawn = self.others_sent * self.surge(terms) * past.over(PERIOD);
+        let others = if share < 1.0 { 0.0 } else { drawn };
         self.presumed += others;
         let floor = self.store.min(0.0);
-        self.store = (self.store + rate * seconds - others).clamp(floor, terms.store);
+        self.store = (self.store + terms.rate * share * seconds - others).clamp(floor, terms.store * share);
         self.ceiling =
             (self.ceiling + terms.ceiling_rate / self.width * seconds).min(terms.ceiling_depth / self.width);
         self.demand *= (-past.over(PERIOD)).exp();
     }
 
+    /// The part of the quota that this gateway may give: all of it with a current reading; without one what is
+    /// its own by the last readings, or by the number of gateways. Guards against a counter that is silent,
+    /// slow, crowded or cut off; hurts a customer that moves to this gateway just then.
+    fn share(&self, terms: &Plan) -> f64 {
+        if self.seen && self.silent < SILENT {
+            return 1.0;
+        }
+        let even = terms.rate * secs(PERIOD) / self.width;
+        (self.usual + even) / (self.usual + self.others_offered + even * self.width)
+    }
+
     /// How demand here has grown since the last reading; the others' is taken to have grown alike.
     fn surge(&self, terms: &Plan) -> f64 {
         let calm = terms.rate * secs(PERIOD) / self.width;
