--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,10 @@
 const KEPT: u32 = 60;
 /// Calls in a row without a total after which the last reading is no longer current.
 const SILENT: u32 = 2;
+/// Bytes of a message and of an entry in it, and the fineness of the units told.
+const MESSAGE: usize = 256;
+const ENTRY: usize = 6;
+const FINE: f64 = 64.0;
 /// Weight of the newest in running means.
 const NEWEST: f64 = 0.0625;
 
@@ -41,8 +45,8 @@
     Held,
     /// This many legs are out.
     Out(u32),
-    /// It has its final answer; only ends of legs can follow.
-    Over,
+    /// It has its final answer; so many legs are still to end.
+    Over(u32),
 }
 
 struct Command {
@@ -51,63 +55,61 @@
     customer: Rc<str>,
     came: Moment,
     outer_limit: Moment,
-    legs: u32,
     units: f64,
-    /// Where the first leg that may have run went, and when.
+    legs: u32,
+    /// Where the first leg that may run went, and when; a leg has ended that may have run.
     bound: Option<(Rc<str>, Moment)>,
+    ran: bool,
     last_backend: Option<Rc<str>>,
     beyond: bool,
 }
 
 /// One customer as this gateway sees it.
+#[derive(Default)]
 struct Customer {
     plan: usize,
     width: f64,
     /// Units thought to be in the store, and when that was reckoned.
     store: f64,
     as_of: Moment,
-    /// Units offered here within about a period, the newest counting most.
+    /// Units offered here within about a period, the newest counting most, and in a usual period.
     demand: f64,
-    /// Offered and refused here since the period began.
-    offered: f64,
-    refused: f64,
-    /// Taken off the store for the other gateways since the period began.
-    presumed: f64,
-    /// The closed period while its count is out.
-    closed: Option<Closed>,
-    /// Units a period that the others offer and send on, and what this gateway was offered beside them.
-    others_offered: f64,
-    others_sent: f64,
     usual: f64,
-    /// A total has been read: no longer an unseen customer.
+    /// Units here since the period began, and units taken off the store for the other gateways.
+    period: Units,
+    presumed: f64,
+    /// The closed period while its count is out, and what was taken off for the others in it.
+    closed: Option<(i64, Units, f64)>,
+    /// What the others had in the last period read; nothing is known of an unseen customer.
+    others: Units,
     seen: bool,
-    /// Calls in a row that brought no total.
+    /// Calls in a row that brought no total; periods in a row without use.
     silent: u32,
+    idle: u32,
     /// Units left of this gateway's own share of the hard ceiling.
     ceiling: f64,
     out: u32,
-    idle: u32,
+    /// Units sent on that peers have not been told of.
+    untold: f64,
 }
 
-struct Closed {
-    period: i64,
+/// Units of one period: offered is what was sent on and what was refused.
+#[derive(Clone, Copy, Default)]
+struct Units {
     sent: f64,
     refused: f64,
-    presumed: f64,
 }
 
 /// All that is known about a backend.
 struct Backend {
     listed: Listed,
-    /// Decayed ends of legs that went well and that went wrong.
-    good: f64,
-    bad: f64,
-    judged: Moment,
+    /// Ends of legs that went well and that went wrong.
+    good: Tally,
+    bad: Tally,
     /// Time taken as a multiple of what the fleet takes for the like.
     slow: f64,
-    /// When the legs that are out were sent.
+    /// When the legs that are out were sent, and those within the window of the cold rule.
     out: Vec<Moment>,
-    /// Legs sent within the window of the cold rule.
     sent: Vec<Moment>,
 }
 
@@ -117,6 +119,13 @@
     deviation: Span,
 }
 
+/// A count that fades, so that it stands for about the last `memory`.
+struct Tally {
+    count: f64,
+    at: Moment,
+    memory: Span,
+}
+
 pub struct Gateway {
     charter: Rc<Charter>,
     chance: Rand64,
@@ -131,6 +140,10 @@
     /// Legs asked for and legs settled in about a period.
     wanted: Tally,
     settled: Tally,
+    /// Customers by their marks in messages; those with units untold; when a peer was last heard.
+    marks: HashMap<u32, Rc<str>>,
+    untold: Vec<Rc<str>>,
+    heard: Option<Moment>,
 }
 
 impl Gateway {
@@ -147,6 +160,9 @@
             taken: 0.0,
             wanted: Tally::over(PERIOD, now),
             settled: Tally::over(PERIOD, now),
+            marks: HashMap::new(),
+            untold: Vec::new(),
+            heard: None,
             charter,
         }
     }
@@ -162,9 +178,8 @@
             let id: Rc<str> = line.id.as_str().into();
             let fresh = || Backend {
                 listed: line.clone(),
-                good: 0.0,
-                bad: 0.0,
-                judged: now,
+                good: Tally::over(MEMORY, now),
+                bad: Tally::over(MEMORY, now),
                 slow: 1.0,
                 out: Vec::new(),
                 sent: Vec::new(),
@@ -172,7 +187,7 @@
             let known = self.backends.entry(id).or_insert_with(fresh);
             if known.listed.started != line.started {
                 // A known id that has started again is a cold backend: old praise and blame are void.
-                (known.good, known.bad, known.slow) = (0.0, 0.0, 1.0);
+                (known.good.count, known.bad.count, known.slow) = (0.0, 0.0, 1.0);
             }
             known.listed = line.clone();
         }
@@ -196,14 +211,15 @@
             customer: customer.clone(),
             came: now,
             outer_limit: asked.outer_limit,
-            legs: 0,
             units: asked.units,
+            legs: 0,
             bound: None,
+            ran: false,
             last_backend: None,
             beyond: false,
         };
         self.commands.insert(id.clone(), command);
-        let ratio = self.ratio(&customer, asked.units);
+        let ratio = self.ratio(now, &customer, asked.units);
         let pressure = self.pressure(now, workload);
         let beyond = &charter.plans[plan];
         // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
@@ -213,7 +229,7 @@
             self.wanted.add(now, 1.0);
         }
         if refused || self.chance.rand_float() < pressure {
-            self.refuse(&id, orders);
+            self.give_up(&id, orders);
         } else {
             self.advance(now, &id, orders);
         }
@@ -222,26 +238,24 @@
     /// A leg has ended.
     pub fn leg_ended(&mut self, now: Moment, end: &LegEnd, orders: &mut impl Orders) {
         self.judge(now, end);
-        let Some((id, command)) = self.commands.get_key_value(end.command) else {
-            return;
-        };
-        let (id, state) = (id.clone(), command.state);
+        let Some((id, _)) = self.commands.get_key_value(end.command) else { return };
+        let id = id.clone();
+        let command = self.commands.get_mut(&id).expect("found above");
         if let Some(customer) = self.customers.get_mut(&command.customer) {
             customer.out = customer.out.saturating_sub(1);
             if let (Some(units), false) = (end.true_units, command.beyond) {
-                customer.store -= units - command.units;
+                customer.spend(units - command.units);
             }
         }
-        if end.over || state == State::Over {
-            return self.shift(&id, State::Over);
-        }
-        let command = self.commands.get_mut(&id).expect("found above");
-        if !end.ending.never_ran() && command.bound.is_none() {
-            command.bound = Some((end.backend.into(), now - end.took));
-        }
-        match state {
+        command.ran |= !end.ending.never_ran();
+        match command.state {
+            State::Over(n) => self.shift(&id, State::Over(n.saturating_sub(1))),
+            State::Out(n) if end.over => self.shift(&id, State::Over(n - 1)),
             State::Out(n) if n > 1 => self.shift(&id, State::Out(n - 1)),
             _ => {
+                if !command.ran {
+                    command.bound = None;
+                }
                 self.shift(&id, State::Held);
                 self.advance(now, &id, orders);
             }
@@ -250,9 +264,9 @@
 
     /// The client has gone; nothing is owed for the command any more.
     pub fn client_left(&mut self, id: &str) {
-        if let Some((id, _)) = self.commands.get_key_value(id) {
-            let id = id.clone();
-            self.shift(&id, State::Over);
+        if let Some((id, command)) = self.commands.get_key_value(id) {
+            let (id, out) = (id.clone(), command.state.out());
+            self.shift(&id, State::Over(out));
         }
     }
 
@@ -260,7 +274,7 @@
     fn shift(&mut self, id: &Rc<str>, to: State) {
         if let Some(command) = self.commands.get_mut(id) {
             command.state = to;
-            if to == State::Over {
+            if to == State::Over(0) {
                 self.commands.remove(id);
             }
         }
@@ -270,7 +284,7 @@
 
     /// Books the offered units and sets the customer's timer if there is none.
     fn meet(&mut self, now: Moment, asked: &Asked, plan: usize, orders: &mut impl Orders) -> Rc<str> {
-        let terms = &self.charter.plans[plan];
+        let (hears, terms) = (self.hears(now), &self.charter.plans[plan]);
         let width = f64::from(if asked.width == 0 { self.charter.gateways } else { asked.width }.max(1));
         let id = match self.customers.get_key_value(asked.customer) {
             Some((id, _)) => id.clone(),
@@ -278,69 +292,61 @@
                 let id: Rc<str> = asked.customer.into();
                 // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
                 // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
+                let ceiling = terms.ceiling_rate / width * secs(now - self.opened);
                 let customer = Customer {
                     plan,
                     width,
                     store: terms.store / width,
                     as_of: now,
-                    demand: 0.0,
-                    offered: 0.0,
-                    refused: 0.0,
-                    presumed: 0.0,
-                    closed: None,
-                    others_offered: 0.0,
-                    others_sent: 0.0,
-                    usual: 0.0,
-                    seen: false,
-                    silent: 0,
-                    ceiling: (terms.ceiling_rate / width * (now - self.opened).over(PERIOD))
-                        .min(terms.ceiling_depth / width),
-                    out: 0,
-                    idle: 0,
+                    ceiling: ceiling.min(terms.ceiling_depth / width),
+                    ..Customer::default()
                 };
+                self.marks.insert(mark(&id), id.clone());
                 self.customers.insert(id.clone(), customer);
                 orders.wake(&format!("period.{id}"), until_close(now, &id));
                 id
             }
         };
         let customer = self.customers.get_mut(&id).expect("just met");
-        customer.reckon(now, terms);
+        customer.reckon(now, terms, hears);
         customer.demand += asked.units;
-        customer.offered += asked.units;
+        customer.period.refused += asked.units; // until it is sent on
         customer.idle = 0;
         id
     }
 
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
-    fn ratio(&self, id: &str, units: f64) -> f64 {
+    fn ratio(&self, now: Moment, id: &str, units: f64) -> f64 {
         let customer = &self.customers[id];
         let terms = &self.charter.plans[customer.plan];
-        if terms.rate <= 0.0 {
-            return 0.0;
-        }
-        let share = customer.share(terms);
-        // An unseen customer has its share alone, and chance is too coarse for its first command.
-        let first = !customer.seen && customer.demand <= units;
-        let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
-        if first {
-            return 0.0;
+        let over = |actual: f64, limit: f64| ((actual - limit) / actual).clamp(0.0, 1.0);
+        let out = f64::from(customer.out + 1) / customer.part(terms);
+        let legs_ratio = if terms.legs_out > 0 { over(out, f64::from(terms.legs_out)) } else { 0.0 };
+        // An unseen customer has its share alone; chance is too coarse for its first command.
+        if terms.rate <= 0.0 || (!customer.seen && customer.demand <= units) {
+            return legs_ratio;
         }
-        let actual = customer.demand + customer.others_now(terms);
-        let limit = terms.rate * share * PERIOD.over(Span::from_secs(1)) + customer.store - reserve;
         // What the store cannot hold is beyond the quota for certain: chance over many commands is too coarse
         // where one is large against the store.
         if customer.store < units {
-            1.0
-        } else {
-            ((actual - limit) / actual).clamp(0.0, 1.0)
+            return 1.0;
         }
+        let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
+        let share = customer.share(terms, self.hears(now));
+        let limit = terms.rate * share * secs(PERIOD) + customer.store - reserve;
+        over(customer.demand + customer.others.offered() * customer.surge(terms), limit).max(legs_ratio)
     }
 
     /// A timer is due.
     pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
         match token.split_once('.') {
             Some(("period", id)) => self.close_period(now, id, orders),
-            Some(("read", id)) => self.read_total(id, orders),
+            Some(("read", id)) => {
+                if let Some((period, ..)) = self.customers.get(id).and_then(|c| c.closed) {
+                    orders.count(&format!("{id}.{period}"), 0.0, PERIOD * 4);
+                }
+            }
+            Some(("tell", _)) => self.tell(orders),
             Some(("held", id)) => {
                 if let Some((id, Command { state: State::Held, .. })) = self.commands.get_key_value(id) {
                     let id = id.clone();
@@ -353,42 +359,35 @@
 
     /// A customer's period has ended: its offered units go to the counter, if there are any.
     fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
-        let Some((id, _)) = self.customers.get_key_value(id) else {
-            return;
-        };
+        let hears = self.hears(now);
+        let Some((id, _)) = self.customers.get_key_value(id) else { return };
         let id = id.clone();
         let customer = self.customers.get_mut(&id).expect("just found");
         let terms = &self.charter.plans[customer.plan];
-        customer.reckon(now, terms);
-        customer.usual += (customer.offered - customer.usual) / 2.0;
+        customer.reckon(now, terms, hears);
+        let offered = customer.period.offered();
+        customer.usual += (offered - customer.usual) / 2.0;
         customer.closed = None;
-        let sent = customer.offered - customer.refused;
-        if customer.offered <= 0.0 || sent < 0.0 {
+        if offered <= 0.0 || customer.period.sent < 0.0 {
             customer.idle += 1;
-            customer.others_offered /= 2.0;
-            customer.others_sent /= 2.0;
+            customer.others.sent /= 2.0;
+            customer.others.refused /= 2.0;
             // Old customers are dropped; by then their store is full again.
             if customer.idle > KEPT && customer.out == 0 {
                 self.customers.remove(&id);
+                self.marks.remove(&mark(&id));
                 return;
             }
         } else if let (Some(patience), true) =
             (self.charter.counter, customer.width > 1.0 && terms.rate > 0.0)
         {
             let period = period_of(now, &id) - 1;
-            let closed = Closed {
-                period,
-                sent,
-                refused: customer.refused,
-                presumed: std::mem::take(&mut customer.presumed),
-            };
-            orders.count(&format!("{id}.{period}"), packed(sent, customer.refused, terms), PERIOD * 4);
-            customer.closed = Some(closed);
-            (customer.offered, customer.refused) = (0.0, 0.0);
+            let units = std::mem::take(&mut customer.period);
+            orders.count(&format!("{id}.{period}"), units.packed(terms), PERIOD * 4);
+            customer.closed = Some((period, units, std::mem::take(&mut customer.presumed)));
             // The total that the add gives back may lack the adds of others; where it matters it is read
             // again when theirs are in.
-            let near =
-                customer.usual * customer.width + customer.others_offered > NEAR * terms.rate * secs(PERIOD);
+            let near = customer.usual / customer.part(terms) > NEAR * terms.rate * secs(PERIOD);
             if near || customer.store < NEAR * terms.store {
                 orders.wake(&format!("read.{id}"), patience);
             }
@@ -396,69 +395,91 @@
         orders.wake(&format!("period.{id}"), until_close(now, &id));
     }
 
-    fn read_total(&mut self, id: &str, orders: &mut impl Orders) {
-        if let Some(Closed { period, .. }) = self.customers.get(id).and_then(|c| c.closed.as_ref()) {
-            orders.count(&format!("{id}.{period}"), 0.0, PERIOD * 4);
-        }
-    }
-
     /// The counter has answered a call, or not.
     pub fn counted(&mut self, now: Moment, name: &str, counted: Counted) {
-        let Some((id, period)) = name.rsplit_once('.') else {
-            return;
-        };
-        let Some(customer) = self.customers.get_mut(id) else {
-            return;
-        };
-        let Some(closed) = customer.closed.as_mut() else {
-            return;
-        };
-        if closed.period.to_string() != period {
+        let hears = self.hears(now);
+        let Some((id, period)) = name.rsplit_once('.') else { return };
+        let Some(customer) = self.customers.get_mut(id) else { return };
+        let Some((closed, own, presumed)) = customer.closed else { return };
+        if closed.to_string() != period {
             return;
         }
         let terms = &self.charter.plans[customer.plan];
+        customer.silent += 1;
         match counted {
             Counted::Total(total) => {
-                let (sent, refused) = unpacked(total, terms);
+                let all = Units::unpacked(total, terms);
                 // A total under this gateway's own part is a counter that has lost its counts: the last
                 // reading stays, as it does through silence.
-                if sent + refused + 0.5 < closed.sent + closed.refused {
-                    customer.silent += 1;
+                if all.offered() + 0.5 < own.offered() {
                     return;
                 }
-                let others_sent = (sent - closed.sent).max(0.0);
-                customer.others_offered = others_sent + (refused - closed.refused).max(0.0);
-                customer.others_sent = others_sent;
-                let correction = closed.presumed - others_sent;
-                closed.presumed = others_sent;
+                customer.reckon(now, terms, hears);
+                customer.others.sent = (all.sent - own.sent).max(0.0);
+                customer.others.refused = (all.refused - own.refused).max(0.0);
+                customer.closed = Some((closed, own, customer.others.sent));
                 (customer.seen, customer.silent) = (true, 0);
-                customer.reckon(now, terms);
-                customer.store = (customer.store + correction).clamp(-self.charter.largest, terms.store);
+                let store = customer.store + presumed - customer.others.sent;
+                customer.store = store.clamp(-self.charter.largest, terms.store);
             }
             Counted::NotAdded => {
-                customer.offered += closed.sent + closed.refused;
-                customer.refused += closed.refused;
-                customer.presumed += closed.presumed;
+                customer.period.sent += own.sent;
+                customer.period.refused += own.refused;
+                customer.presumed += presumed;
                 customer.closed = None;
-                customer.silent += 1;
             }
-            Counted::Unknown => customer.silent += 1,
+            Counted::Unknown => {}
         }
     }
 
-    // ---- Answers and legs ---------------------------------------------------------------------------------
+    /// Peers are told what was sent on since the last telling; the counter's totals put right what gets lost.
+    fn tell(&mut self, orders: &mut impl Orders) {
+        let mut bytes = Vec::with_capacity(MESSAGE);
+        let first = self.untold.len().saturating_sub(MESSAGE / ENTRY);
+        for id in self.untold.split_off(first) {
+            let Some(customer) = self.customers.get_mut(&id) else { continue };
+            let units = (std::mem::take(&mut customer.untold) * FINE).clamp(0.0, f64::from(u16::MAX)) as u16;
+            bytes.extend_from_slice(&mark(&id).to_le_bytes());
+            bytes.extend_from_slice(&units.to_le_bytes());
+        }
+        orders.tell_all(&bytes);
+        if !self.untold.is_empty() {
+            orders.wake("tell.", self.telling());
+        }
+    }
 
-    fn advice(&self) -> Option<Span> {
-        self.charter.longest_advice.map(|longest| longest.min(PERIOD))
+    /// Four tellings a period, or fewer where the peers could not take in so many.
+    fn telling(&self) -> Span {
+        let peers = f64::from(self.charter.gateways.max(2) - 1);
+        (PERIOD / 4).max(Span::from_secs(1).times(2.0 * peers / self.charter.peer_messages.max(1.0)))
     }
 
-    /// Refuses a command before its first leg.
-    fn refuse(&mut self, id: &Rc<str>, orders: &mut impl Orders) {
-        let command = &self.commands[id];
-        if let (0, Some(customer)) = (command.legs, self.customers.get_mut(&command.customer)) {
-            customer.refused += command.units;
+    /// A peer has told what it sent on. What cannot be decoded is dropped.
+    pub fn told(&mut self, now: Moment, bytes: &[u8]) {
+        if bytes.len() % ENTRY != 0 {
+            return;
+        }
+        self.heard = Some(now);
+        for entry in bytes.chunks_exact(ENTRY) {
+            let mark = u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]);
+            let units = f64::from(u16::from_le_bytes([entry[4], entry[5]])) / FINE;
+            let Some(customer) = self.marks.get(&mark).and_then(|id| self.customers.get_mut(id)) else {
+                continue;
+            };
+            customer.presumed += units;
+            customer.store = (customer.store - units).max(customer.store.min(0.0));
         }
-        self.give_up(id, orders);
+    }
+
+    /// Peers tell their use, so that it need not be presumed.
+    fn hears(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now - heard < PERIOD)
+    }
+
+    // ---- Answers and legs ---------------------------------------------------------------------------------
+
+    fn advice(&self) -> Option<Span> {
+        self.charter.longest_advice.map(|longest| longest.min(PERIOD))
     }
 
     /// The final answer of a command that is given up: a bounce only where a retry is harmless.
@@ -475,7 +496,7 @@
         } else {
             orders.scrap(id);
         }
-        self.shift(id, State::Over);
+        self.shift(id, State::Over(0));
     }
 
     /// Sends a held command's next leg, holds it on, or gives it up.
@@ -498,10 +519,10 @@
         };
         let least = if command.legs > 0 { expected } else { Span::ZERO };
         if barred || command.legs >= charter.most_legs || left <= least {
-            return self.refuse(id, orders);
+            return self.give_up(id, orders);
         }
         if command.legs > 0 && self.chance.rand_float() < self.pressure(now, command.workload) {
-            return self.refuse(id, orders);
+            return self.give_up(id, orders);
         }
         let Some(backend) = self.pick(now, id) else {
             // No backend may take it now: hold it while an answer within the contract time can be hoped for.
@@ -509,9 +530,10 @@
             if left.min(contract_end - now) > pause + expected {
                 return orders.wake(&format!("held.{id}"), pause);
             }
-            return self.refuse(id, orders);
+            return self.give_up(id, orders);
         };
         // A further leg may follow an overdue one only if there is time for both.
+        let telling = self.telling();
         let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected;
         let allow = if again { overdue } else { left };
         let command = self.commands.get_mut(id).expect("found above");
@@ -520,18 +542,30 @@
             // A hard ceiling holds whatever the others do: the whole command fits this gateway's own share.
             if terms.ceiling_rate > 0.0 {
                 if customer.ceiling < command.units {
-                    return self.refuse(id, orders);
+                    return self.give_up(id, orders);
                 }
                 customer.ceiling -= command.units;
             }
-            command.beyond = customer.store < command.units;
+            command.beyond = terms.rate > 0.0 && customer.store < command.units;
+            customer.period.refused -= command.units;
+            customer.period.sent += command.units;
             if !command.beyond {
                 customer.store -= command.units;
+                if charter.peer_messages > 0.0 && customer.width > 1.0 && terms.rate > 0.0 {
+                    if self.untold.is_empty() {
+                        orders.wake("tell.", telling);
+                    }
+                    if customer.untold <= 0.0 {
+                        self.untold.push(command.customer.clone());
+                    }
+                    customer.untold += command.units;
+                }
             }
         }
         if let Some(customer) = self.customers.get_mut(&command.customer) {
             customer.out += 1;
         }
+        command.bound.get_or_insert((backend.clone(), now));
         command.legs += 1;
         command.last_backend = Some(backend.clone());
         self.flow.add(now, 1.0);
@@ -648,13 +682,12 @@
         if let Some(nearest) = (0..b.out.len()).min_by_key(|&i| (b.out[i] - sent).micros().abs()) {
             b.out.swap_remove(nearest);
         }
-        b.forget(now);
         if went_well {
-            b.good += 1.0;
-            b.bad /= 2.0;
+            b.good.add(now, 1.0);
+            b.bad.count /= 2.0;
         } else if !matches!(end.ending, Ending::CalledOff | Ending::Unsent) {
-            b.bad += 1.0;
-            b.good /= 2.0;
+            b.bad.add(now, 1.0);
+            b.good.count /= 2.0;
         }
         if telling && b.warmth(now, &cold_start) >= 1.0 {
             b.slow += (end.took.over(usual.max(Span::from_micros(1))) - b.slow) * NEWEST * 2.0;
@@ -663,33 +696,54 @@
     }
 }
 
+impl State {
+    fn out(self) -> u32 {
+        match self {
+            State::Held => 0,
+            State::Out(n) | State::Over(n) => n,
+        }
+    }
+}
+
 impl Customer {
     /// Brings the store, the share of the ceiling and the demand up to now.
-    fn reckon(&mut self, now: Moment, terms: &Plan) {
+    fn reckon(&mut self, now: Moment, terms: &Plan, hears: bool) {
         let past = now - self.as_of;
         self.as_of = now;
-        let seconds = secs(past);
-        let share = self.share(terms);
+        let share = self.share(terms, hears);
         // Without a current reading the others are held to spend their own shares, not out of this one.
-        let drawn = self.others_sent * self.surge(terms) * past.over(PERIOD);
-        let others = if share < 1.0 { 0.0 } else { drawn };
+        let drawn = self.others.sent * self.surge(terms) * past.over(PERIOD);
+        let others = if share < 1.0 || hears { 0.0 } else { drawn };
         self.presumed += others;
         let floor = self.store.min(0.0);
-        self.store = (self.store + terms.rate * share * seconds - others).clamp(floor, terms.store * share);
-        self.ceiling =
-            (self.ceiling + terms.ceiling_rate / self.width * seconds).min(terms.ceiling_depth / self.width);
+        self.store =
+            (self.store + terms.rate * share * secs(past) - others).clamp(floor, terms.store * share);
+        self.ceiling += terms.ceiling_rate / self.width * secs(past);
+        self.ceiling = self.ceiling.min(terms.ceiling_depth / self.width);
         self.demand *= (-past.over(PERIOD)).exp();
     }
 
-    /// The part of the quota that this gateway may give: all of it with a current reading; without one what is
-    /// its own by the last readings, or by the number of gateways. Guards against a counter that is silent,
-    /// slow, crowded or cut off; hurts a customer that moves to this gateway just then.
-    fn share(&self, terms: &Plan) -> f64 {
-        if self.seen && self.silent < SILENT {
-            return 1.0;
+    /// Books units sent on inside the quota; below zero, units given back.
+    fn spend(&mut self, units: f64) {
+        self.store -= units;
+        self.period.sent += units;
+    }
+
+    /// The part of the quota that this gateway may give: all of it with a current reading or told by peers;
+    /// else its own part. Guards against a counter that is silent, slow, crowded or cut off; hurts a customer
+    /// that moves to this gateway just then.
+    fn share(&self, terms: &Plan, hears: bool) -> f64 {
+        if self.seen && (self.silent < SILENT || hears) {
+            1.0
+        } else {
+            self.part(terms)
         }
-        let even = terms.rate * secs(PERIOD) / self.width;
-        (self.usual + even) / (self.usual + self.others_offered + even * self.width)
+    }
+
+    /// This gateway's part of the customer's demand by the last readings, or by the number of gateways.
+    fn part(&self, terms: &Plan) -> f64 {
+        let even = (terms.rate * secs(PERIOD) / self.width).max(f64::EPSILON);
+        (self.usual + even) / (self.usual + self.others.offered() + even * self.width)
     }
 
     /// How demand here has grown since the last reading; the others' is taken to have grown alike.
@@ -697,10 +751,6 @@
         let calm = terms.rate * secs(PERIOD) / self.width;
         ((self.demand + calm) / (self.usual + calm)).max(0.5)
     }
-
-    fn others_now(&self, terms: &Plan) -> f64 {
-        self.others_offered * self.surge(terms)
-    }
 }
 
 impl Backend {
@@ -713,22 +763,14 @@
         (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
     }
 
-    /// Praise and blame fade.
-    fn forget(&mut self, now: Moment) {
-        let fade = (-(now - self.judged).over(MEMORY)).exp();
-        self.good *= fade;
-        self.bad *= fade;
-        self.judged = now;
-    }
-
     /// One draw from the posterior of its chance of success; legs overdue weigh like failures.
     fn trust(&mut self, now: Moment, overdue: Span, chance: &mut Rand64) -> f64 {
-        self.forget(now);
         let late = self.out.iter().filter(|sent| now - **sent > overdue).count() as f64;
-        if self.bad + late < 0.1 {
+        let (good, bad) = (self.good.at(now), self.bad.at(now));
+        if bad + late < 0.1 {
             return 1.0;
         }
-        let (a, b) = (1.0 + self.good * (-late).exp2(), 1.0 + self.bad + late);
+        let (a, b) = (1.0 + good * (-late).exp2(), 1.0 + bad + late);
         let (mean, n) = (a / (a + b), a + b + 1.0);
         // A Beta's mean and spread, drawn near enough by the sum of three uniforms.
         let z = 2.0 * (chance.rand_float() + chance.rand_float() + chance.rand_float() - 1.5);
@@ -736,13 +778,6 @@
     }
 }
 
-/// A count that fades, so that it stands for about the last `memory`.
-struct Tally {
-    count: f64,
-    at: Moment,
-    memory: Span,
-}
-
 impl Tally {
     fn over(memory: Span, at: Moment) -> Self {
         Tally { count: 0.0, at, memory }
@@ -775,12 +810,16 @@
     span.over(Span::from_secs(1))
 }
 
-/// A customer's periods end at its own phase, alike at all gateways, so that neither calls nor ratios
-/// nor the clients they turn away come all at once.
+/// A customer's mark in messages, alike at all gateways.
+fn mark(id: &str) -> u32 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+    (id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, step) >> 32) as u32
+}
+
+/// A customer's periods end at its own phase, so that neither calls nor ratios nor the clients they turn away
+/// come all at once.
 fn phase(id: &str) -> Span {
-    let hash =
-        id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    PERIOD.times((hash >> 40) as f64 / f64::from(1 << 24))
+    PERIOD.times(f64::from(mark(id)) / f64::from(u32::MAX))
 }
 
 fn period_of(now: Moment, id: &str) -> i64 {
@@ -791,17 +830,23 @@
     PERIOD - Span::from_micros((now - phase(id)).micros().rem_euclid(PERIOD.micros()))
 }
 
-/// One amount carries offered units in two parts, sent on and refused, so that all gateways know what the
-/// store gave; the parts are set apart by far more than a period can send on.
-fn packed(sent: f64, refused: f64, terms: &Plan) -> f64 {
-    sent + refused * apart(terms)
-}
+impl Units {
+    fn offered(self) -> f64 {
+        self.sent + self.refused
+    }
 
-fn unpacked(total: f64, terms: &Plan) -> (f64, f64) {
-    let refused = (total / apart(terms)).floor();
-    (total - refused * apart(terms), refused)
-}
+    /// One amount carries offered units in two parts, sent on and refused, so that all gateways know what the
+    /// store gave; the parts are set apart by far more than a period can send on.
+    fn packed(self, terms: &Plan) -> f64 {
+        self.sent + self.refused * Units::apart(terms)
+    }
 
-fn apart(terms: &Plan) -> f64 {
-    10f64.powf((10.0 * (terms.rate * secs(PERIOD) + terms.store)).max(1.0).log10().ceil())
+    fn unpacked(total: f64, terms: &Plan) -> Units {
+        let refused = (total / Units::apart(terms)).floor();
+        Units { sent: total - refused * Units::apart(terms), refused }
+    }
+
+    fn apart(terms: &Plan) -> f64 {
+        10f64.powf((10.0 * (terms.rate * secs(PERIOD) + terms.store)).max(1.0).log10().ceil())
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,13 +11,13 @@
     pub plans: Vec<Plan>,
     /// How long a call to the quota counter may take; none where there is no counter.
     pub counter: Option<Span>,
-    /// The units of a command are a guess and its answer tells the true ones.
-    pub settles_later: bool,
     /// The most units that one command counts.
     pub largest: f64,
     /// Two legs of one command may be out at once.
     pub copies: bool,
     pub most_legs: u32,
+    /// How many messages of its peers a gateway takes in each second; 0 where there are none.
+    pub peer_messages: f64,
     /// The longest stay-away that clients heed; none if they are given no advice.
     pub longest_advice: Option<Span>,
     pub cold_start: ColdStart,
@@ -162,5 +162,7 @@
     fn bounce(&mut self, command: &str, retry_in: Option<Span>);
     fn scrap(&mut self, command: &str);
     fn count(&mut self, name: &str, amount: f64, keep: Span);
+    /// A short message to every peer; it may be lost.
+    fn tell_all(&mut self, bytes: &[u8]);
     fn wake(&mut self, token: &str, after: Span);
 }
