--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process, and the batches that drive them.
 
 use crate::decode::{self, Fields, Refusal};
-use base64::prelude::{Engine as _, BASE64_STANDARD as BASE64};
+use crate::message;
 use kitepass::{Asked, Gateway, LegEnd, Listed, Moment, Orders, Span};
 use std::collections::HashMap;
 use std::fmt::Display;
@@ -129,7 +129,7 @@
                     "failed" => return Ok(()),
                     other => return Err(format!("Kind: expected a kind of list, found '{other}'")),
                 };
-                gateway.roster(now, whole, &self.lists[list_number(fields)?]);
+                gateway.roster(whole, &self.lists[list_number(fields)?]);
             }
             "JOB_IN" => {
                 let asked = Asked {
@@ -158,10 +158,10 @@
             "CLIENT_LEFT" => gateway.client_left(fields.text("Id")?),
             "LEDGER_REPLY" => gateway.counted(now, fields.text("TallyId")?, decode::counted(fields)?),
             "ALARM" => gateway.woken(now, fields.text("Token")?, reply),
-            // A peer is not trusted: what is no base64 is dropped.
+            // A peer is not trusted: what cannot be decoded is dropped.
             "MAIL" => {
-                if let Ok(bytes) = BASE64.decode(fields.get("Bytes").unwrap_or_default()) {
-                    gateway.told(now, &bytes);
+                for (customer, units) in message::decode(fields.get("Bytes").unwrap_or_default()) {
+                    gateway.told(now, &customer, units);
                 }
             }
             // Nothing is decided on these; they are checked as far as they name an instance.
@@ -226,9 +226,10 @@
         let keep = Seconds(keep);
         self.line("POST_AMOUNT", format_args!(" Lives={keep} Delta={amount} TallyId={name}"));
     }
-    fn tell_all(&mut self, bytes: &[u8]) {
-        let bytes = if bytes.is_empty() { "-".to_owned() } else { BASE64.encode(bytes) };
-        self.line("WRITE_PEER", format_args!(" Target=-1 Bytes={bytes}"));
+    fn tell(&mut self, units: &[(String, f64)]) {
+        for bytes in message::encode(units) {
+            self.line("WRITE_PEER", format_args!(" Target=-1 Bytes={bytes}"));
+        }
     }
     fn wake(&mut self, token: &str, after: Span) {
         self.line("NOTIFY_ME", format_args!(" Token={token} In={}", Seconds(after)));
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,6 +2,7 @@
 
 mod decode;
 mod host;
+mod message;
 
 use std::io::{self, BufWriter};
 use std::process::ExitCode;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,47 +1,33 @@
 //! All decisions of kitepass. A host opens one [`Gateway`] an instance, tells it in order what happens, each
 //! time with its clock and an [`Orders`] that carries out what the gateway orders: `roster`, `command`,
-//! `leg_ended`, `client_left`, `counted`, `woken`. Types in and the trait stand in `interface.rs`.
+//! `leg_ended`, `client_left`, `counted`, `told`, `woken`. Types in and the trait stand in `interface.rs`.
 //! docs/design.md tells which parts are the article's mechanism and which are departures from it.
 
 use crate::clock::{Moment, Span};
 use crate::interface::*;
+use crate::tally::Tally;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-/// The article's period, and the stay-away that a bounce advises.
-const PERIOD: Span = Span::from_secs(1);
-/// Part of the store that is not given away while other gateways draw on it unseen.
-const RESERVE: f64 = 0.125;
-/// Mean deviations past the mean after which a leg counts as overdue.
-const OVERDUE: f64 = 6.0;
-/// Share of the contract time that legs may be out for; more means an overload.
-const PRESSED: f64 = 0.5;
-/// Share of what tips a cold backend over that is used at most.
-const COLD_SHARE: f64 = 0.5;
-/// Share of the fleet's size that is to be warm where its usual flow is learnt.
-const WARM: f64 = 0.75;
-/// How long a backend's good and bad ends count.
-const MEMORY: Span = Span::from_secs(5);
-/// What is left of the odds of the backend that had the leg before.
-const AGAIN: f64 = 0.0625;
-/// Share of the limit from which a customer's total is read again when all adds are in.
-const NEAR: f64 = 0.5;
-/// Periods without use after which a customer is forgotten.
-const KEPT: u32 = 60;
-/// Calls in a row without a total after which the last reading is no longer current.
-const SILENT: u32 = 2;
-/// Bytes of a message and of an entry in it, and the fineness of the units told.
-const MESSAGE: usize = 256;
-const ENTRY: usize = 6;
-const FINE: f64 = 64.0;
-/// Weight of the newest in running means.
-const NEWEST: f64 = 0.0625;
+const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
+const RESERVE: f64 = 0.125; // part of the store not given away while other gateways draw on it unseen
+const NEAR: f64 = 0.5; // part of the limit from which a total is read again when all adds are in
+const SILENT: u32 = 2; // calls in a row without a total that end the last reading
+const KEPT: u32 = 60; // periods without use after which a customer is forgotten
+const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
+const PRESSED: f64 = 0.5; // share of the contract time that legs may be out for; more is an overload
+const COLD_SHARE: f64 = 0.5; // share of what tips a cold backend over that is used at most
+const WARM: f64 = 0.75; // share of the fleet to be warm where its usual flow is learnt
+const MEMORY: Span = Span::from_secs(5); // how long a backend's good and bad ends count
+const AGAIN: f64 = 0.0625; // what is left of the odds of the backend that had the leg before
+const NEWEST: f64 = 0.0625; // weight of the newest in running means
 
 /// A command's states. `shift` alone changes them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     /// Taken in; no leg out.
+    #[default]
     Held,
     /// This many legs are out.
     Out(u32),
@@ -49,18 +35,19 @@
     Over(u32),
 }
 
+#[derive(Default)]
 struct Command {
     state: State,
     workload: usize,
-    customer: Rc<str>,
+    customer: String,
     came: Moment,
     outer_limit: Moment,
     units: f64,
     legs: u32,
-    /// Where the first leg that may run went, and when; a leg has ended that may have run.
-    bound: Option<(Rc<str>, Moment)>,
+    /// When the first leg that may run went, and its zone and cell; a leg has ended that may have run.
+    bound: Option<(Moment, String, i64)>,
     ran: bool,
-    last_backend: Option<Rc<str>>,
+    last_backend: String,
     beyond: bool,
 }
 
@@ -73,7 +60,7 @@
     store: f64,
     as_of: Moment,
     /// Units offered here within about a period, the newest counting most, and in a usual period.
-    demand: f64,
+    demand: Tally,
     usual: f64,
     /// Units here since the period began, and units taken off the store for the other gateways.
     period: Units,
@@ -93,7 +80,7 @@
     untold: f64,
 }
 
-/// Units of one period: offered is what was sent on and what was refused.
+/// Units of one period: those that the store gave, and those that were refused or went beyond it.
 #[derive(Clone, Copy, Default)]
 struct Units {
     sent: f64,
@@ -101,6 +88,7 @@
 }
 
 /// All that is known about a backend.
+#[derive(Default)]
 struct Backend {
     listed: Listed,
     /// Ends of legs that went well and that went wrong.
@@ -119,20 +107,13 @@
     deviation: Span,
 }
 
-/// A count that fades, so that it stands for about the last `memory`.
-struct Tally {
-    count: f64,
-    at: Moment,
-    memory: Span,
-}
-
 pub struct Gateway {
     charter: Rc<Charter>,
     chance: Rand64,
     opened: Moment,
-    backends: BTreeMap<Rc<str>, Backend>,
-    commands: HashMap<Rc<str>, Command>,
-    customers: HashMap<Rc<str>, Customer>,
+    backends: BTreeMap<String, Backend>,
+    commands: HashMap<String, Command>,
+    customers: HashMap<String, Customer>,
     paces: Vec<Pace>,
     /// Legs sent in about a window of the cold rule, and the usual number for each unit of size.
     flow: Tally,
@@ -140,9 +121,8 @@
     /// Legs asked for and legs settled in about a period.
     wanted: Tally,
     settled: Tally,
-    /// Customers by their marks in messages; those with units untold; when a peer was last heard.
-    marks: HashMap<u32, Rc<str>>,
-    untold: Vec<Rc<str>>,
+    /// Customers with units that peers have not been told of; when a peer was last heard.
+    untold: Vec<String>,
     heard: Option<Moment>,
 }
 
@@ -156,11 +136,10 @@
             commands: HashMap::new(),
             customers: HashMap::new(),
             paces: charter.workloads.iter().map(pace).collect(),
-            flow: Tally::over(charter.cold_start.window, now),
+            flow: Tally::default(),
             taken: 0.0,
-            wanted: Tally::over(PERIOD, now),
-            settled: Tally::over(PERIOD, now),
-            marks: HashMap::new(),
+            wanted: Tally::default(),
+            settled: Tally::default(),
             untold: Vec::new(),
             heard: None,
             charter,
@@ -168,26 +147,16 @@
     }
 
     /// Changes of the list of backends; a whole list also tells what is gone.
-    pub fn roster(&mut self, now: Moment, whole: bool, lines: &[Listed]) {
-        if whole {
-            for backend in self.backends.values_mut() {
-                backend.listed.standing = Standing::Gone;
-            }
+    pub fn roster(&mut self, whole: bool, lines: &[Listed]) {
+        for backend in self.backends.values_mut().filter(|_| whole) {
+            backend.listed.standing = Standing::Gone;
         }
         for line in lines {
-            let id: Rc<str> = line.id.as_str().into();
-            let fresh = || Backend {
-                listed: line.clone(),
-                good: Tally::over(MEMORY, now),
-                bad: Tally::over(MEMORY, now),
-                slow: 1.0,
-                out: Vec::new(),
-                sent: Vec::new(),
-            };
-            let known = self.backends.entry(id).or_insert_with(fresh);
+            let fresh = || Backend { listed: line.clone(), slow: 1.0, ..Backend::default() };
+            let known = self.backends.entry(line.id.clone()).or_insert_with(fresh);
             if known.listed.started != line.started {
                 // A known id that has started again is a cold backend: old praise and blame are void.
-                (known.good.count, known.bad.count, known.slow) = (0.0, 0.0, 1.0);
+                (known.good, known.bad, known.slow) = (Tally::default(), Tally::default(), 1.0);
             }
             known.listed = line.clone();
         }
@@ -203,44 +172,37 @@
             // What nobody has set terms for is nobody's to send on.
             return orders.bounce(asked.id, self.advice());
         };
-        let id: Rc<str> = asked.id.into();
-        let customer = self.meet(now, asked, plan, orders);
+        self.meet(now, asked, plan, orders);
         let command = Command {
-            state: State::Held,
             workload,
-            customer: customer.clone(),
+            customer: asked.customer.to_owned(),
             came: now,
             outer_limit: asked.outer_limit,
             units: asked.units,
-            legs: 0,
-            bound: None,
-            ran: false,
-            last_backend: None,
-            beyond: false,
+            ..Command::default()
         };
-        self.commands.insert(id.clone(), command);
-        let ratio = self.ratio(now, &customer, asked.units);
+        self.commands.insert(asked.id.to_owned(), command);
+        let ratio = self.ratio(now, asked.customer, asked.units);
         let pressure = self.pressure(now, workload);
         let beyond = &charter.plans[plan];
         // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
         let lenient = beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
         if !refused {
-            self.wanted.add(now, 1.0);
+            self.wanted.add(now, PERIOD, 1.0);
         }
         if refused || self.chance.rand_float() < pressure {
-            self.give_up(&id, orders);
+            self.give_up(asked.id, orders);
         } else {
-            self.advance(now, &id, orders);
+            self.advance(now, asked.id, orders);
         }
     }
 
     /// A leg has ended.
     pub fn leg_ended(&mut self, now: Moment, end: &LegEnd, orders: &mut impl Orders) {
         self.judge(now, end);
-        let Some((id, _)) = self.commands.get_key_value(end.command) else { return };
-        let id = id.clone();
-        let command = self.commands.get_mut(&id).expect("found above");
+        let id = end.command;
+        let Some(command) = self.commands.get_mut(id) else { return };
         if let Some(customer) = self.customers.get_mut(&command.customer) {
             customer.out = customer.out.saturating_sub(1);
             if let (Some(units), false) = (end.true_units, command.beyond) {
@@ -249,29 +211,28 @@
         }
         command.ran |= !end.ending.never_ran();
         match command.state {
-            State::Over(n) => self.shift(&id, State::Over(n.saturating_sub(1))),
-            State::Out(n) if end.over => self.shift(&id, State::Over(n - 1)),
-            State::Out(n) if n > 1 => self.shift(&id, State::Out(n - 1)),
+            State::Over(n) => self.shift(id, State::Over(n.saturating_sub(1))),
+            State::Out(n) if end.over => self.shift(id, State::Over(n - 1)),
+            State::Out(n) if n > 1 => self.shift(id, State::Out(n - 1)),
             _ => {
                 if !command.ran {
                     command.bound = None;
                 }
-                self.shift(&id, State::Held);
-                self.advance(now, &id, orders);
+                self.shift(id, State::Held);
+                self.advance(now, id, orders);
             }
         }
     }
 
     /// The client has gone; nothing is owed for the command any more.
     pub fn client_left(&mut self, id: &str) {
-        if let Some((id, command)) = self.commands.get_key_value(id) {
-            let (id, out) = (id.clone(), command.state.out());
-            self.shift(&id, State::Over(out));
-        }
+        let Some(command) = self.commands.get(id) else { return };
+        let out = if let State::Out(n) | State::Over(n) = command.state { n } else { 0 };
+        self.shift(id, State::Over(out));
     }
 
     /// Every change of a command's state.
-    fn shift(&mut self, id: &Rc<str>, to: State) {
+    fn shift(&mut self, id: &str, to: State) {
         if let Some(command) = self.commands.get_mut(id) {
             command.state = to;
             if to == State::Over(0) {
@@ -283,47 +244,35 @@
     // ---- The quota: the article's mechanism -------------------------------------------------------------
 
     /// Books the offered units and sets the customer's timer if there is none.
-    fn meet(&mut self, now: Moment, asked: &Asked, plan: usize, orders: &mut impl Orders) -> Rc<str> {
+    fn meet(&mut self, now: Moment, asked: &Asked, plan: usize, orders: &mut impl Orders) {
         let (hears, terms) = (self.hears(now), &self.charter.plans[plan]);
         let width = f64::from(if asked.width == 0 { self.charter.gateways } else { asked.width }.max(1));
-        let id = match self.customers.get_key_value(asked.customer) {
-            Some((id, _)) => id.clone(),
-            None => {
-                let id: Rc<str> = asked.customer.into();
-                // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
-                // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
-                let ceiling = terms.ceiling_rate / width * secs(now - self.opened);
-                let customer = Customer {
-                    plan,
-                    width,
-                    store: terms.store / width,
-                    as_of: now,
-                    ceiling: ceiling.min(terms.ceiling_depth / width),
-                    ..Customer::default()
-                };
-                self.marks.insert(mark(&id), id.clone());
-                self.customers.insert(id.clone(), customer);
-                orders.wake(&format!("period.{id}"), until_close(now, &id));
-                id
-            }
-        };
-        let customer = self.customers.get_mut(&id).expect("just met");
+        let id = asked.customer;
+        if !self.customers.contains_key(id) {
+            // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
+            // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
+            let ceiling =
+                (terms.ceiling_rate / width * (now - self.opened).secs()).min(terms.ceiling_depth / width);
+            let (store, as_of) = (terms.store / width, now);
+            let customer = Customer { plan, width, store, as_of, ceiling, ..Customer::default() };
+            self.customers.insert(id.to_owned(), customer);
+            orders.wake(&format!("period.{id}"), until_close(now, id));
+        }
+        let customer = self.customers.get_mut(id).expect("just met");
         customer.reckon(now, terms, hears);
-        customer.demand += asked.units;
-        customer.period.refused += asked.units; // until it is sent on
+        customer.demand.add(now, PERIOD, asked.units);
+        customer.period.refused += asked.units; // until the store gives them
         customer.idle = 0;
-        id
     }
 
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
     fn ratio(&self, now: Moment, id: &str, units: f64) -> f64 {
         let customer = &self.customers[id];
         let terms = &self.charter.plans[customer.plan];
-        let over = |actual: f64, limit: f64| ((actual - limit) / actual).clamp(0.0, 1.0);
         let out = f64::from(customer.out + 1) / customer.part(terms);
-        let legs_ratio = if terms.legs_out > 0 { over(out, f64::from(terms.legs_out)) } else { 0.0 };
+        let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
         // An unseen customer has its share alone; chance is too coarse for its first command.
-        if terms.rate <= 0.0 || (!customer.seen && customer.demand <= units) {
+        if terms.rate <= 0.0 || (!customer.seen && customer.demand.last() <= units) {
             return legs_ratio;
         }
         // What the store cannot hold is beyond the quota for certain: chance over many commands is too coarse
@@ -333,8 +282,9 @@
         }
         let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
         let share = customer.share(terms, self.hears(now));
-        let limit = terms.rate * share * secs(PERIOD) + customer.store - reserve;
-        over(customer.demand + customer.others.offered() * customer.surge(terms), limit).max(legs_ratio)
+        let limit = terms.rate * share * PERIOD.secs() + customer.store - reserve;
+        excess(customer.demand.last() + customer.others.offered() * customer.surge(terms), limit)
+            .max(legs_ratio)
     }
 
     /// A timer is due.
@@ -347,11 +297,8 @@
                 }
             }
             Some(("tell", _)) => self.tell(orders),
-            Some(("held", id)) => {
-                if let Some((id, Command { state: State::Held, .. })) = self.commands.get_key_value(id) {
-                    let id = id.clone();
-                    self.advance(now, &id, orders);
-                }
+            Some(("held", id)) if self.commands.get(id).is_some_and(|c| c.state == State::Held) => {
+                self.advance(now, id, orders);
             }
             _ => {}
         }
@@ -360,13 +307,11 @@
     /// A customer's period has ended: its offered units go to the counter, if there are any.
     fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
         let hears = self.hears(now);
-        let Some((id, _)) = self.customers.get_key_value(id) else { return };
-        let id = id.clone();
-        let customer = self.customers.get_mut(&id).expect("just found");
+        let Some(customer) = self.customers.get_mut(id) else { return };
         let terms = &self.charter.plans[customer.plan];
         customer.reckon(now, terms, hears);
         let offered = customer.period.offered();
-        customer.usual += (offered - customer.usual) / 2.0;
+        customer.usual += (offered.max(0.0) - customer.usual) / 2.0; // settled units may be given back
         customer.closed = None;
         if offered <= 0.0 || customer.period.sent < 0.0 {
             customer.idle += 1;
@@ -374,25 +319,23 @@
             customer.others.refused /= 2.0;
             // Old customers are dropped; by then their store is full again.
             if customer.idle > KEPT && customer.out == 0 {
-                self.customers.remove(&id);
-                self.marks.remove(&mark(&id));
+                self.customers.remove(id);
                 return;
             }
         } else if let (Some(patience), true) =
             (self.charter.counter, customer.width > 1.0 && terms.rate > 0.0)
         {
-            let period = period_of(now, &id) - 1;
+            let period = period_of(now, id) - 1;
             let units = std::mem::take(&mut customer.period);
             orders.count(&format!("{id}.{period}"), units.packed(terms), PERIOD * 4);
             customer.closed = Some((period, units, std::mem::take(&mut customer.presumed)));
-            // The total that the add gives back may lack the adds of others; where it matters it is read
-            // again when theirs are in.
-            let near = customer.usual / customer.part(terms) > NEAR * terms.rate * secs(PERIOD);
+            // The total that the add brings may lack others' adds; where it matters it is read once more.
+            let near = customer.usual / customer.part(terms) > NEAR * terms.rate * PERIOD.secs();
             if near || customer.store < NEAR * terms.store {
                 orders.wake(&format!("read.{id}"), patience);
             }
         }
-        orders.wake(&format!("period.{id}"), until_close(now, &id));
+        orders.wake(&format!("period.{id}"), until_close(now, id));
     }
 
     /// The counter has answered a call, or not.
@@ -409,8 +352,7 @@
         match counted {
             Counted::Total(total) => {
                 let all = Units::unpacked(total, terms);
-                // A total under this gateway's own part is a counter that has lost its counts: the last
-                // reading stays, as it does through silence.
+                // A total under its own part is of a counter that lost its counts: the last reading stays.
                 if all.offered() + 0.5 < own.offered() {
                     return;
                 }
@@ -434,18 +376,10 @@
 
     /// Peers are told what was sent on since the last telling; the counter's totals put right what gets lost.
     fn tell(&mut self, orders: &mut impl Orders) {
-        let mut bytes = Vec::with_capacity(MESSAGE);
-        let first = self.untold.len().saturating_sub(MESSAGE / ENTRY);
-        for id in self.untold.split_off(first) {
-            let Some(customer) = self.customers.get_mut(&id) else { continue };
-            let units = (std::mem::take(&mut customer.untold) * FINE).clamp(0.0, f64::from(u16::MAX)) as u16;
-            bytes.extend_from_slice(&mark(&id).to_le_bytes());
-            bytes.extend_from_slice(&units.to_le_bytes());
-        }
-        orders.tell_all(&bytes);
-        if !self.untold.is_empty() {
-            orders.wake("tell.", self.telling());
-        }
+        let customers = &mut self.customers;
+        let take = |id: String| customers.get_mut(&id).map(|c| (id, std::mem::take(&mut c.untold)));
+        let units: Vec<_> = self.untold.drain(..).filter_map(take).collect();
+        orders.tell(&units);
     }
 
     /// Four tellings a period, or fewer where the peers could not take in so many.
@@ -454,18 +388,10 @@
         (PERIOD / 4).max(Span::from_secs(1).times(2.0 * peers / self.charter.peer_messages.max(1.0)))
     }
 
-    /// A peer has told what it sent on. What cannot be decoded is dropped.
-    pub fn told(&mut self, now: Moment, bytes: &[u8]) {
-        if bytes.len() % ENTRY != 0 {
-            return;
-        }
+    /// A peer has told what it sent on for a customer.
+    pub fn told(&mut self, now: Moment, customer: &str, units: f64) {
         self.heard = Some(now);
-        for entry in bytes.chunks_exact(ENTRY) {
-            let mark = u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]);
-            let units = f64::from(u16::from_le_bytes([entry[4], entry[5]])) / FINE;
-            let Some(customer) = self.marks.get(&mark).and_then(|id| self.customers.get_mut(id)) else {
-                continue;
-            };
+        if let Some(customer) = self.customers.get_mut(customer) {
             customer.presumed += units;
             customer.store = (customer.store - units).max(customer.store.min(0.0));
         }
@@ -483,7 +409,7 @@
     }
 
     /// The final answer of a command that is given up: a bounce only where a retry is harmless.
-    fn give_up(&mut self, id: &Rc<str>, orders: &mut impl Orders) {
+    fn give_up(&mut self, id: &str, orders: &mut impl Orders) {
         let command = &self.commands[id];
         let harmless = command.bound.is_none()
             || match self.charter.workloads[command.workload].repeats {
@@ -491,37 +417,35 @@
                 Repeats::Tagged { group, .. } => group == Group::All,
                 Repeats::OnceOnly => false,
             };
-        if harmless {
-            orders.bounce(id, self.advice());
-        } else {
-            orders.scrap(id);
+        match harmless {
+            true => orders.bounce(id, self.advice()),
+            false => orders.scrap(id),
         }
         self.shift(id, State::Over(0));
     }
 
     /// Sends a held command's next leg, holds it on, or gives it up.
-    fn advance(&mut self, now: Moment, id: &Rc<str>, orders: &mut impl Orders) {
+    fn advance(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
         let charter = self.charter.clone();
         let command = &self.commands[id];
         let workload = &charter.workloads[command.workload];
-        let (expected, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
+        let pace = &self.paces[command.workload];
+        let (expected, overdue) = (pace.mean, pace.overdue());
         let contract_end = command.came + workload.contract;
-        let end = if workload.late_share > 0.0 {
-            command.outer_limit
-        } else {
-            command.outer_limit.min(contract_end)
-        };
-        let left = end - now;
+        let latest = if workload.late_share > 0.0 { command.outer_limit } else { contract_end };
+        let left = command.outer_limit.min(latest) - now;
         let barred = match (workload.repeats, &command.bound) {
             (Repeats::OnceOnly, Some(_)) => true,
-            (Repeats::Tagged { memory, .. }, Some((_, sent))) => now - *sent >= memory,
+            (Repeats::Tagged { memory, .. }, Some((sent, ..))) => now - *sent >= memory,
             _ => false,
         };
-        let least = if command.legs > 0 { expected } else { Span::ZERO };
-        if barred || command.legs >= charter.most_legs || left <= least {
-            return self.give_up(id, orders);
-        }
-        if command.legs > 0 && self.chance.rand_float() < self.pressure(now, command.workload) {
+        let further = command.legs > 0;
+        let spent = left <= if further { expected } else { Span::ZERO } || command.legs >= charter.most_legs;
+        // A further leg must not feed an overload.
+        if barred
+            || spent
+            || further && self.chance.rand_float() < self.pressure(now, self.commands[id].workload)
+        {
             return self.give_up(id, orders);
         }
         let Some(backend) = self.pick(now, id) else {
@@ -546,11 +470,10 @@
                 }
                 customer.ceiling -= command.units;
             }
-            command.beyond = terms.rate > 0.0 && customer.store < command.units;
-            customer.period.refused -= command.units;
-            customer.period.sent += command.units;
+            command.beyond = customer.seen && terms.rate > 0.0 && customer.store < command.units;
             if !command.beyond {
-                customer.store -= command.units;
+                customer.period.refused -= command.units;
+                customer.spend(command.units);
                 if charter.peer_messages > 0.0 && customer.width > 1.0 && terms.rate > 0.0 {
                     if self.untold.is_empty() {
                         orders.wake("tell.", telling);
@@ -565,11 +488,11 @@
         if let Some(customer) = self.customers.get_mut(&command.customer) {
             customer.out += 1;
         }
-        command.bound.get_or_insert((backend.clone(), now));
         command.legs += 1;
-        command.last_backend = Some(backend.clone());
-        self.flow.add(now, 1.0);
+        command.last_backend.clone_from(&backend);
+        self.flow.add(now, charter.cold_start.window, 1.0);
         let record = self.backends.get_mut(&backend).expect("picked from these");
+        command.bound.get_or_insert((now, record.listed.zone.clone(), record.listed.cell));
         record.out.push(now);
         if record.warmth(now, &charter.cold_start) < 1.0 {
             record.sent.push(now);
@@ -586,33 +509,22 @@
         let patience = self.charter.workloads[workload].contract.over(PERIOD) * PRESSED;
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
-        let (wanted, settled) = (self.wanted.at(now), self.settled.at(now));
+        let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
         let limit = settled + live + patience * settled - out;
-        if wanted > limit {
-            ((wanted - limit) / wanted).min(1.0)
-        } else {
-            0.0
-        }
+        excess(wanted, limit)
     }
 
     // ---- Backends -----------------------------------------------------------------------------------------
 
     /// Draws one backend, odds in step with the room that each is thought to have.
-    fn pick(&mut self, now: Moment, id: &Rc<str>) -> Option<Rc<str>> {
+    fn pick(&mut self, now: Moment, id: &str) -> Option<String> {
         let cold_start = self.charter.cold_start;
         let command = &self.commands[id];
         let overdue = self.paces[command.workload].overdue();
-        let home = command.bound.as_ref().and_then(|(b, _)| self.backends.get(b));
-        let home = home.map(|b| (b.listed.zone.clone(), b.listed.cell));
-        let group = match self.charter.workloads[command.workload].repeats {
-            Repeats::Tagged { group, .. } if command.bound.is_some() => group,
-            _ => Group::All,
-        };
-        let fits = |b: &Listed| match (group, &home) {
-            (Group::All, _) => true,
-            (Group::Zone, Some((zone, _))) => b.zone == *zone,
-            (Group::Cell, Some((_, cell))) => b.cell == *cell,
-            (_, None) => false,
+        let fits = |b: &Listed| match (self.charter.workloads[command.workload].repeats, &command.bound) {
+            (Repeats::Tagged { group: Group::Zone, .. }, Some((_, zone, _))) => b.zone == *zone,
+            (Repeats::Tagged { group: Group::Cell, .. }, Some((.., cell))) => b.cell == *cell,
+            _ => true,
         };
         let (mut worth, mut size, mut able, mut out) = (0.0, 0.0, 0.0, 1.0);
         for b in self.backends.values().filter(|b| b.listed.standing == Standing::Live) {
@@ -624,10 +536,10 @@
         }
         // What a unit of size takes is learnt while most of the fleet is warm, and kept for when it is not.
         if able > WARM * size && (now - self.opened) > cold_start.window {
-            let flow = self.flow.at(now) / able;
+            let flow = self.flow.at(now, cold_start.window) / able;
             self.taken += (flow - self.taken) * NEWEST;
         }
-        let (mut odds, mut sum) = (Vec::with_capacity(self.backends.len()), 0.0);
+        let (mut odds, mut sum) = (Vec::new(), 0.0);
         for (id, b) in &mut self.backends {
             if b.listed.standing != Standing::Live || !fits(&b.listed) {
                 continue;
@@ -645,20 +557,18 @@
             let share = b.listed.size / b.slow * warmth / worth;
             let room = (out * share + 1.0 - b.out.len() as f64).max(share);
             let mut odd = room * b.trust(now, overdue, &mut self.chance);
-            if command.last_backend.as_ref() == Some(id) {
+            if command.last_backend == *id {
                 odd *= AGAIN;
             }
             sum += odd;
             odds.push((id, odd));
         }
         let mut draw = self.chance.rand_float() * sum;
-        for (id, odd) in &odds {
+        let met = odds.iter().find(|(_, odd)| {
             draw -= odd;
-            if draw <= 0.0 {
-                return Some((*id).clone());
-            }
-        }
-        odds.last().map(|(id, _)| (*id).clone())
+            draw <= 0.0
+        });
+        met.or(odds.last()).map(|(id, _)| (*id).clone())
     }
 
     /// Books what a leg's end tells about its backend, its workload and the fleet.
@@ -673,7 +583,7 @@
             pace.learn(end.took);
         }
         if went_well {
-            self.settled.add(now, 1.0);
+            self.settled.add(now, PERIOD, 1.0);
         }
         let Some(b) = self.backends.get_mut(end.backend) else {
             return;
@@ -683,11 +593,11 @@
             b.out.swap_remove(nearest);
         }
         if went_well {
-            b.good.add(now, 1.0);
-            b.bad.count /= 2.0;
+            b.good.add(now, MEMORY, 1.0);
+            b.bad.scale(0.5);
         } else if !matches!(end.ending, Ending::CalledOff | Ending::Unsent) {
-            b.bad.add(now, 1.0);
-            b.good.count /= 2.0;
+            b.bad.add(now, MEMORY, 1.0);
+            b.good.scale(0.5);
         }
         if telling && b.warmth(now, &cold_start) >= 1.0 {
             b.slow += (end.took.over(usual.max(Span::from_micros(1))) - b.slow) * NEWEST * 2.0;
@@ -696,15 +606,6 @@
     }
 }
 
-impl State {
-    fn out(self) -> u32 {
-        match self {
-            State::Held => 0,
-            State::Out(n) | State::Over(n) => n,
-        }
-    }
-}
-
 impl Customer {
     /// Brings the store, the share of the ceiling and the demand up to now.
     fn reckon(&mut self, now: Moment, terms: &Plan, hears: bool) {
@@ -715,12 +616,11 @@
         let drawn = self.others.sent * self.surge(terms) * past.over(PERIOD);
         let others = if share < 1.0 || hears { 0.0 } else { drawn };
         self.presumed += others;
-        let floor = self.store.min(0.0);
-        self.store =
-            (self.store + terms.rate * share * secs(past) - others).clamp(floor, terms.store * share);
-        self.ceiling += terms.ceiling_rate / self.width * secs(past);
+        let filled = self.store + terms.rate * share * past.secs();
+        self.store = (filled - others).max(self.store.min(0.0)).min(terms.store * share);
+        self.ceiling += terms.ceiling_rate / self.width * past.secs();
         self.ceiling = self.ceiling.min(terms.ceiling_depth / self.width);
-        self.demand *= (-past.over(PERIOD)).exp();
+        self.demand.at(now, PERIOD);
     }
 
     /// Books units sent on inside the quota; below zero, units given back.
@@ -742,14 +642,14 @@
 
     /// This gateway's part of the customer's demand by the last readings, or by the number of gateways.
     fn part(&self, terms: &Plan) -> f64 {
-        let even = (terms.rate * secs(PERIOD) / self.width).max(f64::EPSILON);
+        let even = (terms.rate * PERIOD.secs() / self.width).max(f64::EPSILON);
         (self.usual + even) / (self.usual + self.others.offered() + even * self.width)
     }
 
     /// How demand here has grown since the last reading; the others' is taken to have grown alike.
     fn surge(&self, terms: &Plan) -> f64 {
-        let calm = terms.rate * secs(PERIOD) / self.width;
-        ((self.demand + calm) / (self.usual + calm)).max(0.5)
+        let calm = terms.rate * PERIOD.secs() / self.width;
+        ((self.demand.last() + calm) / (self.usual + calm)).max(0.5)
     }
 }
 
@@ -766,7 +666,7 @@
     /// One draw from the posterior of its chance of success; legs overdue weigh like failures.
     fn trust(&mut self, now: Moment, overdue: Span, chance: &mut Rand64) -> f64 {
         let late = self.out.iter().filter(|sent| now - **sent > overdue).count() as f64;
-        let (good, bad) = (self.good.at(now), self.bad.at(now));
+        let (good, bad) = (self.good.at(now, MEMORY), self.bad.at(now, MEMORY));
         if bad + late < 0.1 {
             return 1.0;
         }
@@ -778,22 +678,6 @@
     }
 }
 
-impl Tally {
-    fn over(memory: Span, at: Moment) -> Self {
-        Tally { count: 0.0, at, memory }
-    }
-
-    fn at(&mut self, now: Moment) -> f64 {
-        self.count *= (-(now - self.at).over(self.memory)).exp();
-        self.at = now;
-        self.count
-    }
-
-    fn add(&mut self, now: Moment, amount: f64) {
-        self.count = self.at(now) + amount;
-    }
-}
-
 impl Pace {
     fn learn(&mut self, took: Span) {
         let off = took - self.mean;
@@ -806,20 +690,16 @@
     }
 }
 
-fn secs(span: Span) -> f64 {
-    span.over(Span::from_secs(1))
+/// The article's ratio: the part of what is asked for that is past the limit.
+fn excess(actual: f64, limit: f64) -> f64 {
+    ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// A customer's mark in messages, alike at all gateways.
-fn mark(id: &str) -> u32 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
-    (id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, step) >> 32) as u32
-}
-
-/// A customer's periods end at its own phase, so that neither calls nor ratios nor the clients they turn away
-/// come all at once.
+/// A customer's periods end at its own phase, alike at all gateways, so that neither calls nor ratios nor the
+/// clients they turn away come all at once.
 fn phase(id: &str) -> Span {
-    PERIOD.times(f64::from(mark(id)) / f64::from(u32::MAX))
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+    PERIOD.times((id.bytes().fold(0xcbf2_9ce4_8422_2325, step) >> 32) as f64 / f64::from(u32::MAX))
 }
 
 fn period_of(now: Moment, id: &str) -> i64 {
@@ -847,6 +727,6 @@
     }
 
     fn apart(terms: &Plan) -> f64 {
-        10f64.powf((10.0 * (terms.rate * secs(PERIOD) + terms.store)).max(1.0).log10().ceil())
+        10f64.powf((10.0 * (terms.rate * PERIOD.secs() + terms.store)).max(1.0).log10().ceil())
     }
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -37,6 +37,9 @@
         }
         self.0 as f64 / other.0 as f64
     }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
     pub fn times(self, factor: f64) -> Span {
         Span((self.0 as f64 * factor) as i64)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,7 +80,7 @@
 }
 
 /// One line of the list of backends.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Listed {
     pub id: String,
     pub zone: String,
@@ -93,10 +93,11 @@
     pub started: Option<Moment>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Live,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -162,7 +163,7 @@
     fn bounce(&mut self, command: &str, retry_in: Option<Span>);
     fn scrap(&mut self, command: &str);
     fn count(&mut self, name: &str, amount: f64, keep: Span);
-    /// A short message to every peer; it may be lost.
-    fn tell_all(&mut self, bytes: &[u8]);
+    /// Tells every peer units of customers; what is told may be late or lost.
+    fn tell(&mut self, units: &[(String, f64)]);
     fn wake(&mut self, token: &str, after: Span);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod clock;
 mod interface;
+mod tally;
 
 pub use choice::Gateway;
 pub use clock::{Moment, Span};
