No overdue cut while the fleet is pressed

Cause: legs cut at the usual time in an overload leave their work behind on backends that finish what they run.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -455,9 +455,11 @@
             }
             return self.give_up(id, orders);
         };
-        // A further leg may follow an overdue one only if there is time for both.
+        // A further leg may follow an overdue one only if there is time for both, and no overload that the
+        // work left behind would feed.
         let (telling, hears) = (self.telling(), self.hears(now));
-        let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected;
+        let calm = self.pressure(now, self.commands[id].workload) == 0.0;
+        let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected && calm;
         let allow = if again { overdue } else { left };
         let command = self.commands.get_mut(id).expect("found above");
         if let (Some(customer), true) = (self.customers.get_mut(&command.customer), command.legs == 0) {
