--- a/src/choice.rs
+++ b/src/choice.rs
@@ -186,7 +186,7 @@
         let pressure = self.pressure(now, workload);
         let beyond = &charter.plans[plan];
         // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
-        let lenient = beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
+        let lenient = false && beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
         if !refused {
             self.wanted.add(now, PERIOD, 1.0);
