--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,6 +17,7 @@
 const KEPT: u32 = 60; // periods without use after which a customer is forgotten
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
 const PRESSED: f64 = 0.5; // share of the contract time that legs may be out for; more is an overload
+const IDLE: f64 = 0.33; // part of that room up to which backends have some to spare
 const COLD_SHARE: f64 = 0.5; // share of what tips a cold backend over that is used at most
 const WARM: f64 = 0.75; // share of the fleet to be warm where its usual flow is learnt
 const MEMORY: Span = Span::from_secs(5); // how long a backend's good and bad ends count
@@ -183,10 +184,11 @@
         };
         self.commands.insert(asked.id.to_owned(), command);
         let ratio = self.ratio(now, asked.customer, asked.units);
-        let pressure = self.pressure(now, workload);
+        let pressure = self.pressure(now, workload, 1.0);
         let beyond = &charter.plans[plan];
-        // Where a unit beyond the quota earns more than it costs, the ratio waits for an overload.
-        let lenient = false && beyond.beyond_earns > beyond.overrun_cost && pressure == 0.0;
+        // Where a unit beyond the quota earns more than it costs, the ratio waits until backends are busy.
+        let idle = self.pressure(now, workload, IDLE) == 0.0;
+        let lenient = beyond.beyond_earns > beyond.overrun_cost && idle;
         let refused = !lenient && self.chance.rand_float() < ratio;
         if !refused {
             self.wanted.add(now, PERIOD, 1.0);
@@ -443,7 +445,7 @@
         // A further leg must not feed an overload.
         if barred
             || spent
-            || further && self.chance.rand_float() < self.pressure(now, self.commands[id].workload)
+            || further && self.chance.rand_float() < self.pressure(now, self.commands[id].workload, 1.0)
         {
             return self.give_up(id, orders);
         }
@@ -458,7 +460,7 @@
         // A further leg may follow an overdue one only if there is time for both, and no overload that the
         // work left behind would feed.
         let (telling, hears) = (self.telling(), self.hears(now));
-        let calm = self.pressure(now, self.commands[id].workload) == 0.0;
+        let calm = self.pressure(now, self.commands[id].workload, 1.0) == 0.0;
         let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected && calm;
         let allow = if again { overdue } else { left };
         let command = self.commands.get_mut(id).expect("found above");
@@ -504,12 +506,12 @@
     /// The article's ratio once more, for the fleet: what asks for a leg in a period against what settles in one
     /// and the room below the legs that may be out. Any overload (a surge, slow or lost backends, retries) shows
     /// here before answers are late. It may refuse too much while answers that were all delayed are due.
-    fn pressure(&mut self, now: Moment, workload: usize) -> f64 {
+    fn pressure(&mut self, now: Moment, workload: usize, part: f64) -> f64 {
         let patience = self.charter.workloads[workload].contract.over(PERIOD) * PRESSED;
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
         let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
-        let limit = settled + live + patience * settled - out;
+        let limit = settled + part * (live + patience * settled) - out;
         excess(wanted, limit)
     }
 
