Calm customers are counted every fourth period

Cause: in the operators' larger fleets the counter is crowded and nine calls in ten bring nothing. Also covers slow counters.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,7 @@
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
 const RESERVE: f64 = 0.125; // part of the store not given away while other gateways draw on it unseen
 const NEAR: f64 = 0.5; // part of the limit from which a total is read again when all adds are in
+const CALM: i64 = 4; // periods from one count of a calm customer to the next
 const SILENT: u32 = 2; // calls in a row without a total that end the last reading
 const KEPT: u32 = 60; // periods without use after which a customer is forgotten
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
@@ -311,28 +312,35 @@
         let Some(customer) = self.customers.get_mut(id) else { return };
         let terms = &self.charter.plans[customer.plan];
         customer.reckon(now, terms, hears);
-        let offered = customer.period.offered();
-        customer.usual += (offered.max(0.0) - customer.usual) / 2.0; // settled units may be given back
+        let (units, presumed) =
+            (std::mem::take(&mut customer.period), std::mem::take(&mut customer.presumed));
+        customer.usual += (units.offered().max(0.0) - customer.usual) / 2.0;
         customer.closed = None;
-        if offered <= 0.0 || customer.period.sent < 0.0 {
-            customer.idle += 1;
-            customer.others.sent /= 2.0;
-            customer.others.refused /= 2.0;
+        customer.idle += 1;
+        if units.offered() <= 0.0 {
+            customer.others =
+                Units { sent: customer.others.sent / 2.0, refused: customer.others.refused / 2.0 };
             // Old customers are dropped; by then their store is full again.
             if customer.idle > KEPT && customer.out == 0 {
                 self.customers.remove(id);
                 return;
             }
-        } else if let (Some(patience), true) =
-            (self.charter.counter, customer.width > 1.0 && terms.rate > 0.0)
+        }
+        let period = period_of(now, id) - 1;
+        let half = NEAR * terms.rate * PERIOD.secs();
+        let near = customer.usual / customer.part(terms) > half || customer.store < NEAR * terms.store;
+        // Settled units may be given back: less than nothing waits for the next period.
+        customer.period.sent = units.sent.min(0.0);
+        // Calm customers are counted now and then, by all gateways in the same periods: a crowded counter
+        // helps nobody, and each call has its price.
+        let due = (near || period % CALM == 0) && units.offered() > 0.0 && units.sent >= 0.0;
+        if let (Some(patience), true) =
+            (self.charter.counter, due && customer.width > 1.0 && terms.rate > 0.0)
         {
-            let period = period_of(now, id) - 1;
-            let units = std::mem::take(&mut customer.period);
             orders.count(&format!("{id}.{period}"), units.packed(terms), PERIOD * 4);
-            customer.closed = Some((period, units, std::mem::take(&mut customer.presumed)));
+            customer.closed = Some((period, units, presumed));
             // The total that the add brings may lack others' adds; where it matters it is read once more.
-            let near = customer.usual / customer.part(terms) > NEAR * terms.rate * PERIOD.secs();
-            if near || customer.store < NEAR * terms.store {
+            if near && customer.silent == 0 {
                 orders.wake(&format!("read.{id}"), patience);
             }
         }
