--- a/src/choice.rs
+++ b/src/choice.rs
@@ -484,14 +484,14 @@
             if !command.beyond {
                 customer.period.refused -= command.units;
                 customer.spend(command.units);
-                if charter.peer_messages > 0.0 && customer.width > 1.0 && terms.rate > 0.0 {
+                customer.untold += command.units;
+                let matters = customer.store < NEAR * terms.store || customer.untold > RESERVE * terms.store;
+                let peers = charter.peer_messages > 0.0 && customer.width > 1.0 && terms.rate > 0.0;
+                if peers && matters && !self.untold.contains(&command.customer) {
                     if self.untold.is_empty() {
                         orders.wake("tell.", telling);
                     }
-                    if customer.untold <= 0.0 {
-                        self.untold.push(command.customer.clone());
-                    }
-                    customer.untold += command.units;
+                    self.untold.push(command.customer.clone());
                 }
             }
         }
