--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,7 +17,8 @@
 const SILENT: u32 = 2; // calls in a row without a total that end the last reading
 const KEPT: u32 = 60; // periods without use after which a customer is forgotten
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
-const PRESSED: f64 = 0.15; // share of the contract time that legs may be out for; more is an overload
+const QUEUE: f64 = 2.0; // times of an idle backend that legs may be out for; more is an overload
+const ABREAST: f64 = 3.0; // legs a backend may have from all gateways whatever settles
 const IDLE: f64 = 0.33; // part of that room up to which backends have some to spare
 const COLD_SHARE: f64 = 0.5; // share of what tips a cold backend over that is used at most
 const WARM: f64 = 0.75; // share of the fleet to be warm where its usual flow is learnt
@@ -107,6 +108,8 @@
 struct Pace {
     mean: Span,
     deviation: Span,
+    /// The least that the mean has been, rising slowly: the time of a backend with little to do.
+    idle: Span,
 }
 
 pub struct Gateway {
@@ -130,7 +133,8 @@
 
 impl Gateway {
     pub fn open(charter: Rc<Charter>, seed: u64, now: Moment) -> Self {
-        let pace = |w: &Workload| Pace { mean: w.contract / 8, deviation: w.contract / 16 };
+        let pace =
+            |w: &Workload| Pace { mean: w.contract / 8, deviation: w.contract / 16, idle: w.contract / 8 };
         Gateway {
             chance: Rand64::new(u128::from(seed)),
             opened: now,
@@ -515,11 +519,12 @@
     /// and the room below the legs that may be out. Any overload (a surge, slow or lost backends, retries) shows
     /// here before answers are late. It may refuse too much while answers that were all delayed are due.
     fn pressure(&mut self, now: Moment, workload: usize, part: f64) -> f64 {
-        let patience = self.charter.workloads[workload].contract.over(PERIOD) * PRESSED;
+        let patience = self.paces[workload].idle.over(PERIOD) * QUEUE;
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
         let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
-        let limit = settled + part * (live + patience * settled) - out;
+        let floor = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0);
+        let limit = settled + part * (floor + patience * settled) - out;
         excess(wanted, limit)
     }
 
@@ -692,6 +697,7 @@
     fn learn(&mut self, took: Span) {
         let off = took - self.mean;
         self.mean = self.mean + off.times(NEWEST);
+        self.idle = self.mean.min(self.idle + (self.mean - self.idle).times(NEWEST * NEWEST));
         self.deviation = self.deviation + (off.max(Span::ZERO - off) - self.deviation).times(NEWEST);
     }
 
