--- a/src/choice.rs
+++ b/src/choice.rs
@@ -120,7 +120,7 @@
     commands: HashMap<String, Command>,
     customers: HashMap<String, Customer>,
     paces: Vec<Pace>,
-    /// Legs sent in about a window of the cold rule, and the usual number for each unit of size.
+    /// Legs settled in about a window of the cold rule, and the usual number for each unit of size.
     flow: Tally,
     taken: f64,
     /// Legs asked for and legs settled in about a period.
@@ -504,7 +504,6 @@
         }
         command.legs += 1;
         command.last_backend.clone_from(&backend);
-        self.flow.add(now, charter.cold_start.window, 1.0);
         let record = self.backends.get_mut(&backend).expect("picked from these");
         command.bound.get_or_insert((now, record.listed.zone.clone(), record.listed.cell));
         record.out.push(now);
@@ -598,6 +597,7 @@
         }
         if went_well {
             self.settled.add(now, PERIOD, 1.0);
+            self.flow.add(now, cold_start.window, 1.0);
         }
         let Some(b) = self.backends.get_mut(end.backend) else {
             return;
@@ -697,7 +697,7 @@
     fn learn(&mut self, took: Span) {
         let off = took - self.mean;
         self.mean = self.mean + off.times(NEWEST);
-        self.idle = self.mean.min(self.idle + (self.mean - self.idle).times(NEWEST * NEWEST));
+        self.idle = self.mean.min(self.idle + (self.mean - self.idle).times(NEWEST * NEWEST * NEWEST));
         self.deviation = self.deviation + (off.max(Span::ZERO - off) - self.deviation).times(NEWEST);
     }
 
