--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,7 +17,7 @@
 const SILENT: u32 = 2; // calls in a row without a total that end the last reading
 const KEPT: u32 = 60; // periods without use after which a customer is forgotten
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
-const QUEUE: f64 = 2.0; // times of an idle backend that legs may be out for; more is an overload
+const QUEUE: f64 = 1.5; // times of an idle backend that legs may be out for; more is an overload
 const ABREAST: f64 = 3.0; // legs a backend may have from all gateways whatever settles
 const IDLE: f64 = 0.33; // part of that room up to which backends have some to spare
 const COLD_SHARE: f64 = 0.5; // share of what tips a cold backend over that is used at most
@@ -134,7 +134,7 @@
 impl Gateway {
     pub fn open(charter: Rc<Charter>, seed: u64, now: Moment) -> Self {
         let pace =
-            |w: &Workload| Pace { mean: w.contract / 8, deviation: w.contract / 16, idle: w.contract / 8 };
+            |w: &Workload| Pace { mean: w.contract / 4, deviation: w.contract / 16, idle: w.contract / 4 };
         Gateway {
             chance: Rand64::new(u128::from(seed)),
             opened: now,
