--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,13 +29,10 @@
 /// A command's states. `shift` alone changes them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
-    /// Taken in; no leg out.
     #[default]
-    Held,
-    /// This many legs are out.
-    Out(u32),
-    /// It has its final answer; so many legs are still to end.
-    Over(u32),
+    Held, // taken in; no leg out
+    Out(u32),  // so many legs are out
+    Over(u32), // it has its final answer; so many legs are still to end
 }
 
 #[derive(Default)]
@@ -108,8 +105,7 @@
 struct Pace {
     mean: Span,
     deviation: Span,
-    /// The least that the mean has been, rising slowly: the time of a backend with little to do.
-    idle: Span,
+    idle: Span, // the least that the mean has been, rising slowly
 }
 
 pub struct Gateway {
@@ -179,21 +175,15 @@
             return orders.bounce(asked.id, self.advice());
         };
         self.meet(now, asked, plan, orders);
-        let command = Command {
-            workload,
-            customer: asked.customer.to_owned(),
-            came: now,
-            outer_limit: asked.outer_limit,
-            units: asked.units,
-            ..Command::default()
-        };
+        let (customer, came) = (asked.customer.to_owned(), now);
+        let (outer_limit, units) = (asked.outer_limit, asked.units);
+        let command = Command { workload, customer, came, outer_limit, units, ..Command::default() };
         self.commands.insert(asked.id.to_owned(), command);
         let ratio = self.ratio(now, asked.customer, asked.units);
         let pressure = self.pressure(now, workload, 1.0);
-        let beyond = &charter.plans[plan];
         // Where a unit beyond the quota earns more than it costs, the ratio waits until backends are busy.
-        let idle = self.pressure(now, workload, IDLE) == 0.0;
-        let lenient = beyond.beyond_earns > beyond.overrun_cost && idle;
+        let earns = charter.plans[plan].beyond_earns > charter.plans[plan].overrun_cost;
+        let lenient = earns && self.pressure(now, workload, IDLE) == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
         if !refused {
             self.wanted.add(now, PERIOD, 1.0);
@@ -263,7 +253,7 @@
             let (store, as_of) = (terms.store / width, now);
             let customer = Customer { plan, width, store, as_of, ceiling, ..Customer::default() };
             self.customers.insert(id.to_owned(), customer);
-            orders.wake(&format!("period.{id}"), until_close(now, id));
+            orders.wake(&format!("period.{id}"), beat(now, id).1);
         }
         let customer = self.customers.get_mut(id).expect("just met");
         customer.reckon(now, terms, hears);
@@ -277,7 +267,7 @@
         let customer = &self.customers[id];
         let terms = &self.charter.plans[customer.plan];
         let out = f64::from(customer.out + 1) / customer.part(terms);
-        let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
+        let legs_ratio = excess(out, f64::from(terms.legs_out)) * f64::from(terms.legs_out.min(1));
         let share = customer.share(terms, self.hears(now));
         // A full store, or share of one, gives a command of any size.
         if terms.rate <= 0.0 || customer.store >= terms.store * share {
@@ -289,8 +279,8 @@
         }
         let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
         let limit = terms.rate * share * PERIOD.secs() + customer.store - reserve;
-        excess(customer.demand.last() + customer.others.offered() * customer.surge(terms), limit)
-            .max(legs_ratio)
+        let actual = customer.demand.last() + customer.others.offered() * customer.surge(terms);
+        excess(actual, limit).max(legs_ratio)
     }
 
     /// A timer is due.
@@ -324,15 +314,16 @@
         if units.offered() <= 0.0 {
             customer.others =
                 Units { sent: customer.others.sent / 2.0, refused: customer.others.refused / 2.0 };
-            // Old customers are dropped; by then their store is full again.
-            if customer.idle > KEPT && customer.out == 0 {
+            // Old customers are dropped once their store and their share of a ceiling are whole again.
+            let whole = customer.ceiling >= terms.ceiling_depth / customer.width;
+            if customer.idle > KEPT && customer.out == 0 && whole {
                 self.customers.remove(id);
                 return;
             }
         }
-        let period = period_of(now, id) - 1;
-        let half = NEAR * terms.rate * PERIOD.secs();
-        let near = customer.usual / customer.part(terms) > half || customer.store < NEAR * terms.store;
+        let period = beat(now, id).0 - 1;
+        let usual = customer.usual / customer.part(terms) / PERIOD.secs();
+        let near = usual > NEAR * terms.rate || customer.store < NEAR * terms.store;
         // Settled units may be given back: less than nothing waits for the next period.
         customer.period.sent = units.sent.min(0.0);
         // Calm customers are counted now and then, by all gateways in the same periods: a crowded counter
@@ -348,7 +339,7 @@
                 orders.wake(&format!("read.{id}"), patience);
             }
         }
-        orders.wake(&format!("period.{id}"), until_close(now, id));
+        orders.wake(&format!("period.{id}"), beat(now, id).1);
     }
 
     /// The counter has answered a call, or not.
@@ -356,10 +347,8 @@
         let hears = self.hears(now);
         let Some((id, period)) = name.rsplit_once('.') else { return };
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let Some((closed, own, presumed)) = customer.closed else { return };
-        if closed.to_string() != period {
-            return;
-        }
+        let closed = customer.closed.filter(|closed| closed.0.to_string() == period);
+        let Some((closed, own, presumed)) = closed else { return };
         let terms = &self.charter.plans[customer.plan];
         customer.silent += 1;
         match counted {
@@ -430,9 +419,10 @@
                 Repeats::Tagged { group, .. } => group == Group::All,
                 Repeats::OnceOnly => false,
             };
-        match harmless {
-            true => orders.bounce(id, self.advice()),
-            false => orders.scrap(id),
+        if harmless {
+            orders.bounce(id, self.advice());
+        } else {
+            orders.scrap(id);
         }
         self.shift(id, State::Over(0));
     }
@@ -440,6 +430,7 @@
     /// Sends a held command's next leg, holds it on, or gives it up.
     fn advance(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
         let charter = self.charter.clone();
+        let pressure = self.pressure(now, self.commands[id].workload, 1.0);
         let command = &self.commands[id];
         let workload = &charter.workloads[command.workload];
         let pace = &self.paces[command.workload];
@@ -455,10 +446,7 @@
         let further = command.legs > 0;
         let spent = left <= if further { expected } else { Span::ZERO } || command.legs >= charter.most_legs;
         // A further leg must not feed an overload.
-        if barred
-            || spent
-            || further && self.chance.rand_float() < self.pressure(now, self.commands[id].workload, 1.0)
-        {
+        if barred || spent || further && self.chance.rand_float() < pressure {
             return self.give_up(id, orders);
         }
         let Some(backend) = self.pick(now, id) else {
@@ -472,11 +460,10 @@
         // A further leg may follow an overdue one only if there is time for both, and no overload that the
         // work left behind would feed.
         let (telling, hears) = (self.telling(), self.hears(now));
-        let calm = self.pressure(now, self.commands[id].workload, 1.0) == 0.0;
-        let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected && calm;
-        let allow = if again { overdue } else { left };
+        let again = workload.repeats != Repeats::OnceOnly && left - overdue > expected;
+        let allow = if again && pressure == 0.0 { overdue } else { left };
         let command = self.commands.get_mut(id).expect("found above");
-        if let (Some(customer), true) = (self.customers.get_mut(&command.customer), command.legs == 0) {
+        if let Some(customer) = self.customers.get_mut(&command.customer).filter(|_| command.legs == 0) {
             let terms = &charter.plans[customer.plan];
             let share = customer.share(terms, hears);
             // A hard ceiling holds whatever the others do: the whole command fits this gateway's own share.
@@ -522,8 +509,8 @@
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
         let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
-        let floor = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0);
-        let limit = settled + part * (floor + patience * settled) - out;
+        let room = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0) + patience * settled;
+        let limit = settled + part * room - out;
         excess(wanted, limit)
     }
 
@@ -569,10 +556,8 @@
             }
             let share = b.listed.size / b.slow * warmth / worth;
             let room = (out * share + 1.0 - b.out.len() as f64).max(share);
-            let mut odd = room * b.trust(now, overdue, &mut self.chance);
-            if command.last_backend == *id {
-                odd *= AGAIN;
-            }
+            let again = if command.last_backend == *id { AGAIN } else { 1.0 };
+            let odd = room * again * b.trust(now, overdue, &mut self.chance);
             sum += odd;
             odds.push((id, odd));
         }
@@ -711,19 +696,14 @@
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// A customer's periods end at its own phase, alike at all gateways, so that neither calls nor ratios nor the
-/// clients they turn away come all at once.
-fn phase(id: &str) -> Span {
+/// The number of a customer's period and what is left of it. Each customer has a phase of its own, alike at all
+/// gateways, so that neither calls nor ratios nor the clients they turn away come all at once.
+fn beat(now: Moment, id: &str) -> (i64, Span) {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
-    PERIOD.times((id.bytes().fold(0xcbf2_9ce4_8422_2325, step) >> 32) as f64 / f64::from(u32::MAX))
-}
-
-fn period_of(now: Moment, id: &str) -> i64 {
-    (now - phase(id)).micros().div_euclid(PERIOD.micros())
-}
-
-fn until_close(now: Moment, id: &str) -> Span {
-    PERIOD - Span::from_micros((now - phase(id)).micros().rem_euclid(PERIOD.micros()))
+    let phase = (id.bytes().fold(0xcbf2_9ce4_8422_2325, step) >> 32) as f64 / f64::from(u32::MAX);
+    let since = (now - PERIOD.times(phase)).micros();
+    let left = PERIOD.micros() - since.rem_euclid(PERIOD.micros());
+    (since.div_euclid(PERIOD.micros()), Span::from_micros(left))
 }
 
 impl Units {
