--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -128,7 +128,6 @@
     Ok(Listed {
         id: fields.text("Backend")?.to_owned(),
         zone: fields.get("Campus").unwrap_or_default().to_owned(),
-        kind: fields.get("Hw").unwrap_or_default().to_owned(),
         cell: fields.number_or("Pod", 0.0)? as i64,
         standing: match fields.text("Status")? {
             "live" => Standing::Live,
@@ -156,7 +155,6 @@
         workloads: entries(&all, "Classes")?.iter().map(workload).collect::<Result<_, _>>()?,
         plans: entries(&all, "Plans")?.iter().map(plan).collect::<Result<_, _>>()?,
         counter,
-        copies: yes(caps, "MayDuplicate")?,
         most_legs: number(caps, "TryLimit", 1.0)?.max(1.0) as u32,
         peer_messages: if yes(caps, "PeerMessages")? { number(family, "MailPerS", 0.0)? } else { 0.0 },
         longest_advice: advised,
@@ -184,7 +182,6 @@
         },
         contract: span(value, "Objective", 1.0)?,
         late_share: number(value, "LateWorth", 0.0)?,
-        value: number(value, "Gain", 1.0)?,
     })
 }
 
@@ -194,7 +191,6 @@
         rate: number(value, "Refill", 0.0)?,
         store: number(value, "StoreSize", 0.0)?,
         legs_out: number(value, "Open", 0.0)? as u32,
-        pays: number(value, "Pays", 1.0)?,
         beyond_earns: number(value, "BeyondEarns", 0.0)?,
         overrun_cost: number(value, "OverrunCost", 0.0)?,
         ceiling_rate: number(value, "CeilingRate", 0.0)?,
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -146,7 +146,6 @@
             "RESULT" => {
                 let end = LegEnd {
                     command: fields.text("Id")?,
-                    leg: fields.get("N").map_or(Ok(0), |_| fields.whole("N"))?,
                     backend: fields.text("Backend")?,
                     ending: decode::ending(fields)?,
                     over: fields.flag("Ended")?,
@@ -210,9 +209,6 @@
         let allow = Seconds(allow);
         self.line("CALL_OUT", format_args!(" Id={command} AllowFor={allow} Backend={backend}"));
     }
-    fn call_off(&mut self, command: &str, leg: u32) {
-        self.line("STOP_ATTEMPT", format_args!(" Id={command} N={leg}"));
-    }
     fn bounce(&mut self, command: &str, retry_in: Option<Span>) {
         match retry_in {
             Some(away) => self.line("BUSY", format_args!(" Id={command} RetryIn={}", Seconds(away))),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,9 @@
 enum State {
     #[default]
     Held, // taken in; no leg out
-    Out(u32),  // so many legs are out
-    Over(u32), // it has its final answer; so many legs are still to end
+    Out,  // its one leg is out
+    Left, // the client has gone while a leg is out
+    Over, // it has its final answer, or needs none, and no leg is out
 }
 
 #[derive(Default)]
@@ -207,32 +208,28 @@
             }
         }
         command.ran |= !end.ending.never_ran();
-        match command.state {
-            State::Over(n) => self.shift(id, State::Over(n.saturating_sub(1))),
-            State::Out(n) if end.over => self.shift(id, State::Over(n - 1)),
-            State::Out(n) if n > 1 => self.shift(id, State::Out(n - 1)),
-            _ => {
-                if !command.ran {
-                    command.bound = None;
-                }
-                self.shift(id, State::Held);
-                self.advance(now, id, orders);
-            }
+        if command.state != State::Out || end.over {
+            return self.shift(id, State::Over);
+        }
+        if !command.ran {
+            command.bound = None;
         }
+        self.shift(id, State::Held);
+        self.advance(now, id, orders);
     }
 
     /// The client has gone; nothing is owed for the command any more.
     pub fn client_left(&mut self, id: &str) {
         let Some(command) = self.commands.get(id) else { return };
-        let out = if let State::Out(n) | State::Over(n) = command.state { n } else { 0 };
-        self.shift(id, State::Over(out));
+        let to = if command.state == State::Held { State::Over } else { State::Left };
+        self.shift(id, to);
     }
 
     /// Every change of a command's state.
     fn shift(&mut self, id: &str, to: State) {
         if let Some(command) = self.commands.get_mut(id) {
             command.state = to;
-            if to == State::Over(0) {
+            if to == State::Over {
                 self.commands.remove(id);
             }
         }
@@ -424,7 +421,7 @@
         } else {
             orders.scrap(id);
         }
-        self.shift(id, State::Over(0));
+        self.shift(id, State::Over);
     }
 
     /// Sends a held command's next leg, holds it on, or gives it up.
@@ -498,7 +495,7 @@
             record.sent.push(now);
         }
         orders.leg(id, &backend, allow);
-        self.shift(id, State::Out(1));
+        self.shift(id, State::Out);
     }
 
     /// The article's ratio once more, for the fleet: what asks for a leg in a period against what settles in one
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,8 +11,6 @@
     pub plans: Vec<Plan>,
     /// How long a call to the quota counter may take; none where there is no counter.
     pub counter: Option<Span>,
-    /// Two legs of one command may be out at once.
-    pub copies: bool,
     pub most_legs: u32,
     /// How many messages of its peers a gateway takes in each second; 0 where there are none.
     pub peer_messages: f64,
@@ -39,7 +37,6 @@
     pub contract: Span,
     /// Share of the value that an answer after the contract time still earns.
     pub late_share: f64,
-    pub value: f64,
 }
 
 /// What running a command again would do.
@@ -69,7 +66,6 @@
     pub store: f64,
     /// Legs that a customer may have out at once; 0 for no such quota.
     pub legs_out: u32,
-    pub pays: f64,
     pub beyond_earns: f64,
     pub overrun_cost: f64,
     /// The hard ceiling's units a second and depth; none at rate 0.
@@ -82,7 +78,6 @@
 pub struct Listed {
     pub id: String,
     pub zone: String,
-    pub kind: String,
     pub cell: i64,
     pub standing: Standing,
     /// Its size beside the others'.
@@ -136,7 +131,6 @@
 #[derive(Clone, Debug)]
 pub struct LegEnd<'a> {
     pub command: &'a str,
-    pub leg: u32,
     pub backend: &'a str,
     pub ending: Ending,
     /// The command has its final answer already.
@@ -157,7 +151,6 @@
 /// How the module gives its orders; they take effect in the order given.
 pub trait Orders {
     fn leg(&mut self, command: &str, backend: &str, allow: Span);
-    fn call_off(&mut self, command: &str, leg: u32);
     fn bounce(&mut self, command: &str, retry_in: Option<Span>);
     fn scrap(&mut self, command: &str);
     fn count(&mut self, name: &str, amount: f64, keep: Span);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -34,9 +34,6 @@
         self.legs.entry(command.into()).or_default().push((backend.into(), self.now));
         self.log.push(format!("leg {command} {backend}"));
     }
-    fn call_off(&mut self, command: &str, leg: u32) {
-        self.log.push(format!("call_off {command} {leg}"));
-    }
     fn bounce(&mut self, command: &str, _: Option<Span>) {
         self.log.push(format!("bounce {command}"));
     }
@@ -85,7 +82,7 @@
     let cell = w.get("cell").map_or(0, |c| number(c) as i64);
     let size = w.get("size").map_or(1.0, |s| number(s));
     let started = w.get("started").map(|s| moment(s));
-    Listed { id, zone: text("zone"), kind: text("kind"), cell, standing, size, started }
+    Listed { id, zone: text("zone"), cell, standing, size, started }
 }
 
 struct Play {
@@ -117,14 +114,13 @@
                     _ => Repeats::Repeatable,
                 };
                 let (contract, late_share) = (secs("contract", 2.0), get("late", 0.0));
-                self.charter.workloads.push(Workload { name, repeats, contract, late_share, value: 1.0 });
+                self.charter.workloads.push(Workload { name, repeats, contract, late_share });
             }
             "plan" => self.charter.plans.push(Plan {
                 name,
                 rate: get("rate", 0.0),
                 store: get("store", 0.0),
                 legs_out: get("legs_out", 0.0) as u32,
-                pays: 1.0,
                 beyond_earns: get("beyond_earns", 0.0),
                 overrun_cost: get("overrun_cost", 1.0),
                 ceiling_rate: get("ceiling_rate", 0.0),
@@ -133,7 +129,6 @@
             _ => {
                 self.charter.gateways = get("gateways", 2.0) as u32;
                 self.charter.counter = Some(secs("counter", 0.03));
-                self.charter.copies = w.contains_key("copies");
                 self.charter.most_legs = get("legs", 5.0) as u32;
                 self.charter.peer_messages = get("peers", 0.0);
                 self.charter.longest_advice = Some(Span::from_secs(1));
@@ -176,7 +171,7 @@
 
     fn end(&mut self, id: &str, ending: &str, w: &Words) {
         let legs = &self.orders.legs[id];
-        let (leg, (backend, sent)) = (legs.len() as u32 - 1, legs[legs.len() - 1].clone());
+        let (backend, sent) = legs[legs.len() - 1].clone();
         let ending = match ending {
             "settled" => Ending::Settled,
             "error" => Ending::Error,
@@ -191,7 +186,7 @@
         let took = w.get("took").map_or(now - sent, |t| span(t));
         gateway.leg_ended(
             now,
-            &LegEnd { command: id, leg, backend: &backend, ending, over, took, true_units },
+            &LegEnd { command: id, backend: &backend, ending, over, took, true_units },
             orders,
         );
     }
