--- a/src/choice.rs
+++ b/src/choice.rs
@@ -502,13 +502,13 @@
     /// and the room below the legs that may be out. Any overload (a surge, slow or lost backends, retries) shows
     /// here before answers are late. It may refuse too much while answers that were all delayed are due.
     fn pressure(&mut self, now: Moment, workload: usize, part: f64) -> f64 {
-        let patience = self.paces[workload].idle.over(PERIOD) * QUEUE;
+        let time = self.paces[workload].idle.over(PERIOD);
         let live = self.backends.values().filter(|b| b.listed.standing == Standing::Live).count() as f64;
         let out = self.backends.values().map(|b| b.out.len()).sum::<usize>() as f64;
         let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
-        let room = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0) + patience * settled;
-        let limit = settled + part * room - out;
-        excess(wanted, limit)
+        let room = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0) + QUEUE * time * settled;
+        let limit = time * settled + part * room - out;
+        excess(time * wanted, limit)
     }
 
     // ---- Backends -----------------------------------------------------------------------------------------
