--- a/src/choice.rs
+++ b/src/choice.rs
@@ -325,7 +325,8 @@
         customer.period.sent = units.sent.min(0.0);
         // Calm customers are counted now and then, by all gateways in the same periods: a crowded counter
         // helps nobody, and each call has its price.
-        let due = (near || period % CALM == 0) && units.offered() > 0.0 && units.sent >= 0.0;
+        let due =
+            (near || !customer.seen || period % CALM == 0) && units.offered() > 0.0 && units.sent >= 0.0;
         if let (Some(patience), true) =
             (self.charter.counter, due && customer.width > 1.0 && terms.rate > 0.0)
         {
@@ -359,9 +360,12 @@
                 customer.others.sent = (all.sent - own.sent).max(0.0);
                 customer.others.refused = (all.refused - own.refused).max(0.0);
                 customer.closed = Some((closed, own, customer.others.sent));
-                (customer.seen, customer.silent) = (true, 0);
-                let store = customer.store + presumed - customer.others.sent;
+                // A first total without refusals elsewhere is of a customer that is well within its quota.
+                let full = !customer.seen && customer.others.refused <= 0.0;
+                let before = if full { terms.store - own.sent } else { customer.store + presumed };
+                let store = before - customer.others.sent;
                 customer.store = store.max(customer.store.min(0.0)).min(terms.store);
+                (customer.seen, customer.silent) = (true, 0);
             }
             Counted::NotAdded => {
                 customer.period.sent += own.sent;
