--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
-const RESERVE: f64 = 0.125; // part of the store not given away while other gateways draw on it unseen
+const RESERVE: f64 = 0.2; // part of the store not given away while other gateways draw on it unseen
 const NEAR: f64 = 0.5; // part of the limit from which a total is read again when all adds are in
 const CALM: i64 = 4; // periods from one count of a calm customer to the next
 const SILENT: u32 = 2; // calls in a row without a total that end the last reading
