Advice such that a retry may still be in time

A bounce now advises one second or, if that is less, half of what the contract time leaves after the usual time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -173,7 +173,7 @@
         let plan = charter.plans.iter().position(|p| p.name == asked.plan);
         let (Some(workload), Some(plan)) = (workload, plan) else {
             // What nobody has set terms for is nobody's to send on.
-            return orders.bounce(asked.id, self.advice());
+            return orders.bounce(asked.id, self.advice(PERIOD));
         };
         self.meet(now, asked, plan, orders);
         let (customer, came) = (asked.customer.to_owned(), now);
@@ -407,8 +407,8 @@
 
     // ---- Answers and legs ---------------------------------------------------------------------------------
 
-    fn advice(&self) -> Option<Span> {
-        self.charter.longest_advice.map(|longest| longest.min(PERIOD))
+    fn advice(&self, useful: Span) -> Option<Span> {
+        self.charter.longest_advice.map(|longest| longest.min(PERIOD).min(useful))
     }
 
     /// The final answer of a command that is given up: a bounce only where a retry is harmless.
@@ -421,7 +421,9 @@
                 Repeats::OnceOnly => false,
             };
         if harmless {
-            orders.bounce(id, self.advice());
+            let useful =
+                (self.charter.workloads[command.workload].contract - self.paces[command.workload].mean) / 2;
+            orders.bounce(id, self.advice(useful.max(Span::from_micros(1))));
         } else {
             orders.scrap(id);
         }
