Advice: half of the time left beyond quotas, a quarter in an overload

So the ordinary path stays closer to the design's one second and the guard that it does not treat takes the shorter advice.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,8 @@
 const CALM: i64 = 4; // periods from one count of a calm customer to the next
 const SILENT: u32 = 2; // calls in a row without a total that end the last reading
 const KEPT: u32 = 60; // periods without use after which a customer is forgotten
+const LATER: i64 = 2; // parts of the time left for a retry that advice may use beyond a quota,
+const SOON: i64 = 4; // and in an overload, where clients may need more than one
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
 const QUEUE: f64 = 1.0; // times of an idle backend that legs may be out for beside those
 const ABREAST: f64 = 3.0; // legs a backend may have from all gateways, more is an overload
@@ -186,11 +188,9 @@
         let earns = charter.plans[plan].beyond_earns > charter.plans[plan].overrun_cost;
         let lenient = earns && self.pressure(now, workload, IDLE) == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
-        if !refused {
-            self.wanted.add(now, PERIOD, 1.0);
-        }
+        self.wanted.add(now, PERIOD, f64::from(!refused));
         if refused || self.chance.rand_float() < pressure {
-            self.give_up(asked.id, orders);
+            self.give_up(asked.id, if refused { LATER } else { SOON }, orders);
         } else {
             self.advance(now, asked.id, orders);
         }
@@ -211,9 +211,8 @@
         if command.state != State::Out || end.over {
             return self.shift(id, State::Over);
         }
-        if !command.ran {
-            command.bound = None;
-        }
+        let bound = command.bound.take();
+        command.bound = bound.filter(|_| command.ran);
         self.shift(id, State::Held);
         self.advance(now, id, orders);
     }
@@ -411,18 +410,14 @@
         self.charter.longest_advice.map(|longest| longest.min(PERIOD).min(useful))
     }
 
-    /// The final answer of a command that is given up: a bounce only where a retry is harmless.
-    fn give_up(&mut self, id: &str, orders: &mut impl Orders) {
+    /// The final answer of a command that is given up: a bounce only where a retry is harmless, advising the
+    /// design's period or, where contract times are short, a part of the time left, lest the retry be late.
+    fn give_up(&mut self, id: &str, part: i64, orders: &mut impl Orders) {
         let command = &self.commands[id];
-        let harmless = command.bound.is_none()
-            || match self.charter.workloads[command.workload].repeats {
-                Repeats::Repeatable => true,
-                Repeats::Tagged { group, .. } => group == Group::All,
-                Repeats::OnceOnly => false,
-            };
-        if harmless {
-            let useful =
-                (self.charter.workloads[command.workload].contract - self.paces[command.workload].mean) / 2;
+        let workload = &self.charter.workloads[command.workload];
+        let narrow = matches!(workload.repeats, Repeats::Tagged { group, .. } if group != Group::All);
+        if command.bound.is_none() || !narrow && workload.repeats != Repeats::OnceOnly {
+            let useful = (workload.contract - self.paces[command.workload].mean) / part;
             orders.bounce(id, self.advice(useful.max(Span::from_micros(1))));
         } else {
             orders.scrap(id);
@@ -450,7 +445,7 @@
         let spent = left <= if further { expected } else { Span::ZERO } || command.legs >= charter.most_legs;
         // A further leg must not feed an overload.
         if barred || spent || further && self.chance.rand_float() < pressure {
-            return self.give_up(id, orders);
+            return self.give_up(id, SOON, orders);
         }
         let Some(backend) = self.pick(now, id) else {
             // No backend may take it now: hold it while an answer within the contract time can be hoped for.
@@ -458,7 +453,7 @@
             if left.min(contract_end - now) > pause + expected {
                 return orders.wake(&format!("held.{id}"), pause);
             }
-            return self.give_up(id, orders);
+            return self.give_up(id, SOON, orders);
         };
         // A further leg may follow an overdue one only if there is time for both, and no overload that the
         // work left behind would feed.
@@ -471,7 +466,7 @@
             let share = customer.share(terms, hears);
             // A hard ceiling holds whatever the others do: the whole command fits this gateway's own share.
             if terms.ceiling_rate > 0.0 && customer.ceiling < command.units {
-                return self.give_up(id, orders);
+                return self.give_up(id, SOON, orders);
             }
             customer.ceiling -= command.units;
             command.beyond = terms.rate > 0.0 && customer.store < command.units.min(terms.store * share);
