--- a/src/choice.rs
+++ b/src/choice.rs
@@ -125,6 +125,7 @@
     /// Legs asked for and legs settled in about a period.
     wanted: Tally,
     settled: Tally,
+    lost: f64, // part of the calls to the counter that brought no total, of late
     /// Customers with units that peers have not been told of; when a peer was last heard.
     untold: Vec<String>,
     heard: Option<Moment>,
@@ -145,6 +146,7 @@
             taken: 0.0,
             wanted: Tally::default(),
             settled: Tally::default(),
+            lost: 0.0,
             untold: Vec::new(),
             heard: None,
             charter,
@@ -322,10 +324,11 @@
         let near = usual > NEAR * terms.rate || customer.store < NEAR * terms.store;
         // Settled units may be given back: less than nothing waits for the next period.
         customer.period.sent = units.sent.min(0.0);
-        // Calm customers are counted now and then, by all gateways in the same periods: a crowded counter
-        // helps nobody, and each call has its price.
-        let due =
-            (near || !customer.seen || period % CALM == 0) && units.offered() > 0.0 && units.sent >= 0.0;
+        // Calm customers are counted now and then, all the less while calls are lost; by all gateways in the same
+        // periods: a crowded counter helps nobody, and each call has its price.
+        let every = if near || !customer.seen { 1 } else { CALM } << (self.lost * 4.0) as u32;
+        let due = period % every == 0 && units.offered() > 0.0 && units.sent >= 0.0;
+        customer.silent += u32::from(near && !due);
         if let (Some(patience), true) =
             (self.charter.counter, due && customer.width > 1.0 && terms.rate > 0.0)
         {
@@ -348,6 +351,7 @@
         let Some((closed, own, presumed)) = closed else { return };
         let terms = &self.charter.plans[customer.plan];
         customer.silent += 1;
+        self.lost += (f64::from(!matches!(counted, Counted::Total(_))) - self.lost) * NEWEST;
         match counted {
             Counted::Total(total) => {
                 let all = Units::unpacked(total, terms);
