--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 use crate::tally::Tally;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap};
+use std::mem::take;
 use std::rc::Rc;
 
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
@@ -177,7 +178,7 @@
         let plan = charter.plans.iter().position(|p| p.name == asked.plan);
         let (Some(workload), Some(plan)) = (workload, plan) else {
             // What nobody has set terms for is nobody's to send on.
-            return orders.bounce(asked.id, self.advice(PERIOD));
+            return orders.bounce(asked.id, charter.longest_advice);
         };
         self.meet(now, asked, plan, orders);
         let (customer, came) = (asked.customer.to_owned(), now);
@@ -304,14 +305,12 @@
         let Some(customer) = self.customers.get_mut(id) else { return };
         let terms = &self.charter.plans[customer.plan];
         customer.reckon(now, terms, hears);
-        let (units, presumed) =
-            (std::mem::take(&mut customer.period), std::mem::take(&mut customer.presumed));
+        let (units, presumed) = (take(&mut customer.period), take(&mut customer.presumed));
         customer.usual += (units.offered().max(0.0) - customer.usual) / 2.0;
         customer.closed = None;
         customer.idle += 1;
         if units.offered() <= 0.0 {
-            customer.others =
-                Units { sent: customer.others.sent / 2.0, refused: customer.others.refused / 2.0 };
+            customer.others = Units { sent: customer.others.sent / 2.0, ..Units::default() };
             // Old customers are dropped once their store and their share of a ceiling are whole again.
             let whole = customer.ceiling >= terms.ceiling_depth / customer.width;
             if customer.idle > KEPT && customer.out == 0 && whole {
@@ -329,9 +328,8 @@
         let every = if near || !customer.seen { 1 } else { CALM } << (self.lost * 4.0) as u32;
         let due = period % every == 0 && units.offered() > 0.0 && units.sent >= 0.0;
         customer.silent += u32::from(near && !due);
-        if let (Some(patience), true) =
-            (self.charter.counter, due && customer.width > 1.0 && terms.rate > 0.0)
-        {
+        let counter = self.charter.counter.filter(|_| due && customer.width > 1.0 && terms.rate > 0.0);
+        if let Some(patience) = counter {
             orders.count(&format!("{id}.{period}"), units.packed(terms), PERIOD * 4);
             customer.closed = Some((period, units, presumed));
             // The total that the add brings may lack others' adds; where it matters it is read once more.
@@ -383,7 +381,7 @@
     /// Peers are told what was sent on since the last telling; the counter's totals put right what gets lost.
     fn tell(&mut self, orders: &mut impl Orders) {
         let customers = &mut self.customers;
-        let take = |id: String| customers.get_mut(&id).map(|c| (id, std::mem::take(&mut c.untold)));
+        let take = |id: String| customers.get_mut(&id).map(|c| (id, take(&mut c.untold)));
         let units: Vec<_> = self.untold.drain(..).filter_map(take).collect();
         orders.tell(&units);
     }
@@ -410,10 +408,6 @@
 
     // ---- Answers and legs ---------------------------------------------------------------------------------
 
-    fn advice(&self, useful: Span) -> Option<Span> {
-        self.charter.longest_advice.map(|longest| longest.min(PERIOD).min(useful))
-    }
-
     /// The final answer of a command that is given up: a bounce only where a retry is harmless, advising the
     /// design's period or, where contract times are short, a part of the time left, lest the retry be late.
     fn give_up(&mut self, id: &str, part: i64, orders: &mut impl Orders) {
@@ -422,7 +416,8 @@
         let narrow = matches!(workload.repeats, Repeats::Tagged { group, .. } if group != Group::All);
         if command.bound.is_none() || !narrow && workload.repeats != Repeats::OnceOnly {
             let useful = (workload.contract - self.paces[command.workload].mean) / part;
-            orders.bounce(id, self.advice(useful.max(Span::from_micros(1))));
+            let advice = useful.max(Span::from_micros(1)).min(PERIOD);
+            orders.bounce(id, self.charter.longest_advice.map(|longest| longest.min(advice)));
         } else {
             orders.scrap(id);
         }
@@ -512,8 +507,7 @@
         let (mut live, mut out) = (0.0, 0.0);
         for b in self.backends.values_mut() {
             // Legs lost at a backend that answers nothing are no load on the others: all count by its record.
-            let (good, bad) = b.record(now, overdue);
-            let faith = good / (good + bad - 1.0);
+            let faith = b.trust(now, overdue, 0.0);
             out += faith * b.out.len() as f64;
             live += if b.listed.standing == Standing::Live { faith } else { 0.0 };
         }
@@ -566,7 +560,8 @@
             let share = b.listed.size / b.slow * warmth / worth;
             let room = (out * share + 1.0 - b.out.len() as f64).max(share);
             let again = if command.last_backend == *id { AGAIN } else { 1.0 };
-            let odd = room * again * b.trust(now, overdue, &mut self.chance);
+            let bell: f64 = (0..3).map(|_| 2.0 * self.chance.rand_float() - 1.0).sum();
+            let odd = room * again * b.trust(now, overdue, bell);
             sum += odd;
             odds.push((id, odd));
         }
@@ -672,22 +667,14 @@
         (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
     }
 
-    /// Good and bad ends, one of each to begin with; legs overdue weigh like failures.
-    fn record(&mut self, now: Moment, overdue: Span) -> (f64, f64) {
+    /// The chance of success by the posterior of its ends, so many deviations from the mean; legs overdue weigh
+    /// like failures, and a backend without any is not in doubt.
+    fn trust(&mut self, now: Moment, overdue: Span, deviations: f64) -> f64 {
         let late = self.out.iter().filter(|sent| now - **sent > overdue).count() as f64;
-        (1.0 + self.good.at(now, MEMORY) * (-late).exp2(), 1.0 + self.bad.at(now, MEMORY) + late)
-    }
-
-    /// One draw from the posterior of its chance of success.
-    fn trust(&mut self, now: Moment, overdue: Span, chance: &mut Rand64) -> f64 {
-        let (a, b) = self.record(now, overdue);
-        if b < 1.1 {
-            return 1.0;
-        }
-        let (mean, n) = (a / (a + b), a + b + 1.0);
-        // A Beta's mean and spread, drawn near enough by the sum of three uniforms.
-        let z = 2.0 * (chance.rand_float() + chance.rand_float() + chance.rand_float() - 1.5);
-        (mean + z * (mean * (1.0 - mean) / n).sqrt()).clamp(0.001, 1.0)
+        let good = 1.0 + self.good.at(now, MEMORY) * (-late).exp2();
+        let all = good + self.bad.at(now, MEMORY) + late;
+        let mean = good / all;
+        (mean + deviations * (mean * (1.0 - mean) / (all + 1.0)).sqrt()).clamp(0.001, 1.0)
     }
 }
 
