--- a/src/choice.rs
+++ b/src/choice.rs
@@ -667,8 +667,7 @@
         (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
     }
 
-    /// The chance of success by the posterior of its ends, so many deviations from the mean; legs overdue weigh
-    /// like failures, and a backend without any is not in doubt.
+    /// Its chance of success, so many deviations from the posterior's mean; overdue legs weigh like failures.
     fn trust(&mut self, now: Moment, overdue: Span, deviations: f64) -> f64 {
         let late = self.out.iter().filter(|sent| now - **sent > overdue).count() as f64;
         let good = 1.0 + self.good.at(now, MEMORY) * (-late).exp2();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,13 +4,14 @@
 //!     list whole|changes ID/NAME=VALUE..      backends, e.g. b1/zone=z/cell=2/started=4.5/draining
 //!     at TIME                                  moves the clock in seconds; timers that fall due are played
 //!     command ID NAME=VALUE..                  a command: customer, plan, workload, units, limit, width
-//!     offer N every=SPAN [settle=SPAN] ..      N commands, their legs settled after a span
+//!     offer N every=SPAN [settle=SPAN [ending=ENDING]] ..    N commands, their legs ended after a span
 //!     end ID ENDING [took=SPAN] [over] [true=UNITS]    the newest leg of a command has ended
 //!     left ID                                  its client has gone
 //!     answer more=UNITS | lost | silent | refused      to all calls to the counter that are out
+//!     counter HOW                              answers so by itself from now on
 //!     told CUSTOMER UNITS                      by a peer
-//!     > leg ID [BACKEND..] | bounce ID | scrap ID | nothing | count | told CUSTOMER    of the last step
-//!     > sent|bounced|to BACKEND MIN..MAX       how many legs or bounces the last step gave
+//!     > leg ID [BACKEND..] | bounce ID | scrap ID | nothing | told CUSTOMER    of the last step
+//!     > sent|bounced|counted|to BACKEND MIN..MAX    how many legs, bounces, calls the last step gave
 
 use kitepass::*;
 use std::collections::{BTreeMap, HashMap};
@@ -89,6 +90,7 @@
     charter: Charter,
     gateway: Option<Gateway>,
     orders: Orders,
+    counter: Option<String>,
 }
 
 impl Play {
@@ -151,6 +153,9 @@
             self.orders.now = due.max(self.orders.now);
             let (gateway, orders, now) = self.gateway();
             gateway.woken(now, &token, orders);
+            if let Some(how) = self.counter.clone() {
+                self.answer(&how, &Words::new());
+            }
         }
         self.orders.now = to;
     }
@@ -200,7 +205,7 @@
             while let Some(due) = settling.first().map(|s| s.0).filter(|due| *due <= now) {
                 self.move_to(due);
                 let (_, id) = settling.remove(0);
-                self.end(&id, "settled", w);
+                self.end(&id, w.get("ending").unwrap_or(&"settled"), w);
             }
             self.move_to(now);
             let id = format!("o{mark}-{n}");
@@ -211,7 +216,7 @@
         }
         for (due, id) in settling {
             self.move_to(due.max(self.orders.now));
-            self.end(&id, "settled", w);
+            self.end(&id, w.get("ending").unwrap_or(&"settled"), w);
         }
     }
 
@@ -246,7 +251,7 @@
                 range,
             ),
             ["nothing"] => within(begins("leg ") + begins("bounce ") + begins("scrap "), "0..0"),
-            ["count"] => assert!(begins("count ") > 0, "`{line}`: {log:?}"),
+            ["counted", range] => within(begins("count "), range),
             ["leg", id, ref backends @ ..] => {
                 let found = log.iter().find_map(|l| l.strip_prefix(&format!("leg {id} ")));
                 let found = found.unwrap_or_else(|| panic!("`{line}`: {log:?}"));
@@ -280,6 +285,7 @@
             ("offer", Some(times)) => self.offer(number(times) as usize, number_of_line, &w),
             ("end", Some(id)) => self.end(id, rest[1], &w),
             ("left", Some(id)) => self.gateway().0.client_left(id),
+            ("counter", Some(how)) => self.counter = Some(how.to_owned()),
             ("answer", Some(how)) => self.answer(how, &w),
             ("told", Some(customer)) => {
                 let (gateway, _, now) = self.gateway();
@@ -298,7 +304,8 @@
     assert!(!files.is_empty());
     for file in files {
         let name = file.file_name().unwrap().to_string_lossy().into_owned();
-        let mut play = Play { charter: Charter::default(), gateway: None, orders: Orders::default() };
+        let mut play =
+            Play { charter: Charter::default(), gateway: None, orders: Orders::default(), counter: None };
         for (n, line) in std::fs::read_to_string(&file).unwrap().lines().enumerate() {
             let line = line.split('#').next().unwrap_or_default().trim();
             if !line.is_empty() {
