--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Plays the scenarios in `tests/scenarios/`, one test for all. The notation, a step a line:
 //!
-//!     gateway | workload | plan NAME=VALUE..   the charter; `open` starts a gateway by it, from nothing
+//!     gateway | workload | plan NAME=VALUE..   the charter; what is left out has defaults
+//!     open ID/NAME=VALUE..                     starts a gateway by it, from nothing, with these backends
 //!     list whole|changes ID/NAME=VALUE..      backends, e.g. b1/zone=z/cell=2/started=4.5/draining
 //!     at TIME                                  moves the clock in seconds; timers that fall due are played
 //!     command ID NAME=VALUE..                  a command: customer, plan, workload, units, limit, width
@@ -102,7 +103,8 @@
     fn terms(&mut self, what: &str, w: &Words) {
         let get = |name: &str, absent: f64| w.get(name).map_or(absent, |v| number(v));
         let secs = |name: &str, absent: f64| Span::from_micros((get(name, absent) * 1e6) as i64);
-        let name = w.get("name").unwrap_or(&"").to_string();
+        let default = if what == "plan" { "p" } else { "w" };
+        let name = w.get("name").unwrap_or(&default).to_string();
         match what {
             "workload" => {
                 let group = match w.get("group") {
@@ -272,9 +274,19 @@
         match (verb, rest.first().copied()) {
             ("gateway" | "workload" | "plan", _) => self.terms(verb, &w),
             ("open", _) => {
+                if self.charter.gateways == 0 {
+                    self.terms("gateway", &Words::new());
+                }
+                if self.charter.workloads.is_empty() {
+                    self.terms("workload", &Words::from([("late", "0.2")]));
+                }
+                if self.charter.plans.is_empty() {
+                    self.terms("plan", &Words::new());
+                }
                 let charter = Rc::new(self.charter.clone());
                 self.orders.timers.clear();
                 self.gateway = Some(Gateway::open(charter, 11, self.orders.now));
+                self.gateway().0.roster(true, &rest.iter().map(|t| listed(t)).collect::<Vec<_>>());
             }
             ("list", Some(kind)) => {
                 let lines: Vec<Listed> = rest[1..].iter().map(|t| listed(t)).collect();
