--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -182,6 +182,7 @@
         },
         contract: span(value, "Objective", 1.0)?,
         late_share: number(value, "LateWorth", 0.0)?,
+        value: number(value, "Gain", 1.0)?,
     })
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -126,7 +126,8 @@
     /// Legs asked for and legs settled in about a period.
     wanted: Tally,
     settled: Tally,
-    lost: f64, // part of the calls to the counter that brought no total, of late
+    density: f64, // value of commands for each second that they take
+    lost: f64,    // part of the calls to the counter that brought no total, of late
     /// Customers with units that peers have not been told of; when a peer was last heard.
     untold: Vec<String>,
     heard: Option<Moment>,
@@ -147,6 +148,7 @@
             taken: 0.0,
             wanted: Tally::default(),
             settled: Tally::default(),
+            density: 1.0,
             lost: 0.0,
             untold: Vec::new(),
             heard: None,
@@ -186,10 +188,13 @@
         let command = Command { workload, customer, came, outer_limit, units, ..Command::default() };
         self.commands.insert(asked.id.to_owned(), command);
         let ratio = self.ratio(now, asked.customer, asked.units);
-        let pressure = self.pressure(now, workload, 1.0);
+        // In an overload the commands that are worth most for the time they take go first.
+        let density = charter.workloads[workload].value / self.paces[workload].mean.secs().max(1e-6);
+        self.density += (density - self.density) * NEWEST;
+        let pressure = self.pressure(now, workload, 1.0).powf(density / self.density);
         // Where a unit beyond the quota earns more than it costs, the ratio waits until backends are busy.
-        let earns = charter.plans[plan].beyond_earns > charter.plans[plan].overrun_cost;
-        let lenient = earns && self.pressure(now, workload, IDLE) == 0.0;
+        let lenient = charter.plans[plan].beyond_earns > charter.plans[plan].overrun_cost
+            && self.pressure(now, workload, IDLE) == 0.0;
         let refused = !lenient && self.chance.rand_float() < ratio;
         self.wanted.add(now, PERIOD, f64::from(!refused));
         if refused || self.chance.rand_float() < pressure {
@@ -202,8 +207,7 @@
     /// A leg has ended.
     pub fn leg_ended(&mut self, now: Moment, end: &LegEnd, orders: &mut impl Orders) {
         self.judge(now, end);
-        let id = end.command;
-        let Some(command) = self.commands.get_mut(id) else { return };
+        let Some(command) = self.commands.get_mut(end.command) else { return };
         if let Some(customer) = self.customers.get_mut(&command.customer) {
             customer.out = customer.out.saturating_sub(1);
             if let (Some(units), false) = (end.true_units, command.beyond) {
@@ -212,12 +216,12 @@
         }
         command.ran |= !end.ending.never_ran();
         if command.state != State::Out || end.over {
-            return self.shift(id, State::Over);
+            return self.shift(end.command, State::Over);
         }
         let bound = command.bound.take();
         command.bound = bound.filter(|_| command.ran);
-        self.shift(id, State::Held);
-        self.advance(now, id, orders);
+        self.shift(end.command, State::Held);
+        self.advance(now, end.command, orders);
     }
 
     /// The client has gone; nothing is owed for the command any more.
@@ -491,9 +495,7 @@
         let record = self.backends.get_mut(&backend).expect("picked from these");
         command.bound.get_or_insert((now, record.listed.zone.clone(), record.listed.cell));
         record.out.push(now);
-        if record.warmth(now, &charter.cold_start) < 1.0 {
-            record.sent.push(now);
-        }
+        record.sent.push(now);
         orders.leg(id, &backend, allow);
         self.shift(id, State::Out);
     }
@@ -502,7 +504,7 @@
     /// and the room below the legs that may be out. Any overload (a surge, slow or lost backends, retries) shows
     /// here before answers are late. It may refuse too much while answers that were all delayed are due.
     fn pressure(&mut self, now: Moment, workload: usize, part: f64) -> f64 {
-        let time = self.paces[workload].idle.over(PERIOD);
+        let time = self.paces.iter().map(|p| p.idle).max().unwrap_or(PERIOD).over(PERIOD);
         let overdue = self.paces[workload].overdue();
         let (mut live, mut out) = (0.0, 0.0);
         for b in self.backends.values_mut() {
@@ -548,10 +550,10 @@
                 continue;
             }
             let warmth = b.warmth(now, &cold_start);
+            b.sent.retain(|sent| now - *sent < cold_start.window);
             if warmth < 1.0 {
                 // A cold backend falls over if all gateways together send too much: this one sends no more
                 // than in step with what it sends to warm ones of like size, one leg at least.
-                b.sent.retain(|sent| now - *sent < cold_start.window);
                 let budget = COLD_SHARE * cold_start.multiple * warmth * b.listed.size * self.taken;
                 if b.sent.len() as f64 + 1.0 > budget.max(1.0) {
                     continue;
@@ -588,9 +590,7 @@
             self.settled.add(now, PERIOD, 1.0);
             self.flow.add(now, cold_start.window, 1.0);
         }
-        let Some(b) = self.backends.get_mut(end.backend) else {
-            return;
-        };
+        let Some(b) = self.backends.get_mut(end.backend) else { return };
         if let Some(nearest) = (0..b.out.len()).min_by_key(|&i| (now - b.out[i] - end.took).micros().abs()) {
             b.out.swap_remove(nearest);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,7 @@
     pub contract: Span,
     /// Share of the value that an answer after the contract time still earns.
     pub late_share: f64,
+    pub value: f64,
 }
 
 /// What running a command again would do.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -117,8 +117,9 @@
                     Some(&"once-only") => Repeats::OnceOnly,
                     _ => Repeats::Repeatable,
                 };
-                let (contract, late_share) = (secs("contract", 2.0), get("late", 0.0));
-                self.charter.workloads.push(Workload { name, repeats, contract, late_share });
+                let (contract, late_share, value) =
+                    (secs("contract", 2.0), get("late", 0.0), get("value", 1.0));
+                self.charter.workloads.push(Workload { name, repeats, contract, late_share, value });
             }
             "plan" => self.charter.plans.push(Plan {
                 name,
