--- a/src/choice.rs
+++ b/src/choice.rs
@@ -390,10 +390,10 @@
         orders.tell(&units);
     }
 
-    /// Four tellings a period, or fewer where the peers could not take in so many.
+    /// Eight tellings a period, or fewer where the peers could not take in so many.
     fn telling(&self) -> Span {
         let peers = f64::from(self.charter.gateways.max(2) - 1);
-        (PERIOD / 4).max(Span::from_secs(1).times(2.0 * peers / self.charter.peer_messages.max(1.0)))
+        (PERIOD / 8).max(Span::from_secs(1).times(2.0 * peers / self.charter.peer_messages.max(1.0)))
     }
 
     /// A peer has told what it sent on for a customer.
