--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -253,9 +253,9 @@
         let job =
             "JOB_IN Width=1 CostUnits=1 Terms=p Type=w UserKey=k ClientDeadline=9 Id=c1 GatewayId=gateway_1";
         let (done, output) = play(&format!(
-            "FRAME Wall=5.5\n{job}\nEOB\nFRAME Wall=6\nRESULT GatewayId=gateway_1 Id=c1 N=0 Ending=turned_away \
-             Rtt=0.1 Backend=b1\nEOB\nFRAME Wall=7\nRESULT GatewayId=gateway_1 Id=c1 N=1 Ending=turned_away \
-             Rtt=0.1 Backend=b1\nRESULT GatewayId=gateway_1 Id=old N=0 Ending=served Rtt=1 Backend=b9\nEOB\n"
+            "FRAME Wall=5.5\n{job}\nEOB\nFRAME Wall=6\nRESULT GatewayId=gateway_1 Id=c1 N=0 \
+             Ending=turned_away Rtt=0.1 Backend=b1\nEOB\nFRAME Wall=7\nRESULT GatewayId=gateway_1 Id=c1 N=1 \
+             Ending=turned_away Rtt=0.1 Backend=b1\nRESULT GatewayId=gateway_1 Id=old N=0 Ending=served Rtt=1 Backend=b9\nEOB\n"
         ));
         assert!(done.is_ok());
         assert_eq!(output.matches("CALL_OUT GatewayId=gateway_1 Id=c1 AllowFor=").count(), 2);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -276,11 +276,11 @@
         if terms.rate <= 0.0 || customer.store >= terms.store * share {
             return legs_ratio;
         }
-        // What the store cannot hold is beyond the quota for certain; chance is too coarse for large commands.
+        // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
         if customer.store < units {
             return 1.0;
         }
-        let reserve = if customer.seen && customer.width > 1.0 { RESERVE * terms.store } else { 0.0 };
+        let reserve = if customer.seen && customer.shared(terms) { RESERVE * terms.store } else { 0.0 };
         let limit = terms.rate * share * PERIOD.secs() + customer.store - reserve;
         let actual = customer.demand.last() + customer.others.offered() * customer.surge(terms);
         excess(actual, limit).max(legs_ratio)
@@ -322,18 +322,18 @@
                 return;
             }
         }
-        let period = beat(now, id).0 - 1;
+        let (next, left) = beat(now, id);
+        let period = next - 1;
         let usual = customer.usual / customer.part(terms) / PERIOD.secs();
         let near = usual > NEAR * terms.rate || customer.store < NEAR * terms.store;
         // Settled units may be given back: less than nothing waits for the next period.
         customer.period.sent = units.sent.min(0.0);
-        // Calm customers are counted now and then, all the less while calls are lost; by all gateways in the same
-        // periods: a crowded counter helps nobody, and each call has its price.
-        let every = if near || !customer.seen { 1 } else { CALM } << (self.lost * 4.0) as u32;
+        // Calm customers are counted now and then, all the less while calls are lost, by all gateways in the
+        // same periods: a crowded counter helps nobody, and each call has its price.
+        let every = (if near || !customer.seen { 1 } else { CALM }) << (self.lost * 4.0) as u32;
         let due = period % every == 0 && units.offered() > 0.0 && units.sent >= 0.0;
         customer.silent += u32::from(near && !due);
-        let counter = self.charter.counter.filter(|_| due && customer.width > 1.0 && terms.rate > 0.0);
-        if let Some(patience) = counter {
+        if let Some(patience) = self.charter.counter.filter(|_| due && customer.shared(terms)) {
             orders.count(&format!("{id}.{period}"), units.packed(terms), PERIOD * 4);
             customer.closed = Some((period, units, presumed));
             // The total that the add brings may lack others' adds; where it matters it is read once more.
@@ -341,7 +341,7 @@
                 orders.wake(&format!("read.{id}"), patience);
             }
         }
-        orders.wake(&format!("period.{id}"), beat(now, id).1);
+        orders.wake(&format!("period.{id}"), left);
     }
 
     /// The counter has answered a call, or not.
@@ -417,8 +417,9 @@
     fn give_up(&mut self, id: &str, part: i64, orders: &mut impl Orders) {
         let command = &self.commands[id];
         let workload = &self.charter.workloads[command.workload];
-        let narrow = matches!(workload.repeats, Repeats::Tagged { group, .. } if group != Group::All);
-        if command.bound.is_none() || !narrow && workload.repeats != Repeats::OnceOnly {
+        let anywhere =
+            matches!(workload.repeats, Repeats::Repeatable | Repeats::Tagged { group: Group::All, .. });
+        if command.bound.is_none() || anywhere {
             let useful = (workload.contract - self.paces[command.workload].mean) / part;
             let advice = useful.max(Span::from_micros(1)).min(PERIOD);
             orders.bounce(id, self.charter.longest_advice.map(|longest| longest.min(advice)));
@@ -478,7 +479,7 @@
                 customer.spend(command.units);
                 customer.untold += command.units;
                 let matters = customer.store < NEAR * terms.store || customer.untold > RESERVE * terms.store;
-                let peers = charter.peer_messages > 0.0 && customer.width > 1.0 && terms.rate > 0.0;
+                let peers = charter.peer_messages > 0.0 && customer.shared(terms);
                 if peers && matters && !self.untold.contains(&command.customer) {
                     if self.untold.is_empty() {
                         orders.wake("tell.", telling);
@@ -500,9 +501,9 @@
         self.shift(id, State::Out);
     }
 
-    /// The article's ratio once more, for the fleet: what asks for a leg in a period against what settles in one
-    /// and the room below the legs that may be out. Any overload (a surge, slow or lost backends, retries) shows
-    /// here before answers are late. It may refuse too much while answers that were all delayed are due.
+    /// The article's ratio for the fleet, over an idle backend's time: what asks for a leg against what
+    /// settles and the room below the legs that may be out. Any overload (a surge, slow or lost backends,
+    /// retries) shows here before answers are late. May refuse too much while delayed answers are due.
     fn pressure(&mut self, now: Moment, workload: usize, part: f64) -> f64 {
         let time = self.paces.iter().map(|p| p.idle).max().unwrap_or(PERIOD).over(PERIOD);
         let overdue = self.paces[workload].overdue();
@@ -627,6 +628,10 @@
         self.demand.at(now, PERIOD);
     }
 
+    fn shared(&self, terms: &Plan) -> bool {
+        self.width > 1.0 && terms.rate > 0.0
+    }
+
     /// Books units sent on inside the quota; below zero, units given back.
     fn spend(&mut self, units: f64) {
         self.store -= units;
@@ -637,11 +642,8 @@
     /// else its own part. Guards against a counter that is silent, slow, crowded or cut off; hurts a customer
     /// that moves to this gateway just then.
     fn share(&self, terms: &Plan, hears: bool) -> f64 {
-        if self.seen && (self.silent < SILENT || hears) {
-            1.0
-        } else {
-            self.part(terms)
-        }
+        let current = self.seen && (self.silent < SILENT || hears);
+        f64::max(self.part(terms), f64::from(current))
     }
 
     /// This gateway's part of the customer's demand by the last readings, or by the number of gateways.
@@ -660,9 +662,7 @@
 impl Backend {
     /// The share of its capacity that a backend has at least.
     fn warmth(&self, now: Moment, cold_start: &ColdStart) -> f64 {
-        let Some(started) = self.listed.started else {
-            return 1.0;
-        };
+        let Some(started) = self.listed.started else { return 1.0 };
         let age = (now - started).over(cold_start.warm_within).max(0.0);
         (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
     }
@@ -695,8 +695,8 @@
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// The number of a customer's period and what is left of it. Each customer has a phase of its own, alike at all
-/// gateways, so that neither calls nor ratios nor the clients they turn away come all at once.
+/// The number of a customer's period and what is left of it. Each customer has a phase of its own, alike at
+/// all gateways, so that neither calls nor ratios nor the clients they turn away come all at once.
 fn beat(now: Moment, id: &str) -> (i64, Span) {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
     let phase = (id.bytes().fold(0xcbf2_9ce4_8422_2325, step) >> 32) as f64 / f64::from(u32::MAX);
