--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -255,7 +255,8 @@
         let (done, output) = play(&format!(
             "FRAME Wall=5.5\n{job}\nEOB\nFRAME Wall=6\nRESULT GatewayId=gateway_1 Id=c1 N=0 \
              Ending=turned_away Rtt=0.1 Backend=b1\nEOB\nFRAME Wall=7\nRESULT GatewayId=gateway_1 Id=c1 N=1 \
-             Ending=turned_away Rtt=0.1 Backend=b1\nRESULT GatewayId=gateway_1 Id=old N=0 Ending=served Rtt=1 Backend=b9\nEOB\n"
+             Ending=turned_away Rtt=0.1 Backend=b1\n\
+             RESULT GatewayId=gateway_1 Id=old N=0 Ending=served Rtt=1 Backend=b9\nEOB\n"
         ));
         assert!(done.is_ok());
         assert_eq!(output.matches("CALL_OUT GatewayId=gateway_1 Id=c1 AllowFor=").count(), 2);
