--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -9,17 +9,22 @@
 use log::{debug, warn};
 use rustix::fd::OwnedFd;
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::SocketAddr;
 
 struct Call {
     due: Moment,
     name: String,
-    text: String,
+    /// Its amount and the rest of its target.
+    rest: String,
 }
 
 struct Link {
+    number: u32,
     socket: OwnedFd,
     connected: bool,
+    /// Its address was given up: it brings the answers that it owes, and no more calls go to it.
+    parting: bool,
     begun: Moment,
     /// When it last brought an answer, or was last written to with nothing to answer.
     lively: Moment,
@@ -27,180 +32,209 @@
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
-    /// Of the calls that wait, so many have been put into its output.
-    sent: usize,
+    /// Calls put into its output, in the order of their answers.
+    calls: VecDeque<Call>,
+    /// Of these, so many have had their time: the module has been told so, and nobody waits for an answer.
+    told: usize,
 }
 
 pub struct Counter {
     address: Option<SocketAddr>,
-    /// The end of each call's head.
-    tail: String,
-    link: Option<Link>,
-    /// In the order they were made, which is that of their times and of the answers.
-    calls: VecDeque<Call>,
-    /// Of these, so many have had their time: the module has been told so, and nobody waits for an answer.
-    told: usize,
+    /// The newest is last; before it, those that part.
+    links: Vec<Link>,
+    /// Calls that have been put nowhere yet, in the order they were made.
+    unsent: VecDeque<Call>,
     /// Set while somebody waits for an answer.
     timer: Option<TimerKey>,
-    links: u32,
+    begun: u32,
+    /// When a connection was last begun, until it is made.
     tried: Option<Moment>,
 }
 
 impl Counter {
     pub fn new(address: Option<SocketAddr>) -> Counter {
-        let host = address.map_or_else(String::new, |address| address.to_string());
-        let tail = format!(" HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n");
-        Counter {
-            address,
-            tail,
-            link: None,
-            calls: VecDeque::new(),
-            told: 0,
-            timer: None,
-            links: 0,
-            tried: None,
-        }
+        Counter { address, links: Vec::new(), unsent: VecDeque::new(), timer: None, begun: 0, tried: None }
+    }
+
+    fn due(&self) -> Option<Moment> {
+        let sent = self.links.iter().flat_map(|link| link.calls.get(link.told));
+        sent.chain(self.unsent.front()).map(|call| call.due).min()
     }
 }
 
 impl Floor {
     /// Adds to a number on the counter.
     pub fn call(&mut self, name: &str, amount: f64, keep: Span) {
-        let (Some(address), Some(patience)) = (self.counter.address, self.charter.counter) else {
+        let (Some(_), Some(patience)) = (self.counter.address, self.charter.counter) else {
             return self.events.push_back(Event::Counted { name: name.to_owned(), total: None });
         };
-        let millis = (keep.micros() / 1000).max(1);
-        let text = format!("POST /counters/{name}?by={amount}&expire_ms={millis}{}", self.counter.tail);
+        let rest = format!("?by={amount}&expire_ms={}", (keep.micros() / 1000).max(1));
         let due = self.now() + patience;
-        self.counter.calls.push_back(Call { due, name: name.to_owned(), text });
+        self.counter.unsent.push_back(Call { due, name: name.to_owned(), rest });
         self.wait_for_calls();
-        self.open_link(address, patience);
+        self.open_link(patience);
         self.write_calls();
     }
 
+    /// Calls go to another address from now on. Those on the way are not sent again: the connection that has
+    /// them brings their answers yet.
+    pub fn move_counter(&mut self, address: Option<SocketAddr>) {
+        if address == self.counter.address {
+            return;
+        }
+        self.counter.address = address;
+        self.counter.tried = None;
+        self.counter.links.iter_mut().for_each(|link| link.parting = true);
+        self.drop_parted();
+        let Some(patience) = self.charter.counter.filter(|_| address.is_some()) else {
+            return self.fail_unsent();
+        };
+        if !self.counter.unsent.is_empty() {
+            self.open_link(patience);
+        }
+    }
+
     /// Connects if there is no connection; where none comes up, not again within a call's time.
-    fn open_link(&mut self, address: SocketAddr, patience: Span) {
+    fn open_link(&mut self, patience: Span) {
         let now = self.now();
         let counter = &mut self.counter;
-        if counter.link.is_some() || counter.tried.is_some_and(|tried| now - tried < patience) {
+        let Some(address) = counter.address.filter(|_| counter.links.iter().all(|link| link.parting)) else {
+            return;
+        };
+        if counter.tried.is_some_and(|tried| now - tried < patience) {
             return;
         }
         counter.tried = Some(now);
-        counter.links = counter.links.wrapping_add(1);
-        let source = Source::Counter(counter.links);
-        match self.poll.connect(&address, source) {
-            Ok(socket) => {
-                counter.link = Some(Link {
-                    socket,
-                    connected: false,
-                    begun: now,
-                    lively: now,
-                    reader: Reader::default(),
-                    input: Vec::new(),
-                    output: Vec::new(),
-                    written: 0,
-                    sent: 0,
-                });
+        counter.begun = counter.begun.wrapping_add(1);
+        let number = counter.begun;
+        match self.poll.connect(&address, Source::Counter(number)) {
+            Ok(socket) => counter.links.push(Link {
+                number,
+                socket,
+                connected: false,
+                parting: false,
+                begun: now,
+                lively: now,
+                reader: Reader::default(),
+                input: Vec::new(),
+                output: Vec::new(),
+                written: 0,
+                calls: VecDeque::new(),
+                told: 0,
+            }),
+            Err(error) => {
+                debug!("counter: no connection: {error}");
+                self.fail_unsent();
             }
-            Err(error) => self.drop_link(&format!("no connection: {error}")),
         }
     }
 
     pub fn counter_ready(&mut self, ready: Ready, number: u32) {
-        if self.counter.links != number {
-            return;
-        }
-        let Some(link) = &mut self.counter.link else { return };
+        let Some(place) = self.counter.links.iter().position(|link| link.number == number) else { return };
+        let link = &mut self.counter.links[place];
         if ready.write && !link.connected {
             if let Err(error) = poll::made(&link.socket) {
-                return self.drop_link(&format!("no connection: {error}"));
+                return self.drop_link(place, &format!("no connection: {error}"));
             }
             link.connected = true;
+            self.counter.tried = None;
+        }
+        if ready.read {
+            self.read_totals(number, ready.ended);
         }
         if ready.write {
             self.write_calls();
         }
-        if ready.read {
-            self.read_totals(ready.ended);
-        }
     }
 
     fn write_calls(&mut self) {
         let now = self.now();
-        let Some(link) = self.counter.link.as_mut().filter(|link| link.connected) else { return };
-        // What nobody waits for any more is not sent.
-        if self.counter.told > link.sent {
-            self.counter.calls.drain(link.sent..self.counter.told);
-            self.counter.told = link.sent;
-        }
-        for call in self.counter.calls.iter().skip(link.sent) {
-            link.output.extend_from_slice(call.text.as_bytes());
-        }
-        if link.sent == 0 {
-            link.lively = now;
+        let counter = &mut self.counter;
+        let mut broken = Vec::new();
+        for link in counter.links.iter_mut().filter(|link| link.connected) {
+            if link.calls.is_empty() {
+                link.lively = now;
+            }
+            if let Some(host) = counter.address.filter(|_| !link.parting) {
+                for call in counter.unsent.drain(..) {
+                    let Call { name, rest, .. } = &call;
+                    // Writing to memory cannot fail.
+                    let _ = write!(
+                        link.output,
+                        "POST /counters/{name}{rest} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    link.calls.push_back(call);
+                }
+            }
+            match poll::write(&link.socket, &link.output, &mut link.written) {
+                Ok(true) => {
+                    poll::empty(&mut link.output);
+                    link.written = 0;
+                }
+                Ok(false) => {}
+                Err(error) => broken.push((link.number, error)),
+            }
         }
-        link.sent = self.counter.calls.len();
-        match poll::write(&link.socket, &link.output, &mut link.written) {
-            Ok(true) => {
-                link.output.clear();
-                link.written = 0;
+        for (number, error) in broken {
+            if let Some(place) = self.counter.links.iter().position(|link| link.number == number) {
+                self.drop_link(place, &format!("broke: {error}"));
             }
-            Ok(false) => {}
-            Err(error) => self.drop_link(&format!("broke: {error}")),
         }
     }
 
-    fn read_totals(&mut self, ended: bool) {
+    fn read_totals(&mut self, number: u32, ended: bool) {
         let now = self.now();
         loop {
-            let Some(link) = &mut self.counter.link else { return };
+            let Some(place) = self.counter.links.iter().position(|link| link.number == number) else {
+                return;
+            };
+            let link = &mut self.counter.links[place];
             let came = poll::read(&link.socket, &mut self.scratch, &mut link.input, ended);
             loop {
-                match link.reader.next(
-                    Kind::Answer { to_head: false },
-                    &mut link.input,
-                    came == Ok(Came::End),
-                ) {
+                let kind = Kind::Answer { to_head: false };
+                match link.reader.next(kind, &mut link.input, came == Ok(Came::End)) {
                     Ok(Some(answer)) => {
                         link.lively = now;
-                        link.sent = link.sent.saturating_sub(1);
-                        let Some(call) = self.counter.calls.pop_front() else {
-                            return self.drop_link("an answer to no call");
+                        let Some(call) = link.calls.pop_front() else {
+                            return self.drop_link(place, "an answer to no call");
                         };
-                        if self.counter.told > 0 {
-                            self.counter.told -= 1; // too late
+                        let total = total(&answer);
+                        if link.told > 0 {
+                            link.told -= 1; // too late
                         } else {
-                            let total = total(&answer);
-                            if total.is_none() {
-                                debug!("counter: {} for {}", answer.status(), call.name);
-                            }
                             self.events.push_back(Event::Counted { name: call.name, total });
                         }
+                        // A good answer without a number: the amount is added, the total unknown, and whose
+                        // answer comes next on that connection is anybody's guess.
+                        if total.is_none() && answer.status() == 200 {
+                            return self.drop_link(place, "an answer without a number");
+                        }
                         if !answer.keeps_open() {
-                            return self.drop_link("closed");
+                            return self.drop_link(place, "closed");
                         }
                     }
-                    Ok(None) if link.input.len() > MOST_BODY => return self.drop_link("an answer too large"),
+                    Ok(None) if link.input.len() > MOST_BODY => {
+                        return self.drop_link(place, "an answer too large");
+                    }
                     Ok(None) => break,
                     Err(fault) => {
                         warn!("counter: an answer that is none: {fault:?}");
-                        return self.drop_link("answers are lost");
+                        return self.drop_link(place, "answers are lost");
                     }
                 }
             }
             match came {
                 Ok(Came::Bytes) => {}
-                Ok(Came::Nothing) => return,
-                Ok(Came::End) => return self.drop_link("closed"),
-                Err(error) => return self.drop_link(&format!("broke: {error}")),
+                Ok(Came::Nothing) => return self.drop_parted(),
+                Ok(Came::End) => return self.drop_link(place, "closed"),
+                Err(error) => return self.drop_link(place, &format!("broke: {error}")),
             }
         }
     }
 
     /// Sets one timer for all: most calls are answered long before, and a timer for each would wake for nothing.
     fn wait_for_calls(&mut self) {
-        let next = self.counter.calls.get(self.counter.told).map(|call| call.due);
-        if let (Some(due), None) = (next, self.counter.timer) {
+        if let (Some(due), None) = (self.counter.due(), self.counter.timer) {
             self.counter.timer = Some(self.timers.set(due, Timer::Calls));
         }
     }
@@ -208,35 +242,53 @@
     /// Some calls' time may be up.
     pub fn calls_due(&mut self) {
         let now = self.now();
-        self.counter.timer = None;
-        let told = self.counter.told;
-        while let Some(call) = self.counter.calls.get(self.counter.told).filter(|call| call.due <= now) {
-            self.events.push_back(Event::Counted { name: call.name.clone(), total: None });
-            self.counter.told += 1;
-        }
-        let late = self.counter.told > told;
-        self.wait_for_calls();
-        // A machine that has gone silent never ends its connections: a new one finds out whether it is back.
         let allowed = self.carriage.connect_within;
-        let silent = |link: &Link| {
-            !link.connected && now - link.begun > allowed || link.sent > 0 && now - link.lively > allowed * 4
-        };
-        if late && self.counter.link.as_ref().is_some_and(silent) {
-            self.drop_link("silent");
+        let counter = &mut self.counter;
+        counter.timer = None;
+        for link in &mut counter.links {
+            let told = link.told;
+            while let Some(call) = link.calls.get(link.told).filter(|call| call.due <= now) {
+                self.events.push_back(Event::Counted { name: call.name.clone(), total: None });
+                link.told += 1;
+            }
+            // A machine that has gone silent never ends its connections, and behind an answer that does not go
+            // on no other will come: a new connection finds out whether the counter is back.
+            let stuck = link.reader.begun(&link.input) || now - link.lively > allowed * 4;
+            link.parting |= link.told > told && stuck;
+        }
+        // What nobody waits for any more is not sent.
+        while let Some(call) = counter.unsent.pop_front_if(|call| call.due <= now) {
+            self.events.push_back(Event::Counted { name: call.name, total: None });
+        }
+        if let Some(place) = self.counter.links.iter().position(|l| !l.connected && now - l.begun > allowed) {
+            self.drop_link(place, "silent");
         }
+        self.drop_parted();
+        self.wait_for_calls();
     }
 
-    /// Gives the connection up. Whether the calls written to it were added is not known; the others were not.
-    fn drop_link(&mut self, why: &str) {
+    /// Drops the connections that part and owe nothing that anybody waits for.
+    fn drop_parted(&mut self) {
+        let owes = |link: &Link| link.connected && link.told < link.calls.len();
+        self.counter.links.retain(|link| !link.parting || owes(link));
+    }
+
+    /// Gives a connection up. Whether the calls written to it were added is not known; the others were not, and
+    /// wait for the next one, unless none comes up.
+    fn drop_link(&mut self, place: usize, why: &str) {
         debug!("counter: {why}");
-        let link = self.counter.link.take();
-        let sent = link.filter(|link| link.connected).map_or(usize::MAX, |link| link.sent);
-        let counter = &mut self.counter;
-        let lost = counter.calls.drain(..sent.min(counter.calls.len()));
-        for call in lost.skip(counter.told) {
+        let link = self.counter.links.remove(place);
+        for call in link.calls.into_iter().skip(link.told) {
             self.events.push_back(Event::Counted { name: call.name, total: None });
         }
-        counter.told = counter.told.saturating_sub(sent);
+        if !link.connected && !link.parting {
+            self.fail_unsent();
+        }
+    }
+
+    fn fail_unsent(&mut self) {
+        let unsent = self.counter.unsent.drain(..);
+        self.events.extend(unsent.map(|call| Event::Counted { name: call.name, total: None }));
     }
 }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -16,6 +16,7 @@
 const MOST_LINE: usize = 16 << 20;
 
 struct Link {
+    number: u32,
     socket: OwnedFd,
     connected: bool,
     heard: Moment,
@@ -29,31 +30,44 @@
 pub struct Watch {
     address: SocketAddr,
     index: u64,
-    link: Option<Link>,
-    links: u32,
+    /// The newest is last. One at an address that was given up stays before it until the newest has spoken.
+    links: Vec<Link>,
+    begun: u32,
 }
 
 impl Watch {
     /// Takes the list that the gateway had last; what discovery has comes on top.
     pub fn new(address: SocketAddr, known: &Value, module: &mut Gateway, floor: &mut Floor) -> Watch {
-        let mut watch = Watch { address, index: 0, link: None, links: 0 };
+        let mut watch = Watch { address, index: 0, links: Vec::new(), begun: 0 };
         if !known.is_null() {
             watch.change(known, true, module, floor);
         }
         watch.open(floor);
+        floor.wake_at(floor.now() + BEAT / 4, Timer::Watch);
         watch
     }
 
+    /// Takes the watch up at another address, from the last version.
+    pub fn move_to(&mut self, address: SocketAddr, floor: &mut Floor) {
+        if address != self.address {
+            self.address = address;
+            self.links.truncate(1); // of several moves, only the last address is still wanted
+            self.open(floor);
+        }
+    }
+
     fn open(&mut self, floor: &mut Floor) {
-        self.links = self.links.wrapping_add(1);
-        let source = Source::Watch(self.links);
+        self.begun = self.begun.wrapping_add(1);
+        let number = self.begun;
+        let source = Source::Watch(number);
         let opened = floor.poll.connect(&self.address, source);
         let (index, address) = (self.index, self.address);
         let output = format!(
             "GET /v1/servers?stream=1&index={index} HTTP/1.1\r\nHost: {address}\r\n\
              Accept: application/json\r\n\r\n"
         );
-        self.link = opened.map_err(|error| debug!("discovery: {error}")).ok().map(|socket| Link {
+        self.links.extend(opened.map_err(|error| debug!("discovery: {error}")).ok().map(|socket| Link {
+            number,
             socket,
             connected: false,
             heard: floor.now(),
@@ -62,37 +76,38 @@
             lines: Vec::new(),
             output: output.into_bytes(),
             written: 0,
-        });
-        floor.wake_at(floor.now() + BEAT / 4, Timer::Watch);
+        }));
     }
 
     /// Looks after the watch from time to time: one that is lost or has fallen silent is taken up again.
     pub fn look_after(&mut self, floor: &mut Floor) {
         let now = floor.now();
-        match &self.link {
-            Some(link) if now - link.heard <= BEAT * 3 => floor.wake_at(now + BEAT / 4, Timer::Watch),
-            _ => self.open(floor),
+        let comes_up = floor.carriage.connect_within;
+        self.links.retain(|link| now - link.heard <= if link.connected { BEAT * 3 } else { comes_up });
+        if self.links.last().is_none_or(|link| link.number != self.begun) {
+            self.open(floor);
         }
+        floor.wake_at(now + BEAT / 4, Timer::Watch);
     }
 
     pub fn ready(&mut self, ready: Ready, number: u32, module: &mut Gateway, floor: &mut Floor) {
-        if number != self.links {
-            return;
-        }
-        let Some(mut link) = self.link.take() else { return };
+        let Some(place) = self.links.iter().position(|link| link.number == number) else { return };
+        let mut link = self.links.remove(place);
         match self.go_on(&mut link, ready, module, floor) {
-            Ok(()) => self.link = Some(link),
+            Ok(true) => self.links.splice(..place, [link]).for_each(drop),
+            Ok(false) => self.links.insert(place, link),
             Err(why) => debug!("discovery: {why}"), // looked after in a moment
         }
     }
 
+    /// Reads on; whether it has said anything.
     fn go_on(
         &mut self,
         link: &mut Link,
         ready: Ready,
         module: &mut Gateway,
         floor: &mut Floor,
-    ) -> Result<(), String> {
+    ) -> Result<bool, String> {
         if ready.write {
             if !link.connected {
                 poll::made(&link.socket).map_err(|error| error.to_string())?;
@@ -102,8 +117,9 @@
             written.map_err(|error| error.to_string())?;
         }
         if !ready.read {
-            return Ok(());
+            return Ok(false);
         }
+        let mut spoke = false;
         loop {
             let came = poll::read(&link.socket, &mut floor.scratch, &mut link.input, ready.ended);
             link.heard = floor.now();
@@ -117,6 +133,7 @@
                 let line = taken..taken + length;
                 taken = line.end + 1;
                 self.line(link.lines[line].trim_ascii(), module, floor)?;
+                spoke = true;
             }
             link.lines.drain(..taken);
             if link.lines.len() > MOST_LINE {
@@ -124,7 +141,7 @@
             }
             match came {
                 Ok(Came::Bytes) if whole != Some(true) => {}
-                Ok(Came::Nothing) if whole != Some(true) => return Ok(()),
+                Ok(Came::Nothing) if whole != Some(true) => return Ok(spoke),
                 Ok(_) => return Err("the watch has ended".to_owned()),
                 Err(error) => return Err(error.to_string()),
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,25 +1,33 @@
 //! kitepass on sockets: clients, backends, discovery and the counter around the decision module.
 //!
-//! A program of its own is [`run`] with a [`Launch`] read from the environment; another program can make its
-//! own [`Launch`] and run it on a thread it can spare.
+//! A program of its own is [`run`] with a [`Launch`] read from the environment. Another program can make its own
+//! [`Launch`], open a [`Server`], keep its [`Control`] and run it on a thread it can spare.
 
 mod backends;
 mod clients;
 mod command;
+mod control;
 mod counter;
 mod discovery;
 mod floor;
 mod http;
 mod intake;
 mod poll;
+mod reload;
 mod server;
 mod shutdown;
 mod startup;
 mod timers;
 
+pub use control::Control;
+pub use reload::Addresses;
+pub use server::Server;
 pub use startup::Launch;
 
-/// Serves until told to end by SIGTERM or SIGINT. What keeps it from starting or going on is one line of text.
+/// Serves until told to end by SIGTERM or SIGINT, and reads the configuration again at SIGHUP. What keeps it from
+/// starting or going on is one line of text.
 pub fn run(launch: Launch) -> Result<(), String> {
-    server::Server::open(launch)?.run()
+    let server = Server::open(launch)?;
+    server.heed_signals()?;
+    server.run()
 }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     Listener,
-    Signals,
+    Control,
     Counter(u32),
     Watch(u32),
     Client(ClientKey),
@@ -36,7 +36,7 @@
     fn pack(self) -> u64 {
         let (kind, key) = match self {
             Source::Listener => (0, 0),
-            Source::Signals => (1, 0),
+            Source::Control => (1, 0),
             Source::Counter(number) => (2, u64::from(number) << 32),
             Source::Watch(number) => (3, u64::from(number) << 32),
             Source::Client(key) => (4, key.data().as_ffi()),
@@ -50,7 +50,7 @@
         let number = (data >> 32) as u32;
         Some(match (data & u64::from(u32::MAX)) >> KIND_AT {
             0 => Source::Listener,
-            1 => Source::Signals,
+            1 => Source::Control,
             2 => Source::Counter(number),
             3 => Source::Watch(number),
             4 => Source::Client(key().into()),
@@ -248,7 +248,7 @@
         lines.remove(gone);
         let (old, new) = (Source::Line(gone), Source::Line(lines.insert(())));
         assert_ne!(old, new);
-        for source in [Source::Listener, Source::Signals, Source::Counter(7), Source::Watch(9), old, new] {
+        for source in [Source::Listener, Source::Control, Source::Counter(7), Source::Watch(9), old, new] {
             assert_eq!(Source::unpack(source.pack()), Some(source));
         }
         assert_eq!(Source::unpack(u64::MAX), None);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,28 +3,31 @@
 use crate::backends::Backends;
 use crate::clients::Clients;
 use crate::command::{self, Commands};
+use crate::control::{Control, Ear, Word};
 use crate::counter::Counter;
 use crate::discovery::Watch;
 use crate::floor::{Event, Floor, Phase, Timer};
 use crate::poll::{self, Clock, Poll, Ready, Source};
-use crate::shutdown::Signals;
 use crate::startup::{Launch, SILENCE};
 use crate::timers::Timers;
 use kitepass::{Asked, Gateway, LegEnd};
 use log::{error, info};
 use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Descriptors for everything but clients and backends: standard streams, epoll, the listener, signals,
 /// discovery, the counter, and some to spare.
 const OTHERS: usize = 24;
 
+/// A gateway that listens, to be run on one thread.
 pub struct Server {
     module: Gateway,
-    floor: Floor,
-    watch: Watch,
-    signals: Signals,
+    pub(crate) floor: Floor,
+    pub(crate) watch: Watch,
+    ear: Ear,
+    pub(crate) origin: Option<PathBuf>,
 }
 
 impl Server {
@@ -40,8 +43,8 @@
         let poll = Poll::new().map_err(failed("epoll"))?;
         let listener = poll::listen(&launch.listen).map_err(failed(&format!("listen {}", launch.listen)))?;
         poll.add(&listener, Source::Listener).map_err(failed("listen"))?;
-        let signals = Signals::register().map_err(|error| format!("signals: {error}"))?;
-        poll.add(signals.socket(), Source::Signals).map_err(failed("signals"))?;
+        let ear = Ear::open().map_err(|error| format!("control: {error}"))?;
+        poll.add(ear.socket(), Source::Control).map_err(failed("control"))?;
         // A command holds a client's connection and at most one to a backend. Some more clients are let in
         // to be told that there is no room.
         let (half, spare) = ((launch.sockets - OTHERS) / 2, launch.sockets / 32);
@@ -57,15 +60,25 @@
             clients: Clients::new(listener, half - spare, half - 1),
             commands: Commands::default(),
             backends: Backends::new(half),
-            counter: Counter::new(launch.counter),
+            counter: Counter::new(launch.addresses.counter),
             in_hand: None,
             scratch: vec![0; 1 << 16],
         };
-        let watch = Watch::new(launch.discovery, &launch.known, &mut module, &mut floor);
+        let watch = Watch::new(launch.addresses.discovery, &launch.known, &mut module, &mut floor);
         floor.drop_idle_lines();
         floor.wake_at(now + SILENCE, Timer::Ready);
         info!("{} listens on {}", launch.name, launch.listen);
-        Ok(Server { module, floor, watch, signals })
+        Ok(Server { module, floor, watch, ear, origin: launch.origin })
+    }
+
+    /// SIGTERM and SIGINT end it, SIGHUP has it read its configuration again.
+    pub fn heed_signals(&self) -> Result<(), String> {
+        self.ear.heed_signals().map_err(|error| format!("signals: {error}"))
+    }
+
+    /// Tells it what to do while it runs.
+    pub fn control(&self) -> Control {
+        self.ear.control()
     }
 
     /// Serves until it has been told to end and has answered all that it took.
@@ -111,7 +124,7 @@
     fn ready(&mut self, ready: Ready) {
         match ready.source {
             Source::Listener => self.floor.let_in(),
-            Source::Signals => self.signals.heard(&mut self.floor),
+            Source::Control => self.heard(),
             Source::Counter(number) => self.floor.counter_ready(ready, number),
             Source::Watch(number) => self.watch.ready(ready, number, &mut self.module, &mut self.floor),
             Source::Client(key) => self.floor.client_ready(ready, key),
@@ -119,6 +132,16 @@
         }
     }
 
+    fn heard(&mut self) {
+        for word in self.ear.heard(&mut self.floor.scratch) {
+            match word {
+                Word::End => self.floor.told_to_end(),
+                Word::TakeUp(addresses) => self.take_up(addresses),
+                Word::ReadAgain => self.read_again(),
+            }
+        }
+    }
+
     fn due(&mut self, timer: Timer) {
         match timer {
             Timer::Module(token) => self.module.woken(self.floor.now(), &token, &mut self.floor),
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -1,26 +1,28 @@
 //! What a gateway is told at its start, read from its configuration.
 
 use crate::floor::{Floor, Phase};
+use crate::reload::Addresses;
 use kitepass::{Charter, Span};
 use kitepass_charter::Carriage;
 use rustix::process::{getrlimit, Resource};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// All that a gateway needs to start.
 #[derive(Debug)]
 pub struct Launch {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub counter: Option<SocketAddr>,
+    pub addresses: Addresses,
     pub seed: u64,
     pub sockets: usize,
     pub charter: Charter,
     pub carriage: Carriage,
     /// The list of backends as this gateway last had it, in discovery's form.
     pub known: Value,
+    /// The file that it came from, to be read again.
+    pub origin: Option<PathBuf>,
 }
 
 /// A start waits for so long for discovery before the list that it came with has to do.
@@ -37,7 +39,9 @@
 
     pub fn read(path: &Path) -> Result<Launch, String> {
         let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-        Launch::from_text(&text).map_err(|wrong| format!("{}: {wrong}", path.display()))
+        let mut launch = Launch::from_text(&text).map_err(|wrong| format!("{}: {wrong}", path.display()))?;
+        launch.origin = Some(path.to_owned());
+        Ok(launch)
     }
 
     pub fn from_text(text: &str) -> Result<Launch, String> {
@@ -64,13 +68,16 @@
         Ok(Launch {
             name: all["name"].as_str().ok_or("name: expected text")?.to_owned(),
             listen: address(&all, "listen")?.ok_or("listen: expected an address and a port")?,
-            discovery: address(&all, "discovery")?.ok_or("discovery: expected an address and a port")?,
-            counter: address(&all, "counter")?,
+            addresses: Addresses {
+                discovery: address(&all, "discovery")?.ok_or("discovery: expected an address and a port")?,
+                counter: address(&all, "counter")?,
+            },
             seed: seed.ok_or("seed: expected up to 16 hex digits")?,
             sockets: sockets.min(allowed).min(1 << 16) as usize,
             charter,
             carriage,
             known: known.clone(),
+            origin: None,
         })
     }
 }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The program as it is started, spoken to over sockets.
 
+mod reload;
 mod stand;
 
 use stand::*;
@@ -394,12 +395,12 @@
 }
 
 /// A command of which the part of the quota here holds one.
-fn ask(client: &mut Line, trace: &str) {
+pub fn ask(client: &mut Line, trace: &str) {
     let head = command("look", trace).replace("team", "pooled");
     client.say(head.replace("units=1,spread=1", "units=6,spread=2") + "\r\n");
 }
 
-fn pass(client: &mut Line, line: &mut Line) {
+pub fn pass(client: &mut Line, line: &mut Line) {
     line.hear();
     line.say(ok("fine"));
     let answer = client.hear();
@@ -408,7 +409,7 @@
 
 /// A gateway, a client of it and a connection to its backend, after the first command: for the next the counter
 /// is asked.
-fn spent(counter: SocketAddr) -> (Gateway, Watch, Line, Line) {
+pub fn spent(counter: SocketAddr) -> (Gateway, Watch, Line, Line) {
     let stand = Stand::open();
     let plan = Plan { counter: Some(counter), ..Plan::default() };
     let (gateway, watch) = Gateway::ready(&plan, &[backend("b1", stand.address, "ready")]);
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/sockets/stand.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for what a gateway talks to, all of them led by the test step by step: a connection that comes in
 //! is handed over, and each side says only what the test has it say. Nothing waits for longer than `PATIENCE`.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -185,6 +185,10 @@
         self.tell_line(&format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{entries}]}}"#));
     }
 
+    pub fn ends(mut self) -> bool {
+        self.0.ends()
+    }
+
     pub fn tell_line(&mut self, line: &str) {
         self.0.say(format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
     }
@@ -226,6 +230,8 @@
     pub discovery: Stand,
     child: Child,
     config: PathBuf,
+    text: String,
+    log: Receiver<String>,
 }
 
 impl Gateway {
@@ -243,8 +249,35 @@
             plan.known.join(",")
         );
         let config = write_config(&text);
-        let child = start(&config).spawn().expect("the program starts");
-        Gateway { address, discovery, child, config }
+        let mut child = start(&config).stderr(Stdio::piped()).spawn().expect("the program starts");
+        let (lines, (say, log)) = (BufReader::new(child.stderr.take().unwrap()).lines(), channel());
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
+        Gateway { address, discovery, child, config, text, log }
+    }
+
+    /// Changes its configuration and has it read that again.
+    pub fn reload(&mut self, changes: &[(&str, &str)]) {
+        for (from, to) in changes {
+            assert!(self.text.contains(from), "{from}");
+            self.text = self.text.replace(from, to);
+        }
+        // Put in place whole: an earlier signal may have it read just now.
+        let whole = write_config(&self.text);
+        std::fs::rename(whole, &self.config).unwrap();
+        self.signal(rustix::process::Signal::HUP);
+    }
+
+    /// The next line of its log.
+    pub fn said(&self) -> String {
+        self.log.recv_timeout(PATIENCE).expect("a line")
+    }
+
+    pub fn remove_config(&self) {
+        std::fs::remove_file(&self.config).unwrap();
+    }
+
+    pub fn has_said_nothing(&self) -> bool {
+        self.log.try_recv().is_err()
     }
 
     /// Starts one with these backends and waits until it is ready.
@@ -269,8 +302,12 @@
     }
 
     pub fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
         let id = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("signalled");
+        rustix::process::kill_process(id, signal).expect("signalled");
     }
 
     /// Waits for its end and says whether that was a good one.
