--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -16,8 +16,6 @@
     pub idle: Span,
     /// Time past a client's own in which a final answer still counts.
     pub answer_slack: Span,
-    /// Time after the news of it in which a backend that drains may still be sent to.
-    pub drain_grace: Span,
 }
 
 /// Reads the object from its text. `field` is what it is called where it came from.
@@ -59,7 +57,6 @@
         connect_within: caps.span("ConnectTimeout", 0.25)?,
         idle: caps.span("ConnIdle", 15.0)?,
         answer_slack: safety.span("AnswerSlack", 0.016)?,
-        drain_grace: safety.span("DrainGrace", 0.5)?,
     };
     Ok((charter, carriage))
 }
--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -94,6 +94,8 @@
     sent: Moment,
     until: Moment,
     to_head: bool,
+    /// Its answer has begun.
+    begun: bool,
 }
 
 pub struct Backends {
@@ -177,7 +179,7 @@
         let timer = self.timers.set(due, Timer::Leg(key));
         let line = &mut self.backends.lines[key];
         intake.leg(until - now, &mut line.output);
-        line.leg = Some(Leg { command, timer, sent: now, until, to_head: intake.is_head() });
+        line.leg = Some(Leg { command, timer, sent: now, until, to_head: intake.is_head(), begun: false });
         if connected {
             self.write_line(key);
         }
@@ -308,13 +310,14 @@
     }
 
     fn read_line(&mut self, key: LineKey, ended: bool) {
+        let now = self.now();
         loop {
             let Some(line) = self.backends.lines.get_mut(key) else { return };
             if !line.connected {
                 return;
             }
             let came = poll::read(&line.socket, &mut self.scratch, &mut line.input, ended);
-            let Some(leg) = &line.leg else {
+            let Some(leg) = &mut line.leg else {
                 // Closed by the backend, or saying something that nobody asked for: no use any more.
                 if came != Ok(Came::Nothing) || !line.input.is_empty() {
                     self.backends.lines.remove(key);
@@ -325,6 +328,14 @@
             let ended = matches!(came, Ok(Came::End));
             match line.reader.next(kind, &mut line.input, ended) {
                 Ok(Some(answer)) => return self.answered(key, answer, ended),
+                Ok(None) if line.reader.begun(&line.input) && !leg.begun => {
+                    // A length that does not fit keeps the rest of an answer waited for: an answer that has begun
+                    // takes no longer than a connection does to come up.
+                    leg.begun = true;
+                    let due = leg.until.min(now + self.carriage.connect_within);
+                    self.timers.take_back(leg.timer);
+                    leg.timer = self.timers.set(due, Timer::Leg(key));
+                }
                 Ok(None) => {}
                 Err(fault) => {
                     warn!("{}: an answer that is none: {fault:?}", line.backend);
@@ -376,7 +387,10 @@
 
     /// A leg's time is up, or its connection's to be made.
     pub fn leg_due(&mut self, key: LineKey) {
-        self.fail_line(key, Cause::TimeUp);
+        let begun =
+            self.backends.lines.get(key).and_then(|line| line.leg.as_ref()).is_some_and(|leg| leg.begun);
+        let stalled = Cause::Fault(Fault::Malformed("an answer that does not go on"));
+        self.fail_line(key, if begun { stalled } else { Cause::TimeUp });
     }
 
     /// Ends a connection and the leg on it.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -17,8 +17,15 @@
 /// How long a connection that is being closed is read on, so that its last answer arrives: closing a socket
 /// with something unread in it resets it.
 const LINGER: Span = Span::from_secs(1);
-/// A message of which nothing has come for so long holds no place that others need.
-const STALLED: Span = Span::from_secs(2);
+/// So much of what comes behind a last answer is read; whoever goes on gets a reset, not our time.
+const LINGERS_FOR: usize = 256 * 1024;
+/// A connection's first message is whole in this time, a later one in this time from its first byte, and an
+/// answer is taken in it: whoever sends byte by byte, or nothing, holds a place no longer.
+const WITHIN: Span = Span::from_micros(2_500_000);
+/// A connection that has been used is kept idle for so long: some clients ask once and never let go.
+const KEPT: Span = Span::from_secs(3);
+/// How often connections are looked through for the two above.
+const LOOKS_EVERY: Span = Span::from_micros(250_000);
 
 pub struct Client {
     socket: OwnedFd,
@@ -26,6 +33,14 @@
     reader: Reader,
     /// When what stands in the input had come.
     came: Moment,
+    /// When it was let in or had its last answer,
+    since: Moment,
+    /// and when the message that is not whole yet began.
+    begun: Option<Moment>,
+    /// It has had an answer.
+    served: bool,
+    /// What was read since nothing more is said.
+    lingered: usize,
     /// The socket may hold more than the input takes for now.
     unread: bool,
     command: Option<CommandKey>,
@@ -35,7 +50,8 @@
     told_to_go_on: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How far a connection's end has come. `Floor::close` alone changes it, and never back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Closing {
     No,
     /// Once its output is written.
@@ -101,6 +117,10 @@
             input: Vec::new(),
             reader: Reader::default(),
             came,
+            since: came,
+            begun: None,
+            served: false,
+            lingered: 0,
             unread: false,
             command: None,
             output: Vec::new(),
@@ -120,9 +140,11 @@
         let now = self.now();
         // One that has sent a command which nobody has read yet is not idle: closing it would lose that.
         for _ in 0..4 {
-            let gives_way = |client: &Client| client.is_idle() || client.is_stalled(now);
+            let gives_way = |client: &Client| client.is_idle() || client.is_overdue(now);
             let those = self.clients.all.iter_mut().filter(|(key, c)| *key != newcomer && gives_way(c));
-            let Some((key, client)) = those.min_by_key(|(_, client)| client.came) else { return false };
+            let Some((key, client)) = those.min_by_key(|(_, client)| (client.served, client.came)) else {
+                return false;
+            };
             if poll::is_quiet(&client.socket) {
                 return self.clients.all.remove(key).is_some();
             }
@@ -145,18 +167,26 @@
                 key,
             );
             if self.clients.all.get(key).is_some_and(Client::is_idle) {
-                self.close_after_output(key);
+                self.close(key, Closing::Lingering);
             }
         }
     }
 
-    /// Drops the connections on which a message has begun and does not go on.
-    pub fn drop_stalled_clients(&mut self) {
+    /// Lets go of connections that have been waited for long enough.
+    pub fn look_after_clients(&mut self) {
         let now = self.now();
-        let stalled: Vec<_> =
-            self.clients.all.iter().filter(|(_, c)| c.is_stalled(now)).map(|(key, _)| key).collect();
-        stalled.into_iter().for_each(|key| self.client_gone(key));
-        self.wake_at(now + STALLED, Timer::DropStalled);
+        self.wake_at(now + LOOKS_EVERY, Timer::LookAfterClients);
+        let overdue: Vec<_> =
+            self.clients.all.iter().filter(|(_, c)| c.is_overdue(now)).map(|(key, _)| key).collect();
+        for key in overdue {
+            let Some(client) = self.clients.all.get(key) else { continue };
+            if client.begun.is_some() && client.output.is_empty() {
+                self.close(key, Closing::After);
+                self.say(key, 408, None, "");
+            } else if !client.output.is_empty() || poll::is_quiet(&client.socket) {
+                self.client_gone(key);
+            }
+        }
     }
 
     pub fn client_ready(&mut self, ready: Ready, key: ClientKey) {
@@ -178,7 +208,10 @@
         }
         loop {
             if client.closing == Closing::Lingering {
-                client.input.clear();
+                client.lingered += std::mem::take(&mut client.input).len();
+                if client.lingered > LINGERS_FOR {
+                    return true; // left unread, for its time to run out
+                }
             }
             client.unread = client.input.len() > MOST_HEAD + MOST_BODY;
             if client.unread {
@@ -209,6 +242,7 @@
 
     /// Takes the next command off a client's input, if it is there and nothing else is under way.
     pub fn next_command(&mut self, key: ClientKey) {
+        let now = self.now();
         loop {
             let Some(client) = self.clients.all.get_mut(key) else { return };
             if client.command.is_some() || client.closing != Closing::No || !client.output.is_empty() {
@@ -223,6 +257,9 @@
                     continue;
                 }
                 Ok(None) => {
+                    if client.reader.begun(&client.input) {
+                        client.begun.get_or_insert(now);
+                    }
                     if !client.told_to_go_on && client.reader.expects_a_word(&client.input) {
                         client.told_to_go_on = true;
                         client.output.extend_from_slice(CONTINUE);
@@ -232,14 +269,15 @@
                 }
                 Err(fault) => {
                     debug!("a client's message: {fault:?}");
-                    client.closing = Closing::After; // nobody knows where its next message would begin
+                    self.close(key, Closing::After); // nobody knows where its next message would begin
                     self.say(key, fault.status(), None, &format!("{fault:?}\n"));
                     return;
                 }
             };
             client.told_to_go_on = false;
+            client.begun = None;
             if !message.keeps_open() || self.phase == Phase::Closing {
-                client.closing = Closing::After;
+                self.close(key, Closing::After);
             }
             self.take(key, message);
         }
@@ -257,10 +295,18 @@
                 return self.say(key, 400, None, &format!("{wrong}\n"));
             }
         };
+        // The id of a command that is open elsewhere: a backend would take one for the other. A client that has
+        // gone, and whose end has not been read yet, may have sent its command once more.
+        if let Some(other) = self.commands.open_as(&intake.trace).map(|command| command.client) {
+            if self.clients.all.get(other).is_some_and(|client| !poll::has_ended(&client.socket)) {
+                return self.say(key, 400, None, "X-Trace-Id: still open elsewhere\n");
+            }
+            self.client_gone(other);
+        }
         let full = self.clients.all.len() > self.clients.most && !self.close_an_idle_client(key);
         let Some(client) = self.clients.all.get_mut(key) else { return };
         if full {
-            client.closing = Closing::After;
+            self.close(key, Closing::After);
             return self.say(key, 503, None, "too many connections\n");
         }
         // The answer must be out and through before the client's time is up, however late a timer fires.
@@ -306,10 +352,12 @@
     }
 
     fn answer(&mut self, key: ClientKey, status: u16, lines: impl FnOnce(&mut Vec<u8>), body: &[u8]) {
-        let Some(client) = self.clients.all.get_mut(key) else { return };
-        if self.phase == Phase::Closing && client.closing == Closing::No {
-            client.closing = Closing::After;
+        if self.phase == Phase::Closing {
+            self.close(key, Closing::After);
         }
+        let now = self.now();
+        let Some(client) = self.clients.all.get_mut(key) else { return };
+        (client.since, client.served) = (now, true);
         let output = &mut client.output;
         // Writing to memory cannot fail.
         let _ = write!(output, "HTTP/1.1 {status} {}\r\n", reason(status));
@@ -335,7 +383,7 @@
                 empty(&mut client.output);
                 client.written = 0;
                 if client.closing == Closing::After {
-                    self.close_after_output(key);
+                    self.close(key, Closing::Lingering);
                 }
             }
             Err(error) => {
@@ -345,12 +393,14 @@
         }
     }
 
-    fn close_after_output(&mut self, key: ClientKey) {
+    fn close(&mut self, key: ClientKey, to: Closing) {
         let until = self.now() + LINGER;
-        let Some(client) = self.clients.all.get_mut(key) else { return };
-        client.closing = Closing::Lingering;
-        let _ = rustix::net::shutdown(&client.socket, Shutdown::Write);
-        self.wake_at(until, Timer::Linger(key));
+        let Some(client) = self.clients.all.get_mut(key).filter(|client| client.closing < to) else { return };
+        client.closing = to;
+        if to == Closing::Lingering {
+            let _ = rustix::net::shutdown(&client.socket, Shutdown::Write);
+            self.wake_at(until, Timer::Linger(key));
+        }
     }
 }
 
@@ -363,8 +413,17 @@
         self.is_quiet() && !self.reader.begun(&self.input)
     }
 
-    fn is_stalled(&self, now: Moment) -> bool {
-        self.is_quiet() && self.reader.begun(&self.input) && now - self.came > STALLED
+    /// Whether it has been waited for long enough: for its message, for its taking an answer, or for a next command.
+    fn is_overdue(&self, now: Moment) -> bool {
+        if self.command.is_some() || self.closing == Closing::Lingering {
+            return false;
+        }
+        let (since, time) = match self.begun {
+            _ if !self.output.is_empty() || !self.served => (self.since, WITHIN),
+            Some(begun) => (begun, WITHIN),
+            None => (self.since, KEPT),
+        };
+        now - since > time
     }
 }
 
@@ -372,6 +431,7 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -4,6 +4,7 @@
 use crate::poll::ClientKey;
 use kitepass::{Ending, Moment};
 use slotmap::{Key, KeyData, SlotMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 slotmap::new_key_type! {
@@ -55,11 +56,21 @@
 #[derive(Default)]
 pub struct Commands {
     all: SlotMap<CommandKey, Command>,
+    /// Those that are to be answered, by their trace ids.
+    open: HashMap<Box<[u8]>, CommandKey>,
 }
 
 impl Commands {
     pub fn take(&mut self, command: Command) -> CommandKey {
-        self.all.insert(command)
+        let trace = command.intake.trace.clone();
+        let key = self.all.insert(command);
+        self.open.insert(trace, key);
+        key
+    }
+
+    /// The command that is open under a trace id.
+    pub fn open_as(&self, trace: &[u8]) -> Option<&Command> {
+        self.get(*self.open.get(trace)?)
     }
 
     pub fn get(&self, key: CommandKey) -> Option<&Command> {
@@ -72,6 +83,11 @@
 
     /// Changes a command's state. One that is over is forgotten.
     pub fn shift(&mut self, key: CommandKey, to: State) {
+        if let (State::Parted | State::Over, Some(command)) = (to, self.all.get(key)) {
+            if self.open.get(&command.intake.trace) == Some(&key) {
+                self.open.remove(&command.intake.trace);
+            }
+        }
         if to == State::Over {
             self.all.remove(key);
         } else if let Some(command) = self.all.get_mut(key) {
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -20,7 +20,7 @@
     LegEnded(LegEnded),
     Counted {
         name: String,
-        total: Option<f64>,
+        total: Result<f64, Ending>,
     },
     /// Not the module's: a client's next command may stand in its input already.
     Pipelined(ClientKey),
@@ -48,7 +48,7 @@
     /// The list that the start came with will do.
     Ready,
     StopLettingIn,
-    DropStalled,
+    LookAfterClients,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,6 +5,12 @@
 
 pub const MOST_HEAD: usize = 16 * 1024;
 pub const MOST_BODY: usize = 64 * 1024;
+/// What each answer begins with.
+const VERSION: &[u8] = b"HTTP/1.";
+/// So much of a first line that is not whole is looked at each time.
+const MOST_CHECKED: usize = 64;
+/// Answers that come before the one that counts.
+const MOST_INTERIM: u8 = 8;
 /// The longest line that gives a chunk's length.
 const MOST_CHUNK_LINE: usize = 256;
 
@@ -156,6 +162,8 @@
     /// Up to where the input has been read: in the head, the start of its next line.
     at: usize,
     stage: Stage,
+    /// Answers that went before this one.
+    interim: u8,
 }
 
 impl Reader {
@@ -247,8 +255,11 @@
                         if &input[self.head.start[1].clone()] == b"101" {
                             return Err(Fault::Malformed("a change of protocol that nobody asked for"));
                         }
+                        if self.interim == MOST_INTERIM {
+                            return Err(Fault::Malformed("no end of answers before the one"));
+                        }
                         input.drain(..self.at);
-                        *self = Reader::default();
+                        *self = Reader { interim: self.interim + 1, ..Reader::default() };
                         continue;
                     }
                     self.stage = framing(kind, &self.head, input)?;
@@ -259,7 +270,18 @@
         if input.len() > MOST_HEAD {
             return Err(Fault::HeadTooLarge);
         }
-        Ok(false)
+        // Noise may never bring the end of a line, and what has begun would be waited for.
+        let first = &input[self.at..];
+        let good = match kind {
+            _ if self.head.start[2].end > 0 => true,
+            Kind::Answer { .. } => VERSION.iter().zip(first).all(|(a, b)| a == b),
+            Kind::Request => first.iter().take(MOST_CHECKED).all(|b| matches!(b, b'\r' | b' '..=b'~')),
+        };
+        if good {
+            Ok(false)
+        } else {
+            Err(Fault::Malformed("a first line that is none"))
+        }
     }
 }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct Intake {
     pub message: Message,
+    /// Its trace id: as long as it is open, no other command may have it.
+    pub trace: Box<[u8]>,
     /// Its place in the target.
     workload: Range<usize>,
     /// In small letters: one customer must not have a quota for each way to write it.
@@ -67,12 +69,12 @@
             return Err("Connection: names a field that a backend must see"); // a key left out repeats effects
         }
         let weight = one(&message, WEIGHT)?.and_then(text).ok_or("X-Weight: expected one")?;
-        let (units, width, first) =
-            weigh(weight, charter.gateways).ok_or("X-Weight: expected units and set")?;
+        let (units, width, first) = weigh(weight, charter).ok_or("X-Weight: expected units and set")?;
 
+        let trace = trace.into();
         let (plan, expires) = (plan.to_owned(), Span::from_micros(expires as i64 * 1000));
         let lead = lead(&message);
-        Ok(Intake { workload, customer, plan, expires, units, width, first, lead, message })
+        Ok(Intake { trace, workload, customer, plan, expires, units, width, first, lead, message })
     }
 
     pub fn workload(&self) -> &str {
@@ -118,17 +120,25 @@
 }
 
 /// Units, width and first gateway. Where no set is told, the width is 0.
-fn weigh(text: &str, gateways: u32) -> Option<(f64, u32, u32)> {
-    let (mut units, mut width, mut first) = (None, 0, 0);
+fn weigh(text: &str, charter: &Charter) -> Option<(f64, u32, u32)> {
+    let (mut units, mut width, mut first) = (None, None, None);
     for part in text.split(',') {
         let (name, value) = part.trim().split_once('=')?;
         match name {
-            "units" => units = value.parse::<f64>().ok(),
-            "spread" => width = value.parse().ok().filter(|width| (1..=gateways).contains(width))?,
-            "first" => first = value.parse().ok().filter(|first| *first < gateways)?,
-            _ => {} // names may be added
+            "units" if units.is_none() => units = Some(value.parse::<f64>().ok()?),
+            "spread" if width.is_none() => width = Some(whole(value).filter(|width| *width >= 1)?),
+            "first" if first.is_none() => first = Some(whole(value)?),
+            "units" | "spread" | "first" => return None, // which of two is meant is anybody's guess
+            _ => {}                                      // names may be added
         }
     }
-    // More than the counter takes in one amount is no weight.
-    units.filter(|units| (0.0..1e6).contains(units) && *units > 0.0).map(|units| (units, width, first))
+    let (width, first) = (width.unwrap_or(0), first.unwrap_or(0));
+    let in_set = width <= charter.gateways && first < charter.gateways;
+    // More than the largest command has would empty its customer's store in the name of one that nobody sent.
+    let units = units.filter(|units| *units > 0.0 && *units <= charter.largest && in_set)?;
+    Some((units, width, first))
+}
+
+fn whole(text: &str) -> Option<u32> {
+    digits(text.as_bytes()).and_then(|number| number.try_into().ok())
 }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -171,6 +171,11 @@
     net::recv(socket, &mut [0; 1], RecvFlags::PEEK) == Err(Errno::AGAIN)
 }
 
+/// Whether the other side has ended its sending, or the connection, with nothing unread before that.
+pub fn has_ended(socket: impl AsFd) -> bool {
+    !matches!(net::recv(socket, &mut [0; 1], RecvFlags::PEEK), Ok((1, _)) | Err(Errno::AGAIN))
+}
+
 /// Writes as much as the socket takes, and says whether all is written.
 pub fn write(socket: impl AsFd, bytes: &[u8], written: &mut usize) -> Result<bool> {
     while *written < bytes.len() {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -66,6 +66,7 @@
         };
         let watch = Watch::new(launch.addresses.discovery, &launch.known, &mut module, &mut floor);
         floor.drop_idle_lines();
+        floor.look_after_clients();
         floor.wake_at(now + SILENCE, Timer::Ready);
         info!("{} listens on {}", launch.name, launch.listen);
         Ok(Server { module, floor, watch, ear, origin: launch.origin })
@@ -153,7 +154,7 @@
             Timer::Watch => self.watch.look_after(&mut self.floor),
             Timer::Ready => self.floor.do_with_known(),
             Timer::StopLettingIn => self.floor.close_down(),
-            Timer::DropStalled => self.floor.drop_stalled_clients(),
+            Timer::LookAfterClients => self.floor.look_after_clients(),
         }
     }
 
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -22,6 +22,5 @@
         self.stop_letting_in();
         self.phase = Phase::Closing;
         self.close_idle_clients();
-        self.drop_stalled_clients();
     }
 }
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -110,10 +110,13 @@
     })
 }
 
-/// The total, where the call brought one.
-pub fn counted(fields: &Fields) -> Result<Option<f64>, Refusal> {
+/// The total, or how the call ended without one.
+pub fn counted(fields: &Fields) -> Result<Result<f64, Ending>, Refusal> {
     let sum = fields.number_or("Sum", 0.0)?;
-    Ok((ending(fields)? == Ending::Settled).then_some(sum))
+    Ok(match ending(fields)? {
+        Ending::Settled => Ok(sum),
+        other => Err(other),
+    })
 }
 
 pub fn listed(fields: &Fields) -> Result<Listed, Refusal> {
