--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -99,3 +99,32 @@
         self.all.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::http::{Kind, Reader};
+
+    #[test]
+    fn no_command_and_no_id_is_kept_once_it_is_over() {
+        let settings = r#"{"Classes":[{"Name":"look"}],"Plans":[{"Name":"team"}]}"#;
+        let (charter, _) = kitepass_charter::from_text("settings", settings).unwrap();
+        let mut commands = Commands::default();
+        for n in 0..1000 {
+            let mut text = format!(
+                "GET /look/00000000b4d6{n:04x} HTTP/1.1\r\nX-Trace-Id: t{n}\r\nX-Tariff: team\r\n\
+                 X-Expires-In-Ms: 100\r\nX-Weight: units=1\r\n\r\n"
+            )
+            .into_bytes();
+            let message = Reader::default().next(Kind::Request, &mut text, false).unwrap().unwrap();
+            let intake = Intake::read(message, &charter).unwrap();
+            let key = commands.take(Command::new(ClientKey::default(), intake, Moment::from_micros(0)));
+            assert!(commands.open_as(format!("t{n}").as_bytes()).is_some());
+            commands.shift(key, State::Out);
+            commands.shift(key, State::Parted);
+            assert!(commands.open_as(format!("t{n}").as_bytes()).is_none());
+            commands.shift(key, State::Over);
+        }
+        assert!(commands.is_empty() && commands.open.is_empty());
+    }
+}
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -5,7 +5,7 @@
 use crate::http::{Kind, Message, Reader, MOST_BODY};
 use crate::poll::{self, Came, Ready, Source};
 use crate::timers::TimerKey;
-use kitepass::{Ending, Moment, Span};
+use kitepass::{Moment, Span};
 use log::{debug, warn};
 use rustix::fd::OwnedFd;
 use std::collections::VecDeque;
@@ -66,8 +66,7 @@
     /// Adds to a number on the counter.
     pub fn call(&mut self, name: &str, amount: f64, keep: Span) {
         let (Some(_), Some(patience)) = (self.counter.address, self.charter.counter) else {
-            let total = Err(Ending::Unsent);
-            return self.events.push_back(Event::Counted { name: name.to_owned(), total });
+            return self.events.push_back(Event::Counted { name: name.to_owned(), total: None });
         };
         let rest = format!("?by={amount}&expire_ms={}", (keep.micros() / 1000).max(1));
         let due = self.now() + patience;
@@ -207,7 +206,7 @@
                         }
                         // A good answer without a number: the amount is added, the total unknown, and whose
                         // answer comes next on that connection is anybody's guess.
-                        if total == Err(Ending::Error) {
+                        if total.is_none() && answer.status() == 200 {
                             return self.drop_link(place, "an answer without a number");
                         }
                         if !answer.keeps_open() {
@@ -249,8 +248,7 @@
         for link in &mut counter.links {
             let told = link.told;
             while let Some(call) = link.calls.get(link.told).filter(|call| call.due <= now) {
-                let total = Err(Ending::Silent);
-                self.events.push_back(Event::Counted { name: call.name.clone(), total });
+                self.events.push_back(Event::Counted { name: call.name.clone(), total: None });
                 link.told += 1;
             }
             // A machine that has gone silent never ends its connections, and behind an answer that does not go
@@ -260,7 +258,7 @@
         }
         // What nobody waits for any more is not sent.
         while let Some(call) = counter.unsent.pop_front_if(|call| call.due <= now) {
-            self.events.push_back(Event::Counted { name: call.name, total: Err(Ending::Unsent) });
+            self.events.push_back(Event::Counted { name: call.name, total: None });
         }
         if let Some(place) = self.counter.links.iter().position(|l| !l.connected && now - l.begun > allowed) {
             self.drop_link(place, "silent");
@@ -281,7 +279,7 @@
         debug!("counter: {why}");
         let link = self.counter.links.remove(place);
         for call in link.calls.into_iter().skip(link.told) {
-            self.events.push_back(Event::Counted { name: call.name, total: Err(Ending::Broken) });
+            self.events.push_back(Event::Counted { name: call.name, total: None });
         }
         if !link.connected && !link.parting {
             self.fail_unsent();
@@ -290,21 +288,11 @@
 
     fn fail_unsent(&mut self) {
         let unsent = self.counter.unsent.drain(..);
-        self.events
-            .extend(unsent.map(|call| Event::Counted { name: call.name, total: Err(Ending::Unreachable) }));
+        self.events.extend(unsent.map(|call| Event::Counted { name: call.name, total: None }));
     }
 }
 
-/// The total; without one, whether the amount may have been added.
-fn total(answer: &Message) -> Result<f64, Ending> {
-    match answer.status() {
-        200 => {
-            let text = std::str::from_utf8(answer.body()).ok();
-            let total =
-                text.and_then(|text| text.trim().parse::<f64>().ok()).filter(|total| total.is_finite());
-            total.ok_or(Ending::Error)
-        }
-        400 | 404 | 503 => Err(Ending::TurnedAway),
-        _ => Err(Ending::Broken),
-    }
+fn total(answer: &Message) -> Option<f64> {
+    let text = std::str::from_utf8(answer.body()).ok().filter(|_| answer.status() == 200)?;
+    text.trim().parse::<f64>().ok().filter(|total| total.is_finite())
 }
--- a/crates/gateway/src/floor.rs
+++ b/crates/gateway/src/floor.rs
@@ -20,7 +20,7 @@
     LegEnded(LegEnded),
     Counted {
         name: String,
-        total: Result<f64, Ending>,
+        total: Option<f64>,
     },
     /// Not the module's: a client's next command may stand in its input already.
     Pipelined(ClientKey),
--- /dev/null
+++ b/crates/gateway/tests/sockets/service.rs
@@ -0,0 +1,106 @@
+//! Clients and backends that behave badly, and usual ones served beside them.
+
+use crate::stand::*;
+use crate::{see_through, serving, serving_with};
+use std::time::Instant;
+
+/// Whether the connection ends within the time that its client is owed, whatever it says before.
+fn ends_in_time(line: &mut Line, begun: Instant) -> bool {
+    while line.hear_or_end().is_some() {}
+    begun.elapsed().as_millis() < 3000
+}
+
+#[test]
+fn whoever_says_nothing_or_never_ends_is_let_go_in_time_and_usual_clients_are_served_meanwhile() {
+    let (gateway, _watch, stand) = serving(128);
+    let begun = Instant::now();
+    let mut silent: Vec<_> = (0..40).map(|_| gateway.line()).collect();
+    let (mut half, mut slow) = (gateway.line(), gateway.line());
+    half.say("POST /door/00000000b4d65521 HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    slow.say("GET /look/00000000b4d65521 HTTP/1.1\r\nX-A: ");
+    let mut usual = gateway.line();
+    let mut line = see_through(&mut usual, &stand, "t1");
+    // Byte by byte, for as long as it is let: each one comes in time, the head never does.
+    while begun.elapsed().as_millis() < 2800 && slow.try_say("a") {
+        usual.say(command("once", "t2").replace("units=1", "units=0.001") + "\r\n");
+        line.hear();
+        line.say(ok("fine"));
+        assert_eq!(usual.hear().body, b"fine");
+    }
+    assert_eq!((slow.hear().status(), half.hear().status()), (408, 408));
+    assert!(begun.elapsed().as_millis() < 3000);
+    for line in silent.iter_mut().chain([&mut half]) {
+        assert!(ends_in_time(line, begun));
+    }
+    // One that asks once and holds on is let go as well, if later.
+    assert!(usual.ends());
+}
+
+#[test]
+fn sixty_megabytes_are_not_read_and_hundreds_of_bad_commands_at_once_all_answered() {
+    let (gateway, _watch, stand) = serving(128);
+    let mut hog = gateway.line();
+    hog.say(command("door", "t1") + "Idempotency-Key: k\r\nContent-Length: 60000000\r\n\r\n");
+    let piece = vec![b'a'; 1 << 16];
+    let begun = Instant::now();
+    let mut sent = 0;
+    while sent < 60_000_000 && hog.try_say(&piece) {
+        sent += piece.len();
+    }
+    assert!(sent < 60_000_000 && begun.elapsed().as_millis() < 3000, "{sent}");
+    let mut many = gateway.line();
+    many.say((command("look", "t2").replace("units=1", "units=9") + "\r\n").repeat(300));
+    see_through(&mut gateway.line(), &stand, "t3");
+    assert!((0..300).all(|_| many.hear().status() == 400));
+    assert!(stand.is_untouched());
+}
+
+#[test]
+fn the_id_of_a_command_that_is_open_elsewhere_is_refused_and_that_one_goes_on() {
+    let (gateway, _watch, stand) = serving_with(128, 12);
+    let (mut first, mut other) = (gateway.line(), gateway.line());
+    first.say(command("once", "t1") + "\r\n");
+    let mut line = stand.line();
+    line.hear();
+    assert_eq!(other.say(command("look", "t1") + "\r\n").hear().status(), 400);
+    line.say(ok("fine"));
+    assert_eq!(first.hear().body, b"fine");
+    // It is free again, and so is that of a command whose client has gone.
+    other.say(command("once", "t1") + "\r\n");
+    line.hear();
+    drop(other);
+    let mut again = gateway.line();
+    again.say(command("look", "t1") + "\r\n");
+    let mut line = stand.line();
+    line.hear();
+    line.say(ok("fine"));
+    assert_eq!(again.hear().body, b"fine");
+}
+
+#[test]
+fn an_answer_that_never_comes_whole_is_given_up_long_before_the_commands_time() {
+    let (gateway, _watch, stand) = serving_with(128, 12);
+    let interim = "HTTP/1.1 103 Early\r\n\r\n".repeat(9) + &ok("late");
+    for answer in
+        ["\u{1}\u{2}noise", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "HTTP/1.1 2", &interim]
+    {
+        let (mut client, begun) = (gateway.line(), Instant::now());
+        client.say(command("once", "t1") + "\r\n");
+        let mut line = stand.line();
+        line.hear();
+        line.say(answer);
+        assert_eq!(client.hear().status(), 502, "{answer}");
+        assert!(line.ends() && begun.elapsed().as_millis() < 2000, "{answer}");
+    }
+    // What stands behind a good answer costs the connection, not the answer.
+    let mut client = gateway.line();
+    client.say(command("once", "t2") + "\r\n");
+    let mut line = stand.line();
+    line.hear();
+    line.say(ok("fine") + &ok("fine"));
+    assert_eq!(client.hear().body, b"fine");
+    assert!(line.ends());
+    let mut line = see_through(&mut client, &stand, "t3");
+    line.say("noise"); // later, while it rests
+    see_through(&mut client, &stand, "t4");
+}
--- a/crates/gateway/tests/sockets/stand.rs
+++ b/crates/gateway/tests/sockets/stand.rs
@@ -58,6 +58,11 @@
         self
     }
 
+    /// Says it, unless the other side has ended the connection.
+    pub fn try_say(&mut self, text: impl AsRef<[u8]>) -> bool {
+        self.stream.write_all(text.as_ref()).is_ok()
+    }
+
     /// The next whole message.
     pub fn hear(&mut self) -> Message {
         self.hear_or_end().expect("a message")
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -110,13 +110,10 @@
     })
 }
 
-/// The total, or how the call ended without one.
-pub fn counted(fields: &Fields) -> Result<Result<f64, Ending>, Refusal> {
+/// The total, where the call brought one.
+pub fn counted(fields: &Fields) -> Result<Option<f64>, Refusal> {
     let sum = fields.number_or("Sum", 0.0)?;
-    Ok(match ending(fields)? {
-        Ending::Settled => Ok(sum),
-        other => Err(other),
-    })
+    Ok((ending(fields)? == Ending::Settled).then_some(sum))
 }
 
 pub fn listed(fields: &Fields) -> Result<Listed, Refusal> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,10 +1,11 @@
 //! All decisions of kitepass. A host opens one [`Gateway`] an instance, tells it in order what happens, each
-//! time with its clock and an [`Orders`] that carries out its orders. Types and trait: `interface.rs`; what
-//! is the article's mechanism and what departs from it: docs/design.md.
+//! time with its clock and an [`Orders`] that carries out what it orders: `roster`, `command`, `leg_ended`,
+//! `client_left`, `counted`, `told`, `asked`, `answered`, `woken`. Types in and the trait: `interface.rs`.
+//! docs/design.md tells which parts are the article's mechanism and which depart from it.
 
-use crate::clock::{beat, hash, Moment, Span};
+use crate::clock::{Moment, Span};
 use crate::interface::*;
-use crate::tally::{Account, Pace, Tally};
+use crate::tally::Tally;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::mem::{replace, take};
@@ -13,10 +14,10 @@
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
 const KEPT: Span = Span::from_secs(60); // time without use after which a customer is forgotten
 const NEAR: f64 = 0.5; // part of the quota up to which a customer is calm
-const CALM: i64 = 4; // counts to one of a calm customer
+const CALM: i64 = 4; // counts to one of a calm customer; also, in a period, if nothing else tells of others
 const FEW: f64 = 0.9; // part of a period's messages up to which all peers are told of all
 const LATELY: i64 = 2; // periods for which what is known of the others counts
-const ACCOUNT: Span = Span::from_secs(30); // for so long one name on the counter holds a customer's account
+const POOL: f64 = 0.3; // part of a sparse customer's store that may be borrowed, as often as it fills
 const CROWDED: f64 = 4.0; // one over the part of questions lost from which on fewer are asked
 const PATIENCE: i64 = 8; // parts of the contract time, one of which a controller has to answer
 const ADVICE: i64 = 3; // parts of the time left for a retry, one of which a bounce advises to wait
@@ -55,22 +56,22 @@
 struct Customer {
     terms: Rc<Plan>,
     width: f64,
-    held: bool,                           // this gateway is its controller
-    directive: (f64, Moment),             // a controller's last ratio, and how long it holds
-    each: bool,                           // each command is counted by itself
-    store: f64,                           // units thought to be in its store,
-    as_of: Moment,                        // and when that was reckoned
-    demand: Tally, // units offered here within about a period, the newest counting most
-    period: Units, // units here in the period that runs, if one does,
-    presumed: f64, // and units taken off the store for the others since the last reading
-    closed: Option<(String, Units, f64)>, // the closed period's count while it is out, with its two sums
-    others: Option<Units>, // what the others had in the last period read, if any was
-    silent: i64,   // calls in a row that brought no total
-    told: Tally,   // what peers told of late that they were offered,
-    untold: Units, // and what they are to be told
-    account: Account, // what all gateways sent on, where each command is counted
-    ceiling: f64,  // units left of this gateway's own share of the hard ceiling
-    out: u32,      // legs
+    held: bool,                        // this gateway is its controller
+    directive: (f64, Moment),          // a controller's last ratio, and how long it holds
+    sparse: bool,                      // the part here holds less than two of the largest commands
+    beat: Span,                        // from one count to the next: a fresh one is all that tells of others
+    store: f64,                        // units thought to be in its store,
+    as_of: Moment,                     // and when that was reckoned
+    demand: Tally,                     // units offered here within about a period, the newest counting most
+    period: Units,                     // units here in the period that runs, if one does,
+    presumed: f64,                     // and units taken off the store for the others
+    closed: Option<(i64, Units, f64)>, // the closed period while its count is out, with its two sums
+    others: Option<Units>,             // what the others had in the last period read, if any was
+    silent: i64,                       // calls in a row that brought no total
+    told: Tally,                       // what peers told of late that they were offered,
+    untold: Units,                     // and what they are to be told
+    ceiling: f64,                      // units left of this gateway's own share of the hard ceiling
+    out: u32,                          // legs
 }
 
 #[derive(Default)]
@@ -84,15 +85,22 @@
     as_of: Moment,                 // and when that was reckoned
 }
 
+struct Pace {
+    contract: Span,
+    mean: Span,
+    deviation: Span,
+    idle: Span, // the least that the mean has been, rising slowly
+}
+
 #[derive(Default)]
 struct Peers {
-    untold: Vec<String>,         // customers of which they are to be told,
-    telling: Span,               // and after which time
-    heard: Option<Moment>,       // when one was last heard
-    marks: HashMap<u32, String>, // customers by the marks that they are told by
-    newest: u16,                 // question to a controller
-    waiting: HashMap<String, VecDeque<(String, f64, f64)>>, // commands, units, amounts, by answer
-    lost: f64,                   // part of them that waited for nothing, of late
+    untold: Vec<String>,                        // customers of which they are to be told,
+    telling: Span,                              // and after which time
+    heard: Option<Moment>,                      // when one was last heard
+    marks: HashMap<u32, String>,                // customers by the marks that they are told by
+    newest: u16,                                // question to a controller
+    waiting: HashMap<String, VecDeque<String>>, // commands by what they wait for
+    lost: f64,                                  // part of them that waited for nothing, of late
 }
 
 pub struct Gateway {
@@ -114,13 +122,17 @@
 
 impl Gateway {
     pub fn open(charter: Rc<Charter>, seed: u64, now: Moment) -> Self {
+        let pace = |w: &Workload| {
+            let mean = w.contract / 4;
+            Pace { contract: w.contract, mean, deviation: mean / 4, idle: mean }
+        };
         Gateway {
             chance: Rand64::new(u128::from(seed)),
             opened: now,
             backends: BTreeMap::new(),
             commands: HashMap::new(),
             customers: HashMap::new(),
-            paces: charter.workloads.iter().map(|w| Pace::expecting(w.contract / 4)).collect(),
+            paces: charter.workloads.iter().map(pace).collect(),
             wanted: Tally::default(),
             settled: Tally::default(),
             warm: Tally::default(),
@@ -134,7 +146,9 @@
 
     /// Changes of the list of backends; a whole list also tells what is gone.
     pub fn roster(&mut self, whole: bool, lines: &[Listed]) {
-        self.backends.values_mut().filter(|_| whole).for_each(|b| b.listed.standing = Standing::Gone);
+        for backend in self.backends.values_mut().filter(|_| whole) {
+            backend.listed.standing = Standing::Gone;
+        }
         for line in lines {
             let known = self.backends.entry(line.id.clone()).or_default();
             if known.listed.started != line.started {
@@ -174,65 +188,24 @@
             let question = format!("asked.{}", self.peers.newest);
             orders.ask(controller, self.peers.newest, &offer);
             orders.wake(&question, contract / PATIENCE);
-            return self.wait(asked.id, question, 0.0, 0.0);
+            return self.wait(asked.id, question);
         }
         self.decide(now, asked.id, asks && controls, orders);
     }
 
-    /// The draw against the customer's ratio. Where the counter alone tells of others, a command that passes
-    /// is counted by itself before it goes: a period's sum comes too late to tell if the store holds it.
+    /// The draw against the customer's ratio; what is beyond the part here may borrow what others leave.
     fn decide(&mut self, now: Moment, id: &str, controls: bool, orders: &mut impl Orders) {
         let offer = self.commands[id].offer.clone();
         let verdict = self.draw(now, &offer, controls, orders);
-        let customer = &self.customers[&offer.customer];
-        // Without a reading a part of the quota is all that this gateway has, and the rest may lie elsewhere.
-        let asks = customer.each && !(verdict.beyond && customer.account.others.is_some());
-        let beyond = verdict.beyond || asks && !customer.part_holds(offer.units);
+        let Customer { sparse, ref terms, .. } = self.customers[&offer.customer];
+        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
         let time = self.charter.counter.is_some_and(|patience| self.commands[id].until - now > patience * 2);
-        if !(asks && time && self.affords()) {
-            return self.admit(now, id, beyond, orders);
-        }
-        self.add(now, id, &offer.customer, offer.units, orders);
-    }
-
-    /// Adds to a customer's account what it lacks, and the units of a command that waits, if one does.
-    fn add(&mut self, now: Moment, id: &str, customer: &str, units: f64, orders: &mut impl Orders) {
-        let Some(Customer { account, .. }) = self.customers.get_mut(customer) else { return };
-        let amount = units + take(&mut account.owed);
-        let name = format!("{customer}/.{}", beat(now, customer, ACCOUNT).0);
-        orders.count(&name, amount, ACCOUNT * 2);
-        self.wait(id, name, units, amount);
-    }
-
-    /// A call to a customer's account has ended, and with it a command's wait.
-    fn accounted(&mut self, now: Moment, name: &str, total: Result<f64, Ending>, orders: &mut impl Orders) {
-        let Some((key, window)) = name.split_once("/.") else { return };
-        let (hears, since) = (self.hears(now), ACCOUNT - beat(now, key, ACCOUNT).1);
-        let Some((id, units, amount)) = self.next(name) else { return };
-        let Some(customer) = self.customers.get_mut(key) else { return };
-        customer.reckon(now, hears);
-        let (first, never) = (customer.account.others.is_none(), total.is_err_and(Ending::never_ran));
-        customer.account.owed -= units; // booked anew if the command goes
-        let others = customer.account.ended(window.parse().unwrap_or(0), amount, total.ok(), never);
-        customer.told.add(now, PERIOD * LATELY, others.max(0.0));
-        if let Ok(total) = total {
-            let (terms, sent) = (&customer.terms, total + customer.account.owed);
-            let whole = (terms.store + terms.rate * since.secs() - sent).max(0.0);
-            // What the others sent on since the last reading is no longer in the store.
-            let left = customer.store + take(&mut customer.presumed) - others;
-            customer.store = if first { whole } else { left }.min(terms.store);
-        }
-        // Of units that were not counted this gateway gives its part.
-        let beyond = total.map_or_else(|_| !customer.part_holds(units), |_| customer.store < units);
-        if self.commands.get(&id).is_some_and(|command| command.state == State::Asking) {
-            self.peers.lost += (f64::from(total.is_err()) - self.peers.lost) * NEWEST;
-            self.shift(&id, State::Held);
-            self.admit(now, &id, beyond, orders);
-        }
-        // Units that were counted and did not go must not keep others from going; asked for once, lest it spins.
-        if !id.is_empty() && self.customers.get(key).is_some_and(|customer| customer.account.owed < 0.0) {
-            self.add(now, "", key, 0.0, orders);
+        if !(verdict.beyond && sparse && time && self.affords()) {
+            return self.admit(now, id, verdict.beyond, orders);
         }
+        let name = format!("{}/.{}", offer.customer, now.micros() / fills.micros());
+        orders.count(&name, offer.units, fills * 2);
+        self.wait(id, name);
     }
 
     /// Whether one more question is asked: fewer where many stay without an answer, lest they crowd all out.
@@ -240,20 +213,15 @@
         self.chance.rand_float() < (2.0 - CROWDED * self.peers.lost).max(NEWEST)
     }
 
-    fn wait(&mut self, id: &str, answer: String, units: f64, amount: f64) {
-        self.peers.waiting.entry(answer).or_default().push_back((id.to_owned(), units, amount));
+    fn wait(&mut self, id: &str, answer: String) {
+        self.peers.waiting.entry(answer).or_default().push_back(id.to_owned());
         self.shift(id, State::Asking);
     }
 
-    fn next(&mut self, answer: &str) -> Option<(String, f64, f64)> {
-        let next = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front);
-        self.peers.waiting.retain(|_, waiting| !waiting.is_empty());
-        next
-    }
-
     /// What a command waited for has been answered; or not, and the part here decides.
     fn resume(&mut self, now: Moment, answer: &str, verdict: Option<Verdict>, orders: &mut impl Orders) {
-        let Some((id, ..)) = self.next(answer) else { return };
+        let Some(id) = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front) else { return };
+        self.peers.waiting.retain(|_, ids| !ids.is_empty());
         let Some(command) = self.commands.get_mut(&id) else { return };
         command.booked = verdict.is_some();
         self.peers.lost += (f64::from(verdict.is_none()) - self.peers.lost) * NEWEST;
@@ -315,6 +283,7 @@
     pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
         match token.split_once('.') {
             Some(("period", id)) => self.close_period(now, id, orders),
+            Some(("read", name)) => orders.count(name, 0.0, PERIOD * 4),
             Some(("sweep", _)) => {
                 // A customer is forgotten only once its share of a ceiling is whole again.
                 self.customers.retain(|_, c| {
@@ -341,12 +310,14 @@
         if !self.customers.contains_key(id) {
             self.peers.marks.insert(hash(id) as u32, id.to_owned());
             // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
-            // starts empty: an earlier life of this gateway may have spent it.
+            // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
             let ceiling = (terms.ceiling_rate * (now - self.opened).secs()).min(terms.ceiling_depth) / width;
             let store = terms.store * if hears { NEAR } else { 1.0 / width };
-            let each = self.charter.peer_messages <= 0.0 && width > 1.0 && terms.rate > 0.0;
-            let met = Customer { terms, width, each, store, as_of: now, ceiling, ..Customer::default() };
-            self.customers.insert(id.to_owned(), met);
+            let sparse = self.charter.peer_messages <= 0.0 && store < 2.0 * self.charter.largest;
+            let beat = PERIOD / if self.charter.peer_messages > 0.0 || sparse { 1 } else { CALM };
+            let unseen =
+                Customer { terms, width, sparse, beat, store, as_of: now, ceiling, ..Customer::default() };
+            self.customers.insert(id.to_owned(), unseen);
         }
         let customer = self.customers.get_mut(id).expect("just met");
         customer.reckon(now, hears);
@@ -361,9 +332,9 @@
         if controls && !customer.held {
             (customer.held, customer.store) = (true, customer.terms.store);
         }
-        customer.demand.add(now, PERIOD, offer.units);
+        customer.demand.add(now, customer.beat, offer.units);
         if customer.period.offered <= 0.0 {
-            orders.wake(&format!("period.{id}"), beat(now, id, PERIOD).1);
+            orders.wake(&format!("period.{id}"), beat(now, id, customer.beat).1);
         }
         customer.period.offered += offer.units;
         let ratio = customer.ratio(offer.units, telling);
@@ -376,38 +347,44 @@
         let hears = self.hears(now);
         let Some(customer) = self.customers.get_mut(id) else { return };
         customer.reckon(now, hears);
-        let units = take(&mut customer.period);
-        let presumed = if customer.each { 0.0 } else { take(&mut customer.presumed) };
+        let (units, presumed) = (take(&mut customer.period), take(&mut customer.presumed));
         // Settled units may be given back: less than nothing waits for the next period.
         (customer.closed, customer.period.sent) = (None, units.sent.min(0.0));
         // Calls have a price, and a silent counter may be crowded: then all call in the same few periods.
         let (terms, usual) = (&customer.terms, customer.demand.last() / customer.part());
-        let room = customer.store > NEAR * terms.store && customer.share(false) >= 1.0;
-        let calm = hears || self.many || room && usual < NEAR * terms.rate * PERIOD.secs();
-        let period = beat(now, id, PERIOD).0 - 1;
+        let room = customer.store > NEAR * terms.store && customer.others.is_some();
+        let calm = room && usual < NEAR * terms.rate * customer.beat.secs();
+        let calm = calm || hears || self.many || customer.silent > 0 && customer.beat < PERIOD;
+        let period = beat(now, id, customer.beat).0 - 1;
         let due = (!calm || period % CALM == 0) && units.offered > 0.0 && units.sent >= 0.0;
-        // Where the part here holds less than two of the largest commands, the sum of a period tells nothing.
-        let sparse = customer.each && terms.store * customer.part() < 2.0 * self.charter.largest;
-        let due = due && customer.width > 1.0 && terms.rate > 0.0 && !sparse;
-        if self.charter.counter.is_some() && due {
+        let due = due && customer.width > 1.0 && customer.terms.rate > 0.0 && !customer.sparse;
+        if let Some(patience) = self.charter.counter.filter(|_| due) {
             let name = format!("{id}.{period}");
             orders.count(&name, units.sent + units.offered * apart(&customer.terms), PERIOD * 4);
             // A controller reads what went by others' parts; reading it, these would be too bold.
-            customer.closed = (customer.held || !self.many).then_some((name, units, presumed));
+            customer.closed = (customer.held || !self.many).then_some((period, units, presumed));
+            // The total that the add brings lacks what others add later: where it matters it is read again.
+            if !calm && customer.silent == 0 {
+                orders.wake(&format!("read.{name}"), patience);
+            }
         }
     }
 
-    pub fn counted(&mut self, now: Moment, name: &str, total: Result<f64, Ending>, orders: &mut impl Orders) {
+    pub fn counted(&mut self, now: Moment, name: &str, total: Option<f64>, orders: &mut impl Orders) {
         let hears = self.hears(now);
-        let Some((id, _)) = name.rsplit_once('.') else { return };
-        if id.ends_with('/') {
-            return self.accounted(now, name, total, orders);
+        let Some((id, period)) = name.rsplit_once('.') else { return };
+        if let Some(customer) = id.strip_suffix('/').and_then(|id| self.customers.get(id)) {
+            let pool = POOL * customer.terms.store.max(customer.terms.rate * PERIOD.secs());
+            let verdict = |total| Verdict { beyond: total > pool, ratio: 0.0 };
+            return self.resume(now, name, total.map(verdict), orders);
         }
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let Some((_, own, presumed)) = customer.closed.take().filter(|c| c.0 == name) else { return };
+        let Some((closed, own, presumed)) = customer.closed.filter(|c| c.0.to_string() == period) else {
+            return;
+        };
         customer.silent += 1;
         customer.others = customer.others.filter(|_| customer.silent < LATELY);
-        let Ok(total) = total else { return };
+        let Some(total) = total else { return };
         let offered = (total / apart(&customer.terms)).floor();
         let sent = total - offered * apart(&customer.terms);
         // A total under its own part is of a counter that lost its counts: the last reading stays.
@@ -416,10 +393,11 @@
         }
         customer.reckon(now, hears);
         let others = Units { offered: offered - own.offered, sent: (sent - own.sent).max(0.0) };
-        // What peers tell, or the account, is newer than a reading.
-        let store = customer.store + if hears || customer.each { 0.0 } else { presumed - others.sent };
-        customer.store = store.max(customer.store.min(0.0));
+        // What peers tell is newer than a reading.
+        let store = customer.store + if hears { 0.0 } else { presumed - others.sent };
+        customer.store = store.max(customer.store.min(0.0)).min(customer.terms.store);
         (customer.others, customer.silent) = (Some(others), 0);
+        customer.closed = Some((closed, own, others.sent));
     }
 
     /// Notes units of which peers are to be told, where they are few.
@@ -438,6 +416,7 @@
         }
     }
 
+    /// Peers are told what came since the last telling, as often as they can take it in.
     fn tell(&mut self, orders: &mut impl Orders) {
         let news = |id: String| {
             let customer = self.customers.get_mut(&id)?;
@@ -497,7 +476,7 @@
         let (charter, workload) = (self.charter.clone(), self.commands[id].workload);
         let (pressure, command) = (self.pressure(now, workload), &self.commands[id]);
         let workload = &charter.workloads[command.workload];
-        let (expected, overdue) = (self.paces[command.workload].mean, self.overdue(command.workload));
+        let (expected, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
         let left = command.until - now;
         let barred = match (workload.repeats, &command.bound_to) {
             (Repeats::OnceOnly, Some(_)) => true,
@@ -506,9 +485,10 @@
         };
         let spent = left <= expected || command.legs >= charter.most_legs;
         // A further leg must not feed an overload.
-        let goes = !barred && !spent && (command.legs == 0 || self.chance.rand_float() >= pressure);
-        let backend = if goes { self.pick(now, id) } else { None };
-        let Some(backend) = backend.filter(|_| self.book(id, orders)) else {
+        if barred || spent || command.legs > 0 && self.chance.rand_float() < pressure {
+            return self.give_up(id, orders);
+        }
+        let Some(backend) = self.pick(now, id).filter(|_| self.book(id, orders)) else {
             return self.give_up(id, orders);
         };
         // An overdue leg is left for a further one if there is time, and no overload to feed by work left.
@@ -548,7 +528,7 @@
     /// The article's ratio for the fleet, over an idle backend's time: legs wanted against settled and room.
     fn pressure(&mut self, now: Moment, workload: usize) -> f64 {
         let time = self.paces.iter().map(|p| p.idle).max().unwrap_or(PERIOD).over(PERIOD);
-        let overdue = self.overdue(workload);
+        let overdue = self.paces[workload].overdue();
         let (mut live, mut out) = (0.0, 0.0);
         for b in self.backends.values_mut() {
             // Legs lost at a backend that answers nothing are no load on the others: all count by its record.
@@ -566,7 +546,7 @@
     fn pick(&mut self, now: Moment, id: &str) -> Option<String> {
         let cold_start = self.charter.cold_start;
         let command = &self.commands[id];
-        let (usual, overdue) = (self.paces[command.workload].mean, self.overdue(command.workload));
+        let (usual, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
         let fits = |b: &Listed| match (self.charter.workloads[command.workload].repeats, &command.bound_to) {
             _ if b.standing != Standing::Live => false,
             (Repeats::Tagged { group: Group::Zone, .. }, Some(bound)) => b.zone == bound.zone,
@@ -575,7 +555,7 @@
         };
         let (mut worth, mut able, mut out) = (0.0, 0.0, 0.0);
         for b in self.backends.values().filter(|b| b.listed.standing == Standing::Live) {
-            let warmth = cold_start.warmth(now, b.listed.started);
+            let warmth = b.warmth(now, &cold_start);
             worth += b.listed.size / b.slow.exp2() * warmth;
             able += b.listed.size * warmth;
             out += 1.0 + b.out.len() as f64; // room for one more each, by its share
@@ -583,10 +563,10 @@
         let taken = self.warm.at(now, cold_start.window) / able;
         let (mut odds, mut sum) = (Vec::new(), 0.0);
         for (id, b) in self.backends.iter_mut().filter(|(_, b)| fits(&b.listed)) {
-            let warmth = cold_start.warmth(now, b.listed.started);
+            let warmth = b.warmth(now, &cold_start);
             if warmth < 1.0 {
-                // A cold backend falls over if all gateways send too much: this one sends in step with what
-                // warm ones of like size settle for it, or its part of what one core can do.
+                // A cold backend falls over if all gateways together send too much: this one sends in step
+                // with what warm ones of like size settle for it, or its part of what one core can do.
                 let core = cold_start.window.over(usual) / f64::from(self.charter.gateways);
                 let budget = COLD_SHARE * cold_start.multiple * warmth * core.max(b.listed.size * taken);
                 let past = (now - b.as_of).over(cold_start.window).min(1.0);
@@ -606,22 +586,17 @@
         odds.into_iter().find(|(_, up_to)| drawn <= *up_to).map(|(id, _)| id.clone())
     }
 
-    fn overdue(&self, workload: usize) -> Span {
-        let Pace { mean, deviation, .. } = self.paces[workload];
-        (mean + deviation.times(OVERDUE)).min(self.charter.workloads[workload].contract)
-    }
-
     fn judge(&mut self, now: Moment, end: &LegEnd) {
         let Some(command) = self.commands.get(end.command) else { return };
         let (cold_start, went_well) = (self.charter.cold_start, end.ending == Ending::Settled);
-        let (overdue, pace) = (self.overdue(command.workload), &mut self.paces[command.workload]);
+        let pace = &mut self.paces[command.workload];
         let usual = pace.mean.max(Span::from_micros(1));
         if end.ending == Ending::Silent {
             // Lost answers are no sign of long ones: they move the usual time slowly.
-            pace.learn(end.took.min(overdue / 2), NEWEST);
+            pace.learn(end.took.min(pace.overdue() / 2));
         }
         if went_well {
-            pace.learn(end.took, NEWEST);
+            pace.learn(end.took);
             self.settled.add(now, PERIOD, 1.0);
             self.warm.add(now, cold_start.window, 1.0);
         }
@@ -632,7 +607,7 @@
             by.add(now, MEMORY, 1.0);
             against.scale(0.5);
         }
-        if went_well && cold_start.warmth(now, b.listed.started) >= 1.0 {
+        if went_well && b.warmth(now, &cold_start) >= 1.0 {
             let ratio = end.took.over(usual).log2().clamp(-1.0, 6.0);
             b.slow += (ratio - b.slow) / b.good.last().clamp(1.0, 8.0);
         }
@@ -646,19 +621,16 @@
         let past = now - replace(&mut self.as_of, now);
         let (share, part) = (self.share(hears), self.part());
         // By a current reading the others draw what they sent in its period, at most their part of the limit.
-        let theirs = (terms.rate * PERIOD.secs() + self.store.max(0.0)) * (1.0 - part);
-        let told = self.told.at(now, PERIOD * LATELY) / LATELY as f64;
-        let read = self.others.filter(|_| !hears).map_or(0.0, |others| others.sent);
-        let others = if self.account.others.is_some() { told } else { read };
-        let drawn = others.min(theirs) * past.over(PERIOD);
+        let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
+        let others = self.others.filter(|_| !hears).map_or(0.0, |others| others.sent);
+        let drawn = others.min(theirs) * past.over(self.beat);
+        self.presumed += drawn;
         let filled = self.store + terms.rate * share * past.secs();
-        self.store = (filled - drawn).max(filled.min(0.0));
-        self.presumed += if self.each { filled - self.store } else { drawn };
-        // What flows over between two readings may have been drawn by others before it did.
-        self.store = self.store.min(if self.each { f64::MAX } else { terms.store * share });
+        self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
         self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
-        self.demand.at(now, PERIOD);
+        self.demand.at(now, self.beat);
+        self.told.at(now, PERIOD * LATELY);
     }
 
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
@@ -666,49 +638,49 @@
         let (terms, share) = (&self.terms, self.share(telling.is_some()));
         let out = 1.0 + f64::from(self.out) / self.part();
         let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
-        let (mut others, mut store) =
-            (self.others.map_or(0.0, |o| o.offered), self.store.min(terms.store * share));
+        // A full store, or share of one, gives a command of any size.
+        if terms.rate <= 0.0 || self.store >= terms.store * share {
+            return legs_ratio;
+        }
+        let (mut others, mut store) = (self.others.map_or(0.0, |others| others.offered), self.store);
         if let Some(telling) = telling {
             // What peers may have sent on since they told is no longer in the store.
             others = self.told.last() / LATELY as f64;
             store -= others.min(terms.rate) * telling.secs();
         }
-        // A full store, or share of one, gives a command of any size. What another cannot hold is beyond the
-        // quota: chance is too coarse where commands are large.
-        let ratio = match () {
-            () if terms.rate <= 0.0 || self.store >= terms.store * share => 0.0,
-            () if store < units => 1.0,
-            () => excess(self.demand.last() + others, terms.rate * share * PERIOD.secs() + store),
-        };
-        ratio.max(legs_ratio)
+        // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
+        if store < units {
+            return 1.0;
+        }
+        excess(self.demand.last() + others, terms.rate * share * self.beat.secs() + store).max(legs_ratio)
     }
 
     /// Books units sent on inside the quota; below zero, units given back.
     fn spend(&mut self, units: f64) {
-        self.store = self.store.min(self.terms.store) - units;
+        self.store -= units;
         self.period.sent += units;
-        self.account.owed += units;
-    }
-
-    /// Whether this gateway's part of what is left in the store gives a command; a full one gives any.
-    fn part_holds(&self, units: f64) -> bool {
-        let left = (self.store / self.share(false)).min(self.terms.store);
-        left >= self.terms.store || left * self.part() >= units
     }
 
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
     /// Guards against a silent or crowded counter; hurts a customer that moves here just then.
     fn share(&self, hears: bool) -> f64 {
-        let known = if self.each { self.account.is_read(LATELY) } else { self.others.is_some() || hears };
-        self.part().max(f64::from(known))
+        f64::max(self.part(), f64::from(self.others.is_some() || hears))
     }
 
+    /// This gateway's part of the quota.
     fn part(&self) -> f64 {
         (1.0 / self.width).max(f64::from(self.held))
     }
 }
 
 impl Backend {
+    /// The share of its capacity that a backend has at least.
+    fn warmth(&self, now: Moment, cold_start: &ColdStart) -> f64 {
+        let Some(started) = self.listed.started else { return 1.0 };
+        let age = (now - started).over(cold_start.warm_within).max(0.0);
+        (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
+    }
+
     /// Its chance of success, so many deviations from the posterior's mean; overdue legs weigh like failures.
     fn trust(&mut self, now: Moment, overdue: Span, deviations: f64) -> f64 {
         let late = self.out.values().filter(|sent| now - **sent > overdue).count() as f64;
@@ -719,10 +691,39 @@
     }
 }
 
+impl Pace {
+    fn learn(&mut self, took: Span) {
+        let off = took - self.mean;
+        self.mean = self.mean + off.times(NEWEST);
+        self.idle = self.mean.min(self.idle + (self.mean - self.idle).times(NEWEST * NEWEST * NEWEST));
+        self.deviation = self.deviation + (off.max(Span::ZERO - off) - self.deviation).times(NEWEST);
+    }
+
+    fn overdue(&self) -> Span {
+        (self.mean + self.deviation.times(OVERDUE)).min(self.contract)
+    }
+}
+
+/// The article's ratio.
 fn excess(actual: f64, limit: f64) -> f64 {
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
+/// The number of a customer's period and what is left of it: alike at all gateways, but not for all
+/// customers, so that neither calls nor ratios nor the clients they turn away come all at once.
+fn beat(now: Moment, id: &str, period: Span) -> (i64, Span) {
+    let phase = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
+    let since = (now - period.times(phase)).micros();
+    let left = period.micros() - since.rem_euclid(period.micros());
+    (since.div_euclid(period.micros()), Span::from_micros(left))
+}
+
+/// Tells ids apart, alike at all gateways.
+fn hash(id: &str) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
 /// One amount carries offered and sent units, set apart by far more than a period can send on.
 fn apart(terms: &Plan) -> f64 {
     10f64.powf((10.0 * (terms.rate * PERIOD.secs() + terms.store)).max(1.0).log10().ceil())
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -87,18 +87,3 @@
         Span(self.0 / parts.max(1))
     }
 }
-
-/// The number of a customer's period and what is left of it: alike at all gateways, but not for all
-/// customers, so that neither calls nor ratios nor the clients they turn away come all at once.
-pub fn beat(now: Moment, id: &str, period: Span) -> (i64, Span) {
-    let phase = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
-    let since = (now - period.times(phase)).micros();
-    let left = period.micros() - since.rem_euclid(period.micros());
-    (since.div_euclid(period.micros()), Span::from_micros(left))
-}
-
-/// Tells ids apart, alike at all gateways.
-pub fn hash(id: &str) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,15 +34,6 @@
     pub window: Span,
 }
 
-impl ColdStart {
-    /// The share of its capacity that a backend has at least.
-    pub fn warmth(&self, now: Moment, started: Option<Moment>) -> f64 {
-        let Some(started) = started else { return 1.0 };
-        let age = (now - started).over(self.warm_within).max(0.0);
-        (self.least + (1.0 - self.least) * age).min(1.0)
-    }
-}
-
 #[derive(Clone, Debug)]
 pub struct Workload {
     pub name: String,
