--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -22,8 +22,8 @@
 /// A connection's first message is whole in this time, a later one in this time from its first byte, and an
 /// answer is taken in it: whoever sends byte by byte, or nothing, holds a place no longer.
 const WITHIN: Span = Span::from_micros(2_500_000);
-/// A connection that has been used is kept idle for so long: some clients ask once and never let go.
-const KEPT: Span = Span::from_secs(3);
+/// A connection on which nothing comes is kept for so long: some clients ask once, or never, and do not let go.
+const KEPT: Span = Span::from_secs(2);
 /// How often connections are looked through for the two above.
 const LOOKS_EVERY: Span = Span::from_micros(250_000);
 
@@ -138,11 +138,12 @@
     /// Makes room for a client. Only reached when all places are taken, so that looking at each is bounded.
     fn close_an_idle_client(&mut self, newcomer: ClientKey) -> bool {
         let now = self.now();
-        // One that has sent a command which nobody has read yet is not idle: closing it would lose that.
+        // The one that has rested longest, and none that was let in just now: its command is on its way. One that
+        // has sent a command which nobody has read yet is not idle: closing it would lose that.
         for _ in 0..4 {
             let gives_way = |client: &Client| client.is_idle() || client.is_overdue(now);
             let those = self.clients.all.iter_mut().filter(|(key, c)| *key != newcomer && gives_way(c));
-            let Some((key, client)) = those.min_by_key(|(_, client)| (client.served, client.came)) else {
+            let Some((key, client)) = those.min_by_key(|(_, client)| client.came) else {
                 return false;
             };
             if poll::is_quiet(&client.socket) {
@@ -419,8 +420,8 @@
             return false;
         }
         let (since, time) = match self.begun {
-            _ if !self.output.is_empty() || !self.served => (self.since, WITHIN),
-            Some(begun) => (begun, WITHIN),
+            _ if !self.output.is_empty() => (self.since, WITHIN),
+            Some(begun) => (if self.served { begun } else { self.since }, WITHIN),
             None => (self.since, KEPT),
         };
         now - since > time
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -45,9 +45,11 @@
         poll.add(&listener, Source::Listener).map_err(failed("listen"))?;
         let ear = Ear::open().map_err(|error| format!("control: {error}"))?;
         poll.add(ear.socket(), Source::Control).map_err(failed("control"))?;
-        // A command holds a client's connection and at most one to a backend. Some more clients are let in
-        // to be told that there is no room.
-        let (half, spare) = ((launch.sockets - OTHERS) / 2, launch.sockets / 32);
+        // A command holds a client's connection and at most one to a backend. Clients have no more than a third:
+        // who brings them in counts those at rest as well, and opens no other for a command once they are so many.
+        // Some more are let in to be told that there is no room.
+        let (lines, places) = ((launch.sockets - OTHERS) / 2, launch.sockets / 3);
+        let spare = launch.sockets / 32;
         let mut floor = Floor {
             clock,
             at: now,
@@ -57,9 +59,9 @@
             charter,
             carriage: launch.carriage,
             phase: Phase::Starting,
-            clients: Clients::new(listener, half - spare, half - 1),
+            clients: Clients::new(listener, places - spare, places - 1),
             commands: Commands::default(),
-            backends: Backends::new(half),
+            backends: Backends::new(lines),
             counter: Counter::new(launch.addresses.counter),
             in_hand: None,
             scratch: vec![0; 1 << 16],
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -284,10 +284,10 @@
 #[test]
 fn more_clients_than_descriptors_are_refused_and_idle_ones_give_way() {
     let (mut gateway, _watch, stand) = serving_with(64, 12);
-    // Of 64 descriptors 24 are kept for other things and half of the rest for backends; of the 20 left, two
-    // are for clients who are told that there is no room.
+    // Of 64 descriptors 24 are kept for other things and half of the rest for backends; 21 are for clients, two
+    // of them for those who are told that there is no room.
     let (mut clients, mut lines) = (Vec::new(), Vec::new());
-    for n in 0..18 {
+    for n in 0..19 {
         let mut client = gateway.line();
         client.say(command("once", &format!("t{n}")) + "\r\n");
         let mut line = stand.line();
@@ -306,7 +306,7 @@
         assert_eq!(client.hear().body, b"fine");
     }
     // These have nothing under way now and make room for others.
-    for n in 0..18 {
+    for n in 0..19 {
         see_through(&mut gateway.line(), &stand, &format!("v{n}")).end_sending();
     }
     assert!(clients[0].ends());
