--- a/crates/gateway/tests/sockets/service.rs
+++ b/crates/gateway/tests/sockets/service.rs
@@ -57,6 +57,26 @@
     assert!(stand.is_untouched());
 }
 
+#[test]
+fn those_that_have_rested_longest_give_way_and_none_that_was_just_let_in() {
+    let (gateway, _watch, stand) = serving_with(96, 12);
+    // A third of the descriptors is for clients, and one place of it stays free.
+    let rest = |_| {
+        let mut line = gateway.line();
+        line.say("GET /healthz HTTP/1.1\r\nHost: g\r\n\r\n").hear();
+        line
+    };
+    let mut at_rest: Vec<_> = (0..31).map(rest).collect();
+    // These connect together, before any of them says a word.
+    let mut usual: Vec<_> = (0..5).map(|_| gateway.line()).collect();
+    for line in &mut at_rest[..4] {
+        assert!(line.ends());
+    }
+    for (n, client) in usual.iter_mut().enumerate() {
+        see_through(client, &stand, &format!("t{n}")).end_sending();
+    }
+}
+
 #[test]
 fn the_id_of_a_command_that_is_open_elsewhere_is_refused_and_that_one_goes_on() {
     let (gateway, _watch, stand) = serving_with(128, 12);
