--- a/crates/gateway/tests/sockets/service.rs
+++ b/crates/gateway/tests/sockets/service.rs
@@ -126,3 +126,24 @@
     line.say("noise"); // later, while it rests
     see_through(&mut client, &stand, "t4");
 }
+
+#[test]
+fn backends_and_clients_that_come_and_go_leave_no_descriptor_behind() {
+    let (gateway, mut watch, stand) = serving(128);
+    let mut last = see_through(&mut gateway.line(), &stand, "t");
+    let before = gateway.descriptors();
+    for n in 0..200 {
+        // A new backend at the address of the one that goes: nothing of the old one serves it.
+        watch.tell(10 + n, true, &[backend(&format!("n{n}"), stand.address, "ready")]);
+        assert!(last.ends());
+        let mut client = gateway.line();
+        client.say(command("look", "t").replace("b4d65521", &format!("{n:08x}")) + "\r\n");
+        last = stand.line();
+        last.hear();
+        last.say(ok("fine"));
+        assert_eq!(client.hear().body, b"fine");
+    }
+    // Clients that have just left may not have been read yet.
+    gateway.wait_until(200);
+    assert!(gateway.descriptors() <= before + 4, "{} after {before}", gateway.descriptors());
+}
--- a/crates/gateway/tests/sockets/stand.rs
+++ b/crates/gateway/tests/sockets/stand.rs
@@ -281,6 +281,10 @@
         std::fs::remove_file(&self.config).unwrap();
     }
 
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn has_said_nothing(&self) -> bool {
         self.log.try_recv().is_err()
     }
