One peek, one look-up of a counter's connection, and the trace id read where it stands

Found in a last reading; behaviour is as it was. write_calls gathered broken connections and looked each up again; it now goes from the last to the first and drops as it goes, and read_totals is given its place. The trace id was kept beside the message that holds it. is_quiet and has_ended share their peek.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -298,7 +298,7 @@
         };
         // The id of a command that is open elsewhere: a backend would take one for the other. A client that has
         // gone, and whose end has not been read yet, may have sent its command once more.
-        if let Some(other) = self.commands.open_as(&intake.trace).map(|command| command.client) {
+        if let Some(other) = self.commands.open_as(intake.trace()).map(|command| command.client) {
             if self.clients.all.get(other).is_some_and(|client| !poll::has_ended(&client.socket)) {
                 return self.say(key, 400, None, "X-Trace-Id: still open elsewhere\n");
             }
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -62,7 +62,7 @@
 
 impl Commands {
     pub fn take(&mut self, command: Command) -> CommandKey {
-        let trace = command.intake.trace.clone();
+        let trace = command.intake.trace().into();
         let key = self.all.insert(command);
         self.open.insert(trace, key);
         key
@@ -84,8 +84,9 @@
     /// Changes a command's state. One that is over is forgotten.
     pub fn shift(&mut self, key: CommandKey, to: State) {
         if let (State::Parted | State::Over, Some(command)) = (to, self.all.get(key)) {
-            if self.open.get(&command.intake.trace) == Some(&key) {
-                self.open.remove(&command.intake.trace);
+            let trace = command.intake.trace();
+            if self.open.get(trace) == Some(&key) {
+                self.open.remove(trace);
             }
         }
         if to == State::Over {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -64,6 +64,7 @@
 
     pub fn heed_signals(&self) -> io::Result<()> {
         for (signal, flag) in [(SIGTERM, &self.end), (SIGINT, &self.end), (SIGHUP, &self.read_again)] {
+            // In this order: the loop must find the flag set when it wakes.
             signal_hook::flag::register(signal, flag.clone())?;
             signal_hook::low_level::pipe::register(signal, self.control.waker.try_clone()?)?;
         }
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -140,7 +140,7 @@
             self.counter.tried = None;
         }
         if ready.read {
-            self.read_totals(number, ready.ended);
+            self.read_totals(place, ready.ended);
         }
         if ready.write {
             self.write_calls();
@@ -149,9 +149,13 @@
 
     fn write_calls(&mut self) {
         let now = self.now();
-        let counter = &mut self.counter;
-        let mut broken = Vec::new();
-        for link in counter.links.iter_mut().filter(|link| link.connected) {
+        // From the last on, so that one that is dropped moves none that is still to come.
+        for place in (0..self.counter.links.len()).rev() {
+            let counter = &mut self.counter;
+            let link = &mut counter.links[place];
+            if !link.connected {
+                continue;
+            }
             if link.calls.is_empty() {
                 link.lively = now;
             }
@@ -172,22 +176,14 @@
                     link.written = 0;
                 }
                 Ok(false) => {}
-                Err(error) => broken.push((link.number, error)),
-            }
-        }
-        for (number, error) in broken {
-            if let Some(place) = self.counter.links.iter().position(|link| link.number == number) {
-                self.drop_link(place, &format!("broke: {error}"));
+                Err(error) => self.drop_link(place, &format!("broke: {error}")),
             }
         }
     }
 
-    fn read_totals(&mut self, number: u32, ended: bool) {
+    fn read_totals(&mut self, place: usize, ended: bool) {
         let now = self.now();
         loop {
-            let Some(place) = self.counter.links.iter().position(|link| link.number == number) else {
-                return;
-            };
             let link = &mut self.counter.links[place];
             let came = poll::read(&link.socket, &mut self.scratch, &mut link.input, ended);
             loop {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -19,8 +19,6 @@
 #[derive(Debug)]
 pub struct Intake {
     pub message: Message,
-    /// Its trace id: as long as it is open, no other command may have it.
-    pub trace: Box<[u8]>,
     /// Its place in the target.
     workload: Range<usize>,
     /// In small letters: one customer must not have a quota for each way to write it.
@@ -71,16 +69,20 @@
         let weight = one(&message, WEIGHT)?.and_then(text).ok_or("X-Weight: expected one")?;
         let (units, width, first) = weigh(weight, charter).ok_or("X-Weight: expected units and set")?;
 
-        let trace = trace.into();
         let (plan, expires) = (plan.to_owned(), Span::from_micros(expires as i64 * 1000));
         let lead = lead(&message);
-        Ok(Intake { trace, workload, customer, plan, expires, units, width, first, lead, message })
+        Ok(Intake { workload, customer, plan, expires, units, width, first, lead, message })
     }
 
     pub fn workload(&self) -> &str {
         text(&self.message.start(1)[self.workload.clone()]).unwrap_or_default()
     }
 
+    /// As long as the command is open, no other may have it.
+    pub fn trace(&self) -> &[u8] {
+        self.message.field(TRACE).unwrap_or_default()
+    }
+
     pub fn is_head(&self) -> bool {
         self.message.start(0) == b"HEAD"
     }
--- a/crates/gateway/src/poll.rs
+++ b/crates/gateway/src/poll.rs
@@ -168,12 +168,16 @@
 
 /// Whether the other side has neither sent anything nor ended its sending since the last read.
 pub fn is_quiet(socket: impl AsFd) -> bool {
-    net::recv(socket, &mut [0; 1], RecvFlags::PEEK) == Err(Errno::AGAIN)
+    peek(socket) == Err(Errno::AGAIN)
 }
 
 /// Whether the other side has ended its sending, or the connection, with nothing unread before that.
 pub fn has_ended(socket: impl AsFd) -> bool {
-    !matches!(net::recv(socket, &mut [0; 1], RecvFlags::PEEK), Ok((1, _)) | Err(Errno::AGAIN))
+    !matches!(peek(socket), Ok(1) | Err(Errno::AGAIN))
+}
+
+fn peek(socket: impl AsFd) -> Result<usize> {
+    net::recv(socket, &mut [0; 1], RecvFlags::PEEK).map(|(length, _)| length)
 }
 
 /// Writes as much as the socket takes, and says whether all is written.
