--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,9 +14,11 @@
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
 const KEPT: Span = Span::from_secs(60); // time without use after which a customer is forgotten
 const NEAR: f64 = 0.5; // part of the quota up to which a customer is calm
-const CALM: i64 = 4; // counts to one of a calm customer; also, in a period, if nothing else tells of others
+const CALM: i64 = 4; // periods to one count of a calm customer
 const FEW: f64 = 0.9; // part of a period's messages up to which all peers are told of all
 const LATELY: i64 = 2; // periods for which what is known of the others counts
+const SUM: i64 = CALM * LATELY; // periods for which a sum runs on under one name
+const SPARSE: f64 = 0.25; // part of the largest command: whose part of a store holds less cannot be counted
 const POOL: f64 = 0.3; // part of a sparse customer's store that may be borrowed, as often as it fills
 const CROWDED: f64 = 4.0; // one over the part of questions lost from which on fewer are asked
 const PATIENCE: i64 = 8; // parts of the contract time, one of which a controller has to answer
@@ -58,17 +60,20 @@
     width: f64,
     held: bool,                        // this gateway is its controller
     directive: (f64, Moment),          // a controller's last ratio, and how long it holds
-    sparse: bool,                      // the part here holds less than two of the largest commands
-    beat: Span,                        // from one count to the next: a fresh one is all that tells of others
+    counted: bool,                     // its sum on the counter is all that tells of the others
+    sparse: bool,                      // so little of the store falls to this gateway that it tells nothing
     store: f64,                        // units thought to be in its store,
     as_of: Moment,                     // and when that was reckoned
     demand: Tally,                     // units offered here within about a period, the newest counting most
-    period: Units,                     // units here in the period that runs, if one does,
-    presumed: f64,                     // and units taken off the store for the others
-    closed: Option<(i64, Units, f64)>, // the closed period while its count is out, with its two sums
-    others: Option<Units>,             // what the others had in the last period read, if any was
+    period: Units,                     // units here that are not in the sum yet,
+    timed: bool,                       // and they will be: a timer runs
+    presumed: f64,                     // units taken off the store for the others since the last reading
+    sum: i64,                          // the number of the sum that was added to last,
+    mine: Units,                       // what this gateway has added to it,
+    seen: Units,                       // and what the others had by the last reading
+    read: Option<bool>,                // a total has told of the others; of late
     silent: i64,                       // calls in a row that brought no total
-    told: Tally,                       // what peers told of late that they were offered,
+    told: Tally,                       // what the others were offered of late, by a reading or by peers
     untold: Units,                     // and what they are to be told
     ceiling: f64,                      // units left of this gateway's own share of the hard ceiling
     out: u32,                          // legs
@@ -99,7 +104,7 @@
     heard: Option<Moment>,                      // when one was last heard
     marks: HashMap<u32, String>,                // customers by the marks that they are told by
     newest: u16,                                // question to a controller
-    waiting: HashMap<String, VecDeque<String>>, // commands by what they wait for
+    waiting: HashMap<String, VecDeque<(String, Units)>>, // commands by what they wait for, and what a call adds
     lost: f64,                                  // part of them that waited for nothing, of late
 }
 
@@ -188,7 +193,7 @@
             let question = format!("asked.{}", self.peers.newest);
             orders.ask(controller, self.peers.newest, &offer);
             orders.wake(&question, contract / PATIENCE);
-            return self.wait(asked.id, question);
+            return self.wait(asked.id, question, Units::default());
         }
         self.decide(now, asked.id, asks && controls, orders);
     }
@@ -197,15 +202,36 @@
     fn decide(&mut self, now: Moment, id: &str, controls: bool, orders: &mut impl Orders) {
         let offer = self.commands[id].offer.clone();
         let verdict = self.draw(now, &offer, controls, orders);
-        let Customer { sparse, ref terms, .. } = self.customers[&offer.customer];
-        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
+        let customer = &self.customers[&offer.customer];
+        let (sparse, terms) = (customer.sparse, customer.terms.clone());
+        let asks = verdict.beyond && sparse || customer.counted && customer.is_unsure(offer.units, verdict.beyond);
         let time = self.charter.counter.is_some_and(|patience| self.commands[id].until - now > patience * 2);
-        if !(verdict.beyond && sparse && time && self.affords()) {
+        if !(asks && time && self.affords()) {
             return self.admit(now, id, verdict.beyond, orders);
         }
+        if !sparse {
+            return self.add_up(now, &offer.customer, Some((id, offer.units)), orders);
+        }
+        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
         let name = format!("{}/.{}", offer.customer, now.micros() / fills.micros());
         orders.count(&name, offer.units, fills * 2);
-        self.wait(id, name);
+        self.wait(id, name, Units::default());
+    }
+
+    /// Adds what was offered and sent here since the last time to a customer's sum; with it the units of a command
+    /// that goes only if the total says so, lest several gateways give what all of them see in the store.
+    fn add_up(&mut self, now: Moment, customer: &str, waits: Option<(&str, f64)>, orders: &mut impl Orders) {
+        let (key, (id, units)) = (customer, waits.unwrap_or_default());
+        let Some(customer) = self.customers.get_mut(key) else { return };
+        customer.spend(units);
+        let sum = now.micros() / (PERIOD * SUM).micros();
+        if replace(&mut customer.sum, sum) != sum {
+            (customer.mine, customer.seen, customer.presumed) = Default::default();
+        }
+        let added = take(&mut customer.period);
+        let name = format!("{key}.{sum}");
+        orders.count(&name, added.sent + added.offered * apart(&customer.terms), PERIOD * SUM * 2);
+        self.wait(id, name, added);
     }
 
     /// Whether one more question is asked: fewer where many stay without an answer, lest they crowd all out.
@@ -213,18 +239,24 @@
         self.chance.rand_float() < (2.0 - CROWDED * self.peers.lost).max(NEWEST)
     }
 
-    fn wait(&mut self, id: &str, answer: String) {
-        self.peers.waiting.entry(answer).or_default().push_back(id.to_owned());
+    fn wait(&mut self, id: &str, answer: String, added: Units) {
+        self.peers.waiting.entry(answer).or_default().push_back((id.to_owned(), added));
         self.shift(id, State::Asking);
     }
 
+    /// What waited first for an answer, which has come, or has not.
+    fn next(&mut self, answer: &str, lost: bool) -> Option<(String, Units)> {
+        let next = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front)?;
+        self.peers.waiting.retain(|_, waiting| !waiting.is_empty());
+        self.peers.lost += (f64::from(lost) - self.peers.lost) * NEWEST;
+        Some(next)
+    }
+
     /// What a command waited for has been answered; or not, and the part here decides.
     fn resume(&mut self, now: Moment, answer: &str, verdict: Option<Verdict>, orders: &mut impl Orders) {
-        let Some(id) = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front) else { return };
-        self.peers.waiting.retain(|_, ids| !ids.is_empty());
+        let Some((id, _)) = self.next(answer, verdict.is_none()) else { return };
         let Some(command) = self.commands.get_mut(&id) else { return };
         command.booked = verdict.is_some();
-        self.peers.lost += (f64::from(verdict.is_none()) - self.peers.lost) * NEWEST;
         let customer = self.customers.get_mut(&command.offer.customer);
         if let (Some(customer), Some(Verdict { beyond: true, ratio })) = (customer, verdict) {
             customer.directive = (ratio, now + PERIOD);
@@ -282,8 +314,13 @@
 
     pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
         match token.split_once('.') {
-            Some(("period", id)) => self.close_period(now, id, orders),
-            Some(("read", name)) => orders.count(name, 0.0, PERIOD * 4),
+            Some(("period", id)) => {
+                let Some(customer) = self.customers.get_mut(id) else { return };
+                customer.timed = false;
+                if customer.period != Units::default() {
+                    self.add_up(now, id, None, orders);
+                }
+            }
             Some(("sweep", _)) => {
                 // A customer is forgotten only once its share of a ceiling is whole again.
                 self.customers.retain(|_, c| {
@@ -313,11 +350,11 @@
             // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
             let ceiling = (terms.ceiling_rate * (now - self.opened).secs()).min(terms.ceiling_depth) / width;
             let store = terms.store * if hears { NEAR } else { 1.0 / width };
-            let sparse = self.charter.peer_messages <= 0.0 && store < 2.0 * self.charter.largest;
-            let beat = PERIOD / if self.charter.peer_messages > 0.0 || sparse { 1 } else { CALM };
-            let unseen =
-                Customer { terms, width, sparse, beat, store, as_of: now, ceiling, ..Customer::default() };
-            self.customers.insert(id.to_owned(), unseen);
+            let alone = self.charter.peer_messages <= 0.0 && width > 1.0 && terms.rate > 0.0;
+            let sparse = alone && store < SPARSE * self.charter.largest;
+            let (counted, as_of) = (alone && !sparse, now);
+            let met = Customer { terms, width, counted, sparse, store, as_of, ceiling, ..Customer::default() };
+            self.customers.insert(id.to_owned(), met);
         }
         let customer = self.customers.get_mut(id).expect("just met");
         customer.reckon(now, hears);
@@ -332,72 +369,62 @@
         if controls && !customer.held {
             (customer.held, customer.store) = (true, customer.terms.store);
         }
-        customer.demand.add(now, customer.beat, offer.units);
-        if customer.period.offered <= 0.0 {
-            orders.wake(&format!("period.{id}"), beat(now, id, customer.beat).1);
-        }
+        customer.demand.add(now, PERIOD, offer.units);
         customer.period.offered += offer.units;
         let ratio = customer.ratio(offer.units, telling);
+        self.time(now, id, orders);
         self.note(id, Units { offered: offer.units, sent: 0.0 }, orders);
         Verdict { beyond: chance < ratio, ratio }
     }
 
-    /// A customer's period has ended: its offered units go to the counter, if there are any.
-    fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
-        let hears = self.hears(now);
+    /// Has what was offered here go to the counter at the period's end; calls have a price, so later if all is calm.
+    fn time(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
+        let calm = self.many || self.hears(now);
         let Some(customer) = self.customers.get_mut(id) else { return };
-        customer.reckon(now, hears);
-        let (units, presumed) = (take(&mut customer.period), take(&mut customer.presumed));
-        // Settled units may be given back: less than nothing waits for the next period.
-        (customer.closed, customer.period.sent) = (None, units.sent.min(0.0));
-        // Calls have a price, and a silent counter may be crowded: then all call in the same few periods.
-        let (terms, usual) = (&customer.terms, customer.demand.last() / customer.part());
-        let room = customer.store > NEAR * terms.store && customer.others.is_some();
-        let calm = room && usual < NEAR * terms.rate * customer.beat.secs();
-        let calm = calm || hears || self.many || customer.silent > 0 && customer.beat < PERIOD;
-        let period = beat(now, id, customer.beat).0 - 1;
-        let due = (!calm || period % CALM == 0) && units.offered > 0.0 && units.sent >= 0.0;
-        let due = due && customer.width > 1.0 && customer.terms.rate > 0.0 && !customer.sparse;
-        if let Some(patience) = self.charter.counter.filter(|_| due) {
-            let name = format!("{id}.{period}");
-            orders.count(&name, units.sent + units.offered * apart(&customer.terms), PERIOD * 4);
-            // A controller reads what went by others' parts; reading it, these would be too bold.
-            customer.closed = (customer.held || !self.many).then_some((period, units, presumed));
-            // The total that the add brings lacks what others add later: where it matters it is read again.
-            if !calm && customer.silent == 0 {
-                orders.wake(&format!("read.{name}"), patience);
-            }
+        let timed = customer.sparse || customer.width <= 1.0 || customer.terms.rate <= 0.0;
+        if self.charter.counter.is_some() && !timed && !replace(&mut customer.timed, true) {
+            let periods = if calm || customer.is_calm() { CALM } else { 1 };
+            orders.wake(&format!("period.{id}"), PERIOD * periods);
         }
     }
 
     pub fn counted(&mut self, now: Moment, name: &str, total: Total, orders: &mut impl Orders) {
-        let (hears, Some((id, period))) = (self.hears(now), name.rsplit_once('.')) else { return };
-        let waits = !matches!(total, Total::Late(_)); // else its command has gone on, and others wait by that name
-        if let Some(customer) = id.strip_suffix('/').filter(|_| waits).and_then(|id| self.customers.get(id)) {
+        let (hears, Some((id, sum))) = (self.hears(now), name.rsplit_once('.')) else { return };
+        if let Some(customer) = id.strip_suffix('/').and_then(|id| self.customers.get(id)) {
+            if matches!(total, Total::Late(_)) {
+                return; // its command has gone on, and others wait by that name
+            }
             let pool = POOL * customer.terms.store.max(customer.terms.rate * PERIOD.secs());
             let verdict = |total| Verdict { beyond: total > pool, ratio: 0.0 };
             return self.resume(now, name, total.known().map(verdict), orders);
         }
+        let late = matches!(total, Total::Late(_));
+        let next = if late { None } else { self.next(name, total.known().is_none()) };
+        let (command, added) = next.unwrap_or_default();
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let Some((closed, own, presumed)) = customer.closed.filter(|c| c.0.to_string() == period) else {
-            return;
-        };
-        customer.silent += 1;
-        customer.others = customer.others.filter(|_| customer.silent < LATELY);
-        let Some(total) = total.known() else { return };
-        let offered = (total / apart(&customer.terms)).floor();
-        let sent = total - offered * apart(&customer.terms);
-        // A total under its own part is of a counter that lost its counts: the last reading stays.
-        if offered + 0.5 < own.offered {
-            return;
-        }
         customer.reckon(now, hears);
-        let others = Units { offered: offered - own.offered, sent: (sent - own.sent).max(0.0) };
-        // What peers tell is newer than a reading.
-        let store = customer.store + if hears { 0.0 } else { presumed - others.sent };
-        customer.store = store.max(customer.store.min(0.0)).min(customer.terms.store);
-        (customer.others, customer.silent) = (Some(others), 0);
-        customer.closed = Some((closed, own, others.sent));
+        let current = customer.sum.to_string() == sum;
+        match total {
+            Total::NotAdded => customer.period.add(added),
+            _ if current => customer.mine.add(added),
+            _ => {}
+        }
+        // A controller reads what went by others' parts; reading it, these would be too bold.
+        match total.known().filter(|_| current && (customer.held || !self.many)) {
+            Some(total) => customer.learn(now, total, hears),
+            None => {
+                customer.silent += 1;
+                customer.read = customer.read.map(|_| customer.silent < LATELY);
+            }
+        }
+        self.time(now, id, orders);
+        let Some(waits) = self.commands.get_mut(&command) else { return };
+        waits.booked = true;
+        let (units, customer) = (waits.offer.units, &self.customers[id]);
+        // It was taken off before it was asked for. A full store gives a command of any size.
+        let beyond = customer.store + units < units.min(customer.terms.store);
+        self.shift(&command, State::Held);
+        self.admit(now, &command, beyond, orders);
     }
 
     /// Notes units of which peers are to be told, where they are few.
@@ -460,6 +487,11 @@
     /// The final answer of a command given up: a bounce only where a retry is harmless, in time for one.
     fn give_up(&mut self, id: &str, orders: &mut impl Orders) {
         let command = &self.commands[id];
+        // Units that are in the sum and do not go must not keep others from going.
+        let unsent = if command.booked && command.legs == 0 { command.offer.units } else { 0.0 };
+        if let Some(c) = self.customers.get_mut(&command.offer.customer).filter(|c| c.counted) {
+            c.spend(-unsent);
+        }
         let Workload { repeats, contract, .. } = self.charter.workloads[command.workload];
         let anywhere = matches!(repeats, Repeats::Repeatable | Repeats::Tagged { group: Group::All, .. });
         if command.bound_to.is_none() || anywhere {
@@ -620,16 +652,16 @@
         let terms = self.terms.clone();
         let past = now - replace(&mut self.as_of, now);
         let (share, part) = (self.share(hears), self.part());
-        // By a current reading the others draw what they sent in its period, at most their part of the limit.
-        let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
-        let others = self.others.filter(|_| !hears).map_or(0.0, |others| others.sent);
-        let drawn = others.min(theirs) * past.over(self.beat);
+        // By a reading the others draw what they are offered, at most their part of the limit.
+        let theirs = (terms.rate * PERIOD.secs() + self.store.max(0.0)) * (1.0 - part);
+        let others = if hears || self.read.is_none() { 0.0 } else { self.told.last() / LATELY as f64 };
+        let drawn = others.min(theirs) * past.over(PERIOD);
         self.presumed += drawn;
         let filled = self.store + terms.rate * share * past.secs();
         self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
         self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
-        self.demand.at(now, self.beat);
+        self.demand.at(now, PERIOD);
         self.told.at(now, PERIOD * LATELY);
     }
 
@@ -642,17 +674,16 @@
         if terms.rate <= 0.0 || self.store >= terms.store * share {
             return legs_ratio;
         }
-        let (mut others, mut store) = (self.others.map_or(0.0, |others| others.offered), self.store);
+        let (others, mut store) = (self.told.last() / LATELY as f64, self.store);
         if let Some(telling) = telling {
             // What peers may have sent on since they told is no longer in the store.
-            others = self.told.last() / LATELY as f64;
             store -= others.min(terms.rate) * telling.secs();
         }
         // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
         if store < units {
             return 1.0;
         }
-        excess(self.demand.last() + others, terms.rate * share * self.beat.secs() + store).max(legs_ratio)
+        excess(self.demand.last() + others, terms.rate * share * PERIOD.secs() + store).max(legs_ratio)
     }
 
     /// Books units sent on inside the quota; below zero, units given back.
@@ -661,10 +692,42 @@
         self.period.sent += units;
     }
 
+    /// Takes in what a total tells of the others: its growth since the last one.
+    fn learn(&mut self, now: Moment, total: f64, hears: bool) {
+        let offered = (total / apart(&self.terms)).round();
+        let sent = total - offered * apart(&self.terms) - self.mine.sent;
+        let others = Units { offered: offered - self.mine.offered, sent };
+        let seen = replace(&mut self.seen, others);
+        let presumed = take(&mut self.presumed);
+        // What peers tell is newer than a reading.
+        if !hears {
+            // A counter that has lost its counts shows less than before: it is read on from there.
+            self.told.add(now, PERIOD * LATELY, (others.offered - seen.offered).max(0.0));
+            let store = self.store + presumed - (others.sent - seen.sent).max(0.0);
+            // A first reading: where others are refused there is nothing left, else the sum tells what is gone.
+            let unseen = if others.offered > others.sent { 0.0 } else { self.terms.store - others.sent };
+            let store = if self.read.is_none() { unseen.min(self.terms.store - self.mine.sent) } else { store };
+            self.store = store.min(self.terms.store);
+        }
+        (self.read, self.silent) = (Some(true), 0);
+    }
+
+    /// Whether the store may not hold a command, for all that is known: each of the others may send as much as it,
+    /// and as this gateway has sent since the last count. What is beyond a part is not known to be beyond the whole.
+    fn is_unsure(&self, units: f64, beyond: bool) -> bool {
+        let unseen = (self.width - 1.0) * (units + self.period.sent.max(0.0));
+        if beyond { self.read.is_none() } else { self.store < units + unseen }
+    }
+
+    fn is_calm(&self) -> bool {
+        let usual = self.demand.last() + self.told.last() / LATELY as f64;
+        self.read == Some(true) && self.store > NEAR * self.terms.store && usual < NEAR * self.terms.rate
+    }
+
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
     /// Guards against a silent or crowded counter; hurts a customer that moves here just then.
     fn share(&self, hears: bool) -> f64 {
-        f64::max(self.part(), f64::from(self.others.is_some() || hears))
+        f64::max(self.part(), f64::from(self.read == Some(true) || hears))
     }
 
     /// This gateway's part of the quota.
@@ -709,15 +772,6 @@
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// The number of a customer's period and what is left of it: alike at all gateways, but not for all
-/// customers, so that neither calls nor ratios nor the clients they turn away come all at once.
-fn beat(now: Moment, id: &str, period: Span) -> (i64, Span) {
-    let phase = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
-    let since = (now - period.times(phase)).micros();
-    let left = period.micros() - since.rem_euclid(period.micros());
-    (since.div_euclid(period.micros()), Span::from_micros(left))
-}
-
 /// Tells ids apart, alike at all gateways.
 fn hash(id: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
@@ -726,5 +780,5 @@
 
 /// One amount carries offered and sent units, set apart by far more than a period can send on.
 fn apart(terms: &Plan) -> f64 {
-    10f64.powf((10.0 * (terms.rate * PERIOD.secs() + terms.store)).max(1.0).log10().ceil())
+    10f64.powf((2.5 * (terms.rate * (PERIOD * SUM).secs() + terms.store)).max(1.0).log10().ceil())
 }
