--- a/src/choice.rs
+++ b/src/choice.rs
@@ -226,7 +226,7 @@
         customer.spend(units);
         let sum = now.micros() / (PERIOD * SUM).micros();
         if replace(&mut customer.sum, sum) != sum {
-            (customer.mine, customer.seen, customer.presumed) = Default::default();
+            (customer.mine, customer.seen) = Default::default();
         }
         let added = take(&mut customer.period);
         let name = format!("{key}.{sum}");
@@ -704,9 +704,12 @@
             // A counter that has lost its counts shows less than before: it is read on from there.
             self.told.add(now, PERIOD * LATELY, (others.offered - seen.offered).max(0.0));
             let store = self.store + presumed - (others.sent - seen.sent).max(0.0);
-            // A first reading: where others are refused there is nothing left, else the sum tells what is gone.
-            let unseen = if others.offered > others.sent { 0.0 } else { self.terms.store - others.sent };
-            let store = if self.read.is_none() { unseen.min(self.terms.store - self.mine.sent) } else { store };
+            // A first reading: of a customer that is offered more than its limit nothing is left, else what the
+            // sum lacks of the limit.
+            let since = Span::from_micros(now.micros() % (PERIOD * SUM).micros());
+            let limit = self.terms.store + self.terms.rate * since.secs();
+            let left = if offered > limit { 0.0 } else { limit - others.sent - self.mine.sent };
+            let store = if self.read.is_none() { left - self.period.sent } else { store };
             self.store = store.min(self.terms.store);
         }
         (self.read, self.silent) = (Some(true), 0);
