--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,6 +62,7 @@
     directive: (f64, Moment),          // a controller's last ratio, and how long it holds
     counted: bool,                     // its sum on the counter is all that tells of the others
     sparse: bool,                      // so little of the store falls to this gateway that it tells nothing
+    beat: Span,                        // time over which offers are set against the limit
     store: f64,                        // units thought to be in its store,
     as_of: Moment,                     // and when that was reckoned
     demand: Tally,                     // units offered here within about a period, the newest counting most
@@ -353,7 +354,9 @@
             let alone = self.charter.peer_messages <= 0.0 && width > 1.0 && terms.rate > 0.0;
             let sparse = alone && store < SPARSE * self.charter.largest;
             let (counted, as_of) = (alone && !sparse, now);
-            let met = Customer { terms, width, counted, sparse, store, as_of, ceiling, ..Customer::default() };
+            let beat = PERIOD / if counted { CALM } else { 1 };
+            let met =
+                Customer { terms, width, counted, sparse, beat, store, as_of, ceiling, ..Customer::default() };
             self.customers.insert(id.to_owned(), met);
         }
         let customer = self.customers.get_mut(id).expect("just met");
@@ -369,7 +372,7 @@
         if controls && !customer.held {
             (customer.held, customer.store) = (true, customer.terms.store);
         }
-        customer.demand.add(now, PERIOD, offer.units);
+        customer.demand.add(now, customer.beat, offer.units);
         customer.period.offered += offer.units;
         let ratio = customer.ratio(offer.units, telling);
         self.time(now, id, orders);
@@ -653,15 +656,15 @@
         let past = now - replace(&mut self.as_of, now);
         let (share, part) = (self.share(hears), self.part());
         // By a reading the others draw what they are offered, at most their part of the limit.
-        let theirs = (terms.rate * PERIOD.secs() + self.store.max(0.0)) * (1.0 - part);
-        let others = if hears || self.read.is_none() { 0.0 } else { self.told.last() / LATELY as f64 };
-        let drawn = others.min(theirs) * past.over(PERIOD);
+        let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
+        let others = if hears || self.read.is_none() { 0.0 } else { self.theirs() };
+        let drawn = others.min(theirs) * past.over(self.beat);
         self.presumed += drawn;
         let filled = self.store + terms.rate * share * past.secs();
         self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
         self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
-        self.demand.at(now, PERIOD);
+        self.demand.at(now, self.beat);
         self.told.at(now, PERIOD * LATELY);
     }
 
@@ -674,16 +677,16 @@
         if terms.rate <= 0.0 || self.store >= terms.store * share {
             return legs_ratio;
         }
-        let (others, mut store) = (self.told.last() / LATELY as f64, self.store);
+        let (others, mut store) = (self.theirs(), self.store);
         if let Some(telling) = telling {
             // What peers may have sent on since they told is no longer in the store.
-            store -= others.min(terms.rate) * telling.secs();
+            store -= others.min(terms.rate) * telling.secs(); // only where a beat is a period
         }
         // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
         if store < units {
             return 1.0;
         }
-        excess(self.demand.last() + others, terms.rate * share * PERIOD.secs() + store).max(legs_ratio)
+        excess(self.demand.last() + others, terms.rate * share * self.beat.secs() + store).max(legs_ratio)
     }
 
     /// Books units sent on inside the quota; below zero, units given back.
@@ -723,8 +726,14 @@
     }
 
     fn is_calm(&self) -> bool {
-        let usual = self.demand.last() + self.told.last() / LATELY as f64;
-        self.read == Some(true) && self.store > NEAR * self.terms.store && usual < NEAR * self.terms.rate
+        let usual = self.demand.last() + self.theirs();
+        let limit = self.terms.rate * self.beat.secs();
+        self.read == Some(true) && self.store > NEAR * self.terms.store && usual < NEAR * limit
+    }
+
+    /// What the others were offered of late in a beat.
+    fn theirs(&self) -> f64 {
+        self.told.last() * self.beat.over(PERIOD * LATELY)
     }
 
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
