--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,12 +68,12 @@
     demand: Tally,                     // units offered here within about a period, the newest counting most
     period: Units,                     // units here that are not in the sum yet,
     timed: bool,                       // and they will be: a timer runs
-    presumed: f64,                     // units taken off the store for the others since the last reading
+    slack: f64,                        // units not put into it since the last reading: it was full, or others drew
     sum: i64,                          // the number of the sum that was added to last,
     mine: Units,                       // what this gateway has added to it,
     seen: Units,                       // and what the others had by the last reading
-    read: Option<bool>,                // a total has told of the others; of late
-    silent: i64,                       // calls in a row that brought no total
+    read: Option<Moment>,              // when a total told of the others last,
+    silent: i64,                       // and how many calls in a row have brought none
     told: Tally,                       // what the others were offered of late, by a reading or by peers
     untold: Units,                     // and what they are to be told
     ceiling: f64,                      // units left of this gateway's own share of the hard ceiling
@@ -415,10 +415,7 @@
         // A controller reads what went by others' parts; reading it, these would be too bold.
         match total.known().filter(|_| current && (customer.held || !self.many)) {
             Some(total) => customer.learn(now, total, hears),
-            None => {
-                customer.silent += 1;
-                customer.read = customer.read.map(|_| customer.silent < LATELY);
-            }
+            None => customer.silent += 1,
         }
         self.time(now, id, orders);
         let Some(waits) = self.commands.get_mut(&command) else { return };
@@ -659,13 +656,15 @@
         let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
         let others = if hears || self.read.is_none() { 0.0 } else { self.theirs() };
         let drawn = others.min(theirs) * past.over(self.beat);
-        self.presumed += drawn;
         let filled = self.store + terms.rate * share * past.secs();
         self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
+        self.slack += filled - self.store;
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
         self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
         self.demand.at(now, self.beat);
-        self.told.at(now, PERIOD * LATELY);
+        if self.silent == 0 {
+            self.told.at(now, PERIOD * LATELY); // else the last reading stays
+        }
     }
 
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
@@ -701,12 +700,14 @@
         let sent = total - offered * apart(&self.terms) - self.mine.sent;
         let others = Units { offered: offered - self.mine.offered, sent };
         let seen = replace(&mut self.seen, others);
-        let presumed = take(&mut self.presumed);
+        let slack = take(&mut self.slack);
+        let since = self.read.map_or(PERIOD, |read| now - read);
         // What peers tell is newer than a reading.
         if !hears {
             // A counter that has lost its counts shows less than before: it is read on from there.
-            self.told.add(now, PERIOD * LATELY, (others.offered - seen.offered).max(0.0));
-            let store = self.store + presumed - (others.sent - seen.sent).max(0.0);
+            let grown = (others.offered - seen.offered).max(0.0);
+            self.told.add(now, PERIOD * LATELY, grown * (PERIOD * LATELY).over(since).min(1.0));
+            let store = self.store + slack - (others.sent - seen.sent).max(0.0);
             // A first reading: of a customer that is offered more than its limit nothing is left, else what the
             // sum lacks of the limit.
             let since = Span::from_micros(now.micros() % (PERIOD * SUM).micros());
@@ -715,7 +716,7 @@
             let store = if self.read.is_none() { left - self.period.sent } else { store };
             self.store = store.min(self.terms.store);
         }
-        (self.read, self.silent) = (Some(true), 0);
+        (self.read, self.silent) = (Some(now), 0);
     }
 
     /// Whether the store may not hold a command, for all that is known: each of the others may send as much as it,
@@ -728,7 +729,7 @@
     fn is_calm(&self) -> bool {
         let usual = self.demand.last() + self.theirs();
         let limit = self.terms.rate * self.beat.secs();
-        self.read == Some(true) && self.store > NEAR * self.terms.store && usual < NEAR * limit
+        self.read.is_some() && self.silent == 0 && self.store > NEAR * self.terms.store && usual < NEAR * limit
     }
 
     /// What the others were offered of late in a beat.
@@ -739,7 +740,7 @@
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
     /// Guards against a silent or crowded counter; hurts a customer that moves here just then.
     fn share(&self, hears: bool) -> f64 {
-        f64::max(self.part(), f64::from(self.read == Some(true) || hears))
+        f64::max(self.part(), f64::from(self.read.is_some() || hears))
     }
 
     /// This gateway's part of the quota.
