--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,9 +224,12 @@
     fn add_up(&mut self, now: Moment, customer: &str, waits: Option<(&str, f64)>, orders: &mut impl Orders) {
         let (key, (id, units)) = (customer, waits.unwrap_or_default());
         let Some(customer) = self.customers.get_mut(key) else { return };
-        customer.spend(units);
-        let sum = now.micros() / (PERIOD * SUM).micros();
+        customer.period.sent += units;
+        let (sum, since) = sum(now);
         if replace(&mut customer.sum, sum) != sum {
+            // What the others added to the last one after its last reading will not be read: as much as before.
+            let unread = customer.read.map_or(0.0, |read| (now - read - since).over(PERIOD * SUM)).clamp(0.0, 0.5);
+            customer.store -= customer.seen.sent.max(0.0) * unread / (1.0 - unread);
             (customer.mine, customer.seen) = Default::default();
         }
         let added = take(&mut customer.period);
@@ -421,8 +424,7 @@
         let Some(waits) = self.commands.get_mut(&command) else { return };
         waits.booked = true;
         let (units, customer) = (waits.offer.units, &self.customers[id]);
-        // It was taken off before it was asked for. A full store gives a command of any size.
-        let beyond = customer.store + units < units.min(customer.terms.store);
+        let beyond = customer.store < units.min(customer.terms.store); // a full one gives a command of any size
         self.shift(&command, State::Held);
         self.admit(now, &command, beyond, orders);
     }
@@ -490,7 +492,7 @@
         // Units that are in the sum and do not go must not keep others from going.
         let unsent = if command.booked && command.legs == 0 { command.offer.units } else { 0.0 };
         if let Some(c) = self.customers.get_mut(&command.offer.customer).filter(|c| c.counted) {
-            c.spend(-unsent);
+            c.period.sent -= unsent;
         }
         let Workload { repeats, contract, .. } = self.charter.workloads[command.workload];
         let anywhere = matches!(repeats, Repeats::Repeatable | Repeats::Tagged { group: Group::All, .. });
@@ -550,7 +552,9 @@
         }
         customer.ceiling -= if first { units } else { 0.0 };
         customer.out += 1;
-        if first && !booked {
+        if first && booked && customer.counted {
+            customer.store -= units; // it is in the sum already
+        } else if first && !booked {
             customer.spend(units);
             self.note(&id, Units { offered: 0.0, sent: units }, orders);
         }
@@ -670,7 +674,7 @@
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
     fn ratio(&self, units: f64, telling: Option<Span>) -> f64 {
         let (terms, share) = (&self.terms, self.share(telling.is_some()));
-        let out = 1.0 + f64::from(self.out) / self.part();
+        let out = 1.0 + f64::from(self.out) / share;
         let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
         // A full store, or share of one, gives a command of any size.
         if terms.rate <= 0.0 || self.store >= terms.store * share {
@@ -705,13 +709,14 @@
         // What peers tell is newer than a reading.
         if !hears {
             // A counter that has lost its counts shows less than before: it is read on from there.
-            let grown = (others.offered - seen.offered).max(0.0);
-            self.told.add(now, PERIOD * LATELY, grown * (PERIOD * LATELY).over(since).min(1.0));
-            let store = self.store + slack - (others.sent - seen.sent).max(0.0);
+            let (more, drawn) = (others.offered - seen.offered, others.sent - seen.sent);
+            let drawn = if more < 0.0 { 0.0 } else { drawn };
+            self.told.add(now, PERIOD * LATELY, more.max(0.0) * (PERIOD * LATELY).over(since).min(1.0));
+            // What went beyond the quota has not drawn on it.
+            let store = (self.store + slack - drawn).max(self.store.min(0.0));
             // A first reading: of a customer that is offered more than its limit nothing is left, else what the
             // sum lacks of the limit.
-            let since = Span::from_micros(now.micros() % (PERIOD * SUM).micros());
-            let limit = self.terms.store + self.terms.rate * since.secs();
+            let limit = self.terms.store + self.terms.rate * sum(now).1.secs();
             let left = if offered > limit { 0.0 } else { limit - others.sent - self.mine.sent };
             let store = if self.read.is_none() { left - self.period.sent } else { store };
             self.store = store.min(self.terms.store);
@@ -785,6 +790,12 @@
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
+/// The number of the sums that run, alike at all gateways, and how long they have.
+fn sum(now: Moment) -> (i64, Span) {
+    let (runs, now) = ((PERIOD * SUM).micros(), now.micros());
+    (now.div_euclid(runs), Span::from_micros(now.rem_euclid(runs)))
+}
+
 /// Tells ids apart, alike at all gateways.
 fn hash(id: &str) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
