--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,11 +14,9 @@
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
 const KEPT: Span = Span::from_secs(60); // time without use after which a customer is forgotten
 const NEAR: f64 = 0.5; // part of the quota up to which a customer is calm
-const CALM: i64 = 4; // periods to one count of a calm customer
+const CALM: i64 = 4; // counts to one of a calm customer; also, in a period, if nothing else tells of others
 const FEW: f64 = 0.9; // part of a period's messages up to which all peers are told of all
 const LATELY: i64 = 2; // periods for which what is known of the others counts
-const SUM: i64 = CALM * LATELY; // periods for which a sum runs on under one name
-const SPARSE: f64 = 0.25; // part of the largest command: whose part of a store holds less cannot be counted
 const POOL: f64 = 0.3; // part of a sparse customer's store that may be borrowed, as often as it fills
 const CROWDED: f64 = 4.0; // one over the part of questions lost from which on fewer are asked
 const PATIENCE: i64 = 8; // parts of the contract time, one of which a controller has to answer
@@ -60,21 +58,17 @@
     width: f64,
     held: bool,                        // this gateway is its controller
     directive: (f64, Moment),          // a controller's last ratio, and how long it holds
-    counted: bool,                     // its sum on the counter is all that tells of the others
-    sparse: bool,                      // so little of the store falls to this gateway that it tells nothing
-    beat: Span,                        // time over which offers are set against the limit
+    sparse: bool,                      // the part here holds less than two of the largest commands
+    beat: Span,                        // from one count to the next: a fresh one is all that tells of others
     store: f64,                        // units thought to be in its store,
     as_of: Moment,                     // and when that was reckoned
     demand: Tally,                     // units offered here within about a period, the newest counting most
-    period: Units,                     // units here that are not in the sum yet,
-    timed: bool,                       // and they will be: a timer runs
-    slack: f64,                        // units not put into it since the last reading: it was full, or others drew
-    sum: i64,                          // the number of the sum that was added to last,
-    mine: Units,                       // what this gateway has added to it,
-    seen: Units,                       // and what the others had by the last reading
-    read: Option<Moment>,              // when a total told of the others last,
-    silent: i64,                       // and how many calls in a row have brought none
-    told: Tally,                       // what the others were offered of late, by a reading or by peers
+    period: Units,                     // units here in the period that runs, if one does,
+    presumed: f64,                     // and units taken off the store for the others
+    closed: Option<(i64, Units, f64)>, // the closed period while its count is out, with its two sums
+    others: Option<Units>,             // what the others had in the last period read, if any was
+    silent: i64,                       // calls in a row that brought no total
+    told: Tally,                       // what peers told of late that they were offered,
     untold: Units,                     // and what they are to be told
     ceiling: f64,                      // units left of this gateway's own share of the hard ceiling
     out: u32,                          // legs
@@ -105,7 +99,7 @@
     heard: Option<Moment>,                      // when one was last heard
     marks: HashMap<u32, String>,                // customers by the marks that they are told by
     newest: u16,                                // question to a controller
-    waiting: HashMap<String, VecDeque<(String, Units)>>, // commands by what they wait for, and what a call adds
+    waiting: HashMap<String, VecDeque<String>>, // commands by what they wait for
     lost: f64,                                  // part of them that waited for nothing, of late
 }
 
@@ -194,7 +188,7 @@
             let question = format!("asked.{}", self.peers.newest);
             orders.ask(controller, self.peers.newest, &offer);
             orders.wake(&question, contract / PATIENCE);
-            return self.wait(asked.id, question, Units::default());
+            return self.wait(asked.id, question);
         }
         self.decide(now, asked.id, asks && controls, orders);
     }
@@ -203,39 +197,15 @@
     fn decide(&mut self, now: Moment, id: &str, controls: bool, orders: &mut impl Orders) {
         let offer = self.commands[id].offer.clone();
         let verdict = self.draw(now, &offer, controls, orders);
-        let customer = &self.customers[&offer.customer];
-        let (sparse, terms) = (customer.sparse, customer.terms.clone());
-        let asks = verdict.beyond && sparse || customer.counted && customer.is_unsure(offer.units, verdict.beyond);
+        let Customer { sparse, ref terms, .. } = self.customers[&offer.customer];
+        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
         let time = self.charter.counter.is_some_and(|patience| self.commands[id].until - now > patience * 2);
-        if !(asks && time && self.affords()) {
+        if !(verdict.beyond && sparse && time && self.affords()) {
             return self.admit(now, id, verdict.beyond, orders);
         }
-        if !sparse {
-            return self.add_up(now, &offer.customer, Some((id, offer.units)), orders);
-        }
-        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
         let name = format!("{}/.{}", offer.customer, now.micros() / fills.micros());
         orders.count(&name, offer.units, fills * 2);
-        self.wait(id, name, Units::default());
-    }
-
-    /// Adds what was offered and sent here since the last time to a customer's sum; with it the units of a command
-    /// that goes only if the total says so, lest several gateways give what all of them see in the store.
-    fn add_up(&mut self, now: Moment, customer: &str, waits: Option<(&str, f64)>, orders: &mut impl Orders) {
-        let (key, (id, units)) = (customer, waits.unwrap_or_default());
-        let Some(customer) = self.customers.get_mut(key) else { return };
-        customer.period.sent += units;
-        let (sum, since) = sum(now);
-        if replace(&mut customer.sum, sum) != sum {
-            // What the others added to the last one after its last reading will not be read: as much as before.
-            let unread = customer.read.map_or(0.0, |read| (now - read - since).over(PERIOD * SUM)).clamp(0.0, 0.5);
-            customer.store -= customer.seen.sent.max(0.0) * unread / (1.0 - unread);
-            (customer.mine, customer.seen) = Default::default();
-        }
-        let added = take(&mut customer.period);
-        let name = format!("{key}.{sum}");
-        orders.count(&name, added.sent + added.offered * apart(&customer.terms), PERIOD * SUM * 2);
-        self.wait(id, name, added);
+        self.wait(id, name);
     }
 
     /// Whether one more question is asked: fewer where many stay without an answer, lest they crowd all out.
@@ -243,24 +213,18 @@
         self.chance.rand_float() < (2.0 - CROWDED * self.peers.lost).max(NEWEST)
     }
 
-    fn wait(&mut self, id: &str, answer: String, added: Units) {
-        self.peers.waiting.entry(answer).or_default().push_back((id.to_owned(), added));
+    fn wait(&mut self, id: &str, answer: String) {
+        self.peers.waiting.entry(answer).or_default().push_back(id.to_owned());
         self.shift(id, State::Asking);
     }
 
-    /// What waited first for an answer, which has come, or has not.
-    fn next(&mut self, answer: &str, lost: bool) -> Option<(String, Units)> {
-        let next = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front)?;
-        self.peers.waiting.retain(|_, waiting| !waiting.is_empty());
-        self.peers.lost += (f64::from(lost) - self.peers.lost) * NEWEST;
-        Some(next)
-    }
-
     /// What a command waited for has been answered; or not, and the part here decides.
     fn resume(&mut self, now: Moment, answer: &str, verdict: Option<Verdict>, orders: &mut impl Orders) {
-        let Some((id, _)) = self.next(answer, verdict.is_none()) else { return };
+        let Some(id) = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front) else { return };
+        self.peers.waiting.retain(|_, ids| !ids.is_empty());
         let Some(command) = self.commands.get_mut(&id) else { return };
         command.booked = verdict.is_some();
+        self.peers.lost += (f64::from(verdict.is_none()) - self.peers.lost) * NEWEST;
         let customer = self.customers.get_mut(&command.offer.customer);
         if let (Some(customer), Some(Verdict { beyond: true, ratio })) = (customer, verdict) {
             customer.directive = (ratio, now + PERIOD);
@@ -318,13 +282,8 @@
 
     pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
         match token.split_once('.') {
-            Some(("period", id)) => {
-                let Some(customer) = self.customers.get_mut(id) else { return };
-                customer.timed = false;
-                if customer.period != Units::default() {
-                    self.add_up(now, id, None, orders);
-                }
-            }
+            Some(("period", id)) => self.close_period(now, id, orders),
+            Some(("read", name)) => orders.count(name, 0.0, PERIOD * 4),
             Some(("sweep", _)) => {
                 // A customer is forgotten only once its share of a ceiling is whole again.
                 self.customers.retain(|_, c| {
@@ -354,13 +313,11 @@
             // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
             let ceiling = (terms.ceiling_rate * (now - self.opened).secs()).min(terms.ceiling_depth) / width;
             let store = terms.store * if hears { NEAR } else { 1.0 / width };
-            let alone = self.charter.peer_messages <= 0.0 && width > 1.0 && terms.rate > 0.0;
-            let sparse = alone && store < SPARSE * self.charter.largest;
-            let (counted, as_of) = (alone && !sparse, now);
-            let beat = PERIOD / if counted { CALM } else { 1 };
-            let met =
-                Customer { terms, width, counted, sparse, beat, store, as_of, ceiling, ..Customer::default() };
-            self.customers.insert(id.to_owned(), met);
+            let sparse = self.charter.peer_messages <= 0.0 && store < 2.0 * self.charter.largest;
+            let beat = PERIOD / if self.charter.peer_messages > 0.0 || sparse { 1 } else { CALM };
+            let unseen =
+                Customer { terms, width, sparse, beat, store, as_of: now, ceiling, ..Customer::default() };
+            self.customers.insert(id.to_owned(), unseen);
         }
         let customer = self.customers.get_mut(id).expect("just met");
         customer.reckon(now, hears);
@@ -376,57 +333,71 @@
             (customer.held, customer.store) = (true, customer.terms.store);
         }
         customer.demand.add(now, customer.beat, offer.units);
+        if customer.period.offered <= 0.0 {
+            orders.wake(&format!("period.{id}"), beat(now, id, customer.beat).1);
+        }
         customer.period.offered += offer.units;
         let ratio = customer.ratio(offer.units, telling);
-        self.time(now, id, orders);
         self.note(id, Units { offered: offer.units, sent: 0.0 }, orders);
         Verdict { beyond: chance < ratio, ratio }
     }
 
-    /// Has what was offered here go to the counter at the period's end; calls have a price, so later if all is calm.
-    fn time(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
-        let calm = self.many || self.hears(now);
+    /// A customer's period has ended: its offered units go to the counter, if there are any.
+    fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
+        let hears = self.hears(now);
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let timed = customer.sparse || customer.width <= 1.0 || customer.terms.rate <= 0.0;
-        if self.charter.counter.is_some() && !timed && !replace(&mut customer.timed, true) {
-            let periods = if calm || customer.is_calm() { CALM } else { 1 };
-            orders.wake(&format!("period.{id}"), PERIOD * periods);
+        customer.reckon(now, hears);
+        let (units, presumed) = (take(&mut customer.period), take(&mut customer.presumed));
+        // Settled units may be given back: less than nothing waits for the next period.
+        (customer.closed, customer.period.sent) = (None, units.sent.min(0.0));
+        // Calls have a price, and a silent counter may be crowded: then all call in the same few periods.
+        let (terms, usual) = (&customer.terms, customer.demand.last() / customer.part());
+        let room = customer.store > NEAR * terms.store && customer.others.is_some();
+        let calm = room && usual < NEAR * terms.rate * customer.beat.secs();
+        let calm = calm || hears || self.many || customer.silent > 0 && customer.beat < PERIOD;
+        let period = beat(now, id, customer.beat).0 - 1;
+        let due = (!calm || period % CALM == 0) && units.offered > 0.0 && units.sent >= 0.0;
+        let due = due && customer.width > 1.0 && customer.terms.rate > 0.0 && !customer.sparse;
+        if let Some(patience) = self.charter.counter.filter(|_| due) {
+            let name = format!("{id}.{period}");
+            orders.count(&name, units.sent + units.offered * apart(&customer.terms), PERIOD * 4);
+            // A controller reads what went by others' parts; reading it, these would be too bold.
+            customer.closed = (customer.held || !self.many).then_some((period, units, presumed));
+            // The total that the add brings lacks what others add later: where it matters it is read again.
+            if !calm && customer.silent == 0 {
+                orders.wake(&format!("read.{name}"), patience);
+            }
         }
     }
 
     pub fn counted(&mut self, now: Moment, name: &str, total: Total, orders: &mut impl Orders) {
-        let (hears, Some((id, sum))) = (self.hears(now), name.rsplit_once('.')) else { return };
-        if let Some(customer) = id.strip_suffix('/').and_then(|id| self.customers.get(id)) {
-            if matches!(total, Total::Late(_)) {
-                return; // its command has gone on, and others wait by that name
-            }
+        let (hears, Some((id, period))) = (self.hears(now), name.rsplit_once('.')) else { return };
+        let waits = !matches!(total, Total::Late(_)); // else its command has gone on, and others wait by that name
+        if let Some(customer) = id.strip_suffix('/').filter(|_| waits).and_then(|id| self.customers.get(id)) {
             let pool = POOL * customer.terms.store.max(customer.terms.rate * PERIOD.secs());
             let verdict = |total| Verdict { beyond: total > pool, ratio: 0.0 };
             return self.resume(now, name, total.known().map(verdict), orders);
         }
-        let late = matches!(total, Total::Late(_));
-        let next = if late { None } else { self.next(name, total.known().is_none()) };
-        let (command, added) = next.unwrap_or_default();
         let Some(customer) = self.customers.get_mut(id) else { return };
-        customer.reckon(now, hears);
-        let current = customer.sum.to_string() == sum;
-        match total {
-            Total::NotAdded => customer.period.add(added),
-            _ if current => customer.mine.add(added),
-            _ => {}
-        }
-        // A controller reads what went by others' parts; reading it, these would be too bold.
-        match total.known().filter(|_| current && (customer.held || !self.many)) {
-            Some(total) => customer.learn(now, total, hears),
-            None => customer.silent += 1,
+        let Some((closed, own, presumed)) = customer.closed.filter(|c| c.0.to_string() == period) else {
+            return;
+        };
+        customer.silent += 1;
+        customer.others = customer.others.filter(|_| customer.silent < LATELY);
+        let Some(total) = total.known() else { return };
+        let offered = (total / apart(&customer.terms)).floor();
+        let sent = total - offered * apart(&customer.terms);
+        // A total under its own part is of a counter that lost its counts: the last reading stays.
+        if offered + 0.5 < own.offered {
+            return;
         }
-        self.time(now, id, orders);
-        let Some(waits) = self.commands.get_mut(&command) else { return };
-        waits.booked = true;
-        let (units, customer) = (waits.offer.units, &self.customers[id]);
-        let beyond = customer.store < units.min(customer.terms.store); // a full one gives a command of any size
-        self.shift(&command, State::Held);
-        self.admit(now, &command, beyond, orders);
+        customer.reckon(now, hears);
+        let others = Units { offered: offered - own.offered, sent: (sent - own.sent).max(0.0) };
+        // What peers tell is newer than a reading.
+        let store = customer.store + if hears { 0.0 } else { presumed - others.sent };
+        customer.store = store.max(customer.store.min(0.0)).min(customer.terms.store);
+        (customer.others, customer.silent) = (Some(others), 0);
+        customer.closed = Some((closed, own, others.sent));
     }
 
     /// Notes units of which peers are to be told, where they are few.
@@ -489,11 +460,6 @@
     /// The final answer of a command given up: a bounce only where a retry is harmless, in time for one.
     fn give_up(&mut self, id: &str, orders: &mut impl Orders) {
         let command = &self.commands[id];
-        // Units that are in the sum and do not go must not keep others from going.
-        let unsent = if command.booked && command.legs == 0 { command.offer.units } else { 0.0 };
-        if let Some(c) = self.customers.get_mut(&command.offer.customer).filter(|c| c.counted) {
-            c.period.sent -= unsent;
-        }
         let Workload { repeats, contract, .. } = self.charter.workloads[command.workload];
         let anywhere = matches!(repeats, Repeats::Repeatable | Repeats::Tagged { group: Group::All, .. });
         if command.bound_to.is_none() || anywhere {
@@ -552,9 +518,7 @@
         }
         customer.ceiling -= if first { units } else { 0.0 };
         customer.out += 1;
-        if first && booked && customer.counted {
-            customer.store -= units; // it is in the sum already
-        } else if first && !booked {
+        if first && !booked {
             customer.spend(units);
             self.note(&id, Units { offered: 0.0, sent: units }, orders);
         }
@@ -656,34 +620,33 @@
         let terms = self.terms.clone();
         let past = now - replace(&mut self.as_of, now);
         let (share, part) = (self.share(hears), self.part());
-        // By a reading the others draw what they are offered, at most their part of the limit.
+        // By a current reading the others draw what they sent in its period, at most their part of the limit.
         let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
-        let others = if hears || self.read.is_none() { 0.0 } else { self.theirs() };
+        let others = self.others.filter(|_| !hears).map_or(0.0, |others| others.sent);
         let drawn = others.min(theirs) * past.over(self.beat);
+        self.presumed += drawn;
         let filled = self.store + terms.rate * share * past.secs();
         self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
-        self.slack += filled - self.store;
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
         self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
         self.demand.at(now, self.beat);
-        if self.silent == 0 {
-            self.told.at(now, PERIOD * LATELY); // else the last reading stays
-        }
+        self.told.at(now, PERIOD * LATELY);
     }
 
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
     fn ratio(&self, units: f64, telling: Option<Span>) -> f64 {
         let (terms, share) = (&self.terms, self.share(telling.is_some()));
-        let out = 1.0 + f64::from(self.out) / share;
+        let out = 1.0 + f64::from(self.out) / self.part();
         let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
         // A full store, or share of one, gives a command of any size.
         if terms.rate <= 0.0 || self.store >= terms.store * share {
             return legs_ratio;
         }
-        let (others, mut store) = (self.theirs(), self.store);
+        let (mut others, mut store) = (self.others.map_or(0.0, |others| others.offered), self.store);
         if let Some(telling) = telling {
             // What peers may have sent on since they told is no longer in the store.
-            store -= others.min(terms.rate) * telling.secs(); // only where a beat is a period
+            others = self.told.last() / LATELY as f64;
+            store -= others.min(terms.rate) * telling.secs();
         }
         // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
         if store < units {
@@ -698,54 +661,10 @@
         self.period.sent += units;
     }
 
-    /// Takes in what a total tells of the others: its growth since the last one.
-    fn learn(&mut self, now: Moment, total: f64, hears: bool) {
-        let offered = (total / apart(&self.terms)).round();
-        let sent = total - offered * apart(&self.terms) - self.mine.sent;
-        let others = Units { offered: offered - self.mine.offered, sent };
-        let seen = replace(&mut self.seen, others);
-        let slack = take(&mut self.slack);
-        let since = self.read.map_or(PERIOD, |read| now - read);
-        // What peers tell is newer than a reading.
-        if !hears {
-            // A counter that has lost its counts shows less than before: it is read on from there.
-            let (more, drawn) = (others.offered - seen.offered, others.sent - seen.sent);
-            let drawn = if more < 0.0 { 0.0 } else { drawn };
-            self.told.add(now, PERIOD * LATELY, more.max(0.0) * (PERIOD * LATELY).over(since).min(1.0));
-            // What went beyond the quota has not drawn on it.
-            let store = (self.store + slack - drawn).max(self.store.min(0.0));
-            // A first reading: of a customer that is offered more than its limit nothing is left, else what the
-            // sum lacks of the limit.
-            let limit = self.terms.store + self.terms.rate * sum(now).1.secs();
-            let left = if offered > limit { 0.0 } else { limit - others.sent - self.mine.sent };
-            let store = if self.read.is_none() { left - self.period.sent } else { store };
-            self.store = store.min(self.terms.store);
-        }
-        (self.read, self.silent) = (Some(now), 0);
-    }
-
-    /// Whether the store may not hold a command, for all that is known: each of the others may send as much as it,
-    /// and as this gateway has sent since the last count. What is beyond a part is not known to be beyond the whole.
-    fn is_unsure(&self, units: f64, beyond: bool) -> bool {
-        let unseen = (self.width - 1.0) * (units + self.period.sent.max(0.0));
-        if beyond { self.read.is_none() } else { self.store < units + unseen }
-    }
-
-    fn is_calm(&self) -> bool {
-        let usual = self.demand.last() + self.theirs();
-        let limit = self.terms.rate * self.beat.secs();
-        self.read.is_some() && self.silent == 0 && self.store > NEAR * self.terms.store && usual < NEAR * limit
-    }
-
-    /// What the others were offered of late in a beat.
-    fn theirs(&self) -> f64 {
-        self.told.last() * self.beat.over(PERIOD * LATELY)
-    }
-
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
     /// Guards against a silent or crowded counter; hurts a customer that moves here just then.
     fn share(&self, hears: bool) -> f64 {
-        f64::max(self.part(), f64::from(self.read.is_some() || hears))
+        f64::max(self.part(), f64::from(self.others.is_some() || hears))
     }
 
     /// This gateway's part of the quota.
@@ -790,10 +709,13 @@
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// The number of the sums that run, alike at all gateways, and how long they have.
-fn sum(now: Moment) -> (i64, Span) {
-    let (runs, now) = ((PERIOD * SUM).micros(), now.micros());
-    (now.div_euclid(runs), Span::from_micros(now.rem_euclid(runs)))
+/// The number of a customer's period and what is left of it: alike at all gateways, but not for all
+/// customers, so that neither calls nor ratios nor the clients they turn away come all at once.
+fn beat(now: Moment, id: &str, period: Span) -> (i64, Span) {
+    let phase = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
+    let since = (now - period.times(phase)).micros();
+    let left = period.micros() - since.rem_euclid(period.micros());
+    (since.div_euclid(period.micros()), Span::from_micros(left))
 }
 
 /// Tells ids apart, alike at all gateways.
@@ -804,5 +726,5 @@
 
 /// One amount carries offered and sent units, set apart by far more than a period can send on.
 fn apart(terms: &Plan) -> f64 {
-    10f64.powf((2.5 * (terms.rate * (PERIOD * SUM).secs() + terms.store)).max(1.0).log10().ceil())
+    10f64.powf((10.0 * (terms.rate * PERIOD.secs() + terms.store)).max(1.0).log10().ceil())
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,13 +152,6 @@
     pub sent: f64,
 }
 
-impl Units {
-    pub fn add(&mut self, more: Units) {
-        self.offered += more.offered;
-        self.sent += more.sent;
-    }
-}
-
 /// What a gateway tells its peers of a customer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
@@ -193,15 +186,13 @@
     Late(f64),
     /// No answer in time, or none that tells: the amount may have been added.
     Unknown,
-    /// The amount was surely not added.
-    NotAdded,
 }
 
 impl Total {
     pub fn known(self) -> Option<f64> {
         match self {
             Total::Of(total) | Total::Late(total) => Some(total),
-            Total::Unknown | Total::NotAdded => None,
+            Total::Unknown => None,
         }
     }
 }
