--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -66,7 +66,7 @@
     /// Adds to a number on the counter.
     pub fn call(&mut self, name: &str, amount: f64, keep: Span) {
         let (Some(_), Some(patience)) = (self.counter.address, self.charter.counter) else {
-            return self.events.push_back(Event::Counted { name: name.to_owned(), total: Total::Unknown });
+            return self.events.push_back(Event::Counted { name: name.to_owned(), total: Total::NotAdded });
         };
         let rest = format!("?by={amount}&expire_ms={}", (keep.micros() / 1000).max(1));
         let due = self.now() + patience;
@@ -197,10 +197,11 @@
                         let number = total(&answer);
                         let late = link.told > 0;
                         link.told -= usize::from(late);
-                        let total = match number {
-                            Some(number) if late => Total::Late(number),
-                            Some(number) => Total::Of(number),
-                            None => Total::Unknown,
+                        let total = match (number, answer.status()) {
+                            (Some(number), _) if late => Total::Late(number),
+                            (Some(number), _) => Total::Of(number),
+                            (None, 400 | 404 | 503) => Total::NotAdded,
+                            (None, _) => Total::Unknown,
                         };
                         if !late || number.is_some() {
                             self.events.push_back(Event::Counted { name: call.name, total });
@@ -259,7 +260,7 @@
         }
         // What nobody waits for any more is not sent.
         while let Some(call) = counter.unsent.pop_front_if(|call| call.due <= now) {
-            self.events.push_back(Event::Counted { name: call.name, total: Total::Unknown });
+            self.events.push_back(Event::Counted { name: call.name, total: Total::NotAdded });
         }
         if let Some(place) = self.counter.links.iter().position(|l| !l.connected && now - l.begun > allowed) {
             self.drop_link(place, "silent");
@@ -289,7 +290,7 @@
 
     fn fail_unsent(&mut self) {
         let unsent = self.counter.unsent.drain(..);
-        self.events.extend(unsent.map(|call| Event::Counted { name: call.name, total: Total::Unknown }));
+        self.events.extend(unsent.map(|call| Event::Counted { name: call.name, total: Total::NotAdded }));
     }
 }
 
--- a/crates/wirehost/src/decode.rs
+++ b/crates/wirehost/src/decode.rs
@@ -113,7 +113,11 @@
 /// The total, where the call brought one.
 pub fn counted(fields: &Fields) -> Result<Total, Refusal> {
     let sum = fields.number_or("Sum", 0.0)?;
-    Ok(if ending(fields)? == Ending::Settled { Total::Of(sum) } else { Total::Unknown })
+    Ok(match ending(fields)? {
+        Ending::Settled => Total::Of(sum),
+        ending if ending.never_ran() => Total::NotAdded,
+        _ => Total::Unknown,
+    })
 }
 
 pub fn listed(fields: &Fields) -> Result<Listed, Refusal> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,11 +1,11 @@
-//! All decisions of kitepass. A host opens one [`Gateway`] an instance, tells it in order what happens, each
-//! time with its clock and an [`Orders`] that carries out what it orders: `roster`, `command`, `leg_ended`,
-//! `client_left`, `counted`, `told`, `asked`, `answered`, `woken`. Types in and the trait: `interface.rs`.
-//! docs/design.md tells which parts are the article's mechanism and which depart from it.
+//! All decisions of kitepass. A host opens one [`Gateway`] an instance and tells it in order what happens,
+//! each time with its clock and an [`Orders`] that carries out its orders. Types in and the trait are in
+//! `interface.rs`; docs/design.md tells which parts are the article's mechanism and which depart from it.
 
-use crate::clock::{Moment, Span};
+use crate::clock::{Moment, Pace, Span};
 use crate::interface::*;
-use crate::tally::Tally;
+use crate::record::{Backend, Command, Customer, Peers, State};
+use crate::tally::{hash, Tally};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::mem::{replace, take};
@@ -14,9 +14,12 @@
 const PERIOD: Span = Span::from_secs(1); // the article's, and the stay-away that a bounce advises
 const KEPT: Span = Span::from_secs(60); // time without use after which a customer is forgotten
 const NEAR: f64 = 0.5; // part of the quota up to which a customer is calm
-const CALM: i64 = 4; // counts to one of a calm customer; also, in a period, if nothing else tells of others
+const CALM: i64 = 4; // periods to one count of a calm customer
 const FEW: f64 = 0.9; // part of a period's messages up to which all peers are told of all
 const LATELY: i64 = 2; // periods for which what is known of the others counts
+const SUM: i64 = CALM * LATELY; // periods for which a sum runs on under one name
+const SPARSE: f64 = 0.25; // part of the largest command: whose part of a store holds less cannot be counted
+const HELD: f64 = 0.2; // part of a store held back from what others draw unseen, where a sum tells of them
 const POOL: f64 = 0.3; // part of a sparse customer's store that may be borrowed, as often as it fills
 const CROWDED: f64 = 4.0; // one over the part of questions lost from which on fewer are asked
 const PATIENCE: i64 = 8; // parts of the contract time, one of which a controller has to answer
@@ -24,85 +27,11 @@
 const OVERDUE: f64 = 6.0; // mean deviations past the mean after which a leg is overdue
 const QUEUE: f64 = 0.8; // times of an idle backend that legs may be out for beside those
 const ABREAST: f64 = 3.0; // legs a backend may have from all gateways, more is an overload
+const FIRST: f64 = 0.25; // part of its share of a hard ceiling that a gateway starts with, and never fills
 const COLD_SHARE: f64 = 0.5; // share of what tips a cold backend over that is used at most
 const MEMORY: Span = Span::from_secs(5); // how long a backend's good and bad ends count
 const NEWEST: f64 = 0.0625; // weight of the newest in running means
 
-/// A command's states. `shift` alone changes them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum State {
-    #[default]
-    Held, // taken in; no leg out
-    Asking, // its customer's controller is asked for its draw
-    Out,    // its one leg is out
-    Left,   // the client has gone while a leg is out
-    Over,   // it has its final answer, or needs none, and no leg is out
-}
-
-#[derive(Default)]
-struct Command {
-    state: State,
-    workload: usize,
-    offer: Offer,
-    until: Moment, // its answer is worth something
-    legs: u32,
-    ran: bool,                // a leg has ended that may have run;
-    bound_to: Option<Listed>, // where the first such leg went,
-    bound_at: Moment,         // and when
-    booked: bool,             // its customer's controller has booked it
-}
-
-#[derive(Default)]
-struct Customer {
-    terms: Rc<Plan>,
-    width: f64,
-    held: bool,                        // this gateway is its controller
-    directive: (f64, Moment),          // a controller's last ratio, and how long it holds
-    sparse: bool,                      // the part here holds less than two of the largest commands
-    beat: Span,                        // from one count to the next: a fresh one is all that tells of others
-    store: f64,                        // units thought to be in its store,
-    as_of: Moment,                     // and when that was reckoned
-    demand: Tally,                     // units offered here within about a period, the newest counting most
-    period: Units,                     // units here in the period that runs, if one does,
-    presumed: f64,                     // and units taken off the store for the others
-    closed: Option<(i64, Units, f64)>, // the closed period while its count is out, with its two sums
-    others: Option<Units>,             // what the others had in the last period read, if any was
-    silent: i64,                       // calls in a row that brought no total
-    told: Tally,                       // what peers told of late that they were offered,
-    untold: Units,                     // and what they are to be told
-    ceiling: f64,                      // units left of this gateway's own share of the hard ceiling
-    out: u32,                          // legs
-}
-
-#[derive(Default)]
-struct Backend {
-    listed: Listed,
-    good: Tally,                   // ends of legs that went well,
-    bad: Tally,                    // and that went wrong
-    slow: f64,                     // how much more time it takes than the fleet for the like
-    out: BTreeMap<String, Moment>, // commands that have a leg out here, and since when
-    credit: f64,                   // while it is cold: legs that it may have from here,
-    as_of: Moment,                 // and when that was reckoned
-}
-
-struct Pace {
-    contract: Span,
-    mean: Span,
-    deviation: Span,
-    idle: Span, // the least that the mean has been, rising slowly
-}
-
-#[derive(Default)]
-struct Peers {
-    untold: Vec<String>,                        // customers of which they are to be told,
-    telling: Span,                              // and after which time
-    heard: Option<Moment>,                      // when one was last heard
-    marks: HashMap<u32, String>,                // customers by the marks that they are told by
-    newest: u16,                                // question to a controller
-    waiting: HashMap<String, VecDeque<String>>, // commands by what they wait for
-    lost: f64,                                  // part of them that waited for nothing, of late
-}
-
 pub struct Gateway {
     charter: Rc<Charter>,
     chance: Rand64,
@@ -122,17 +51,13 @@
 
 impl Gateway {
     pub fn open(charter: Rc<Charter>, seed: u64, now: Moment) -> Self {
-        let pace = |w: &Workload| {
-            let mean = w.contract / 4;
-            Pace { contract: w.contract, mean, deviation: mean / 4, idle: mean }
-        };
         Gateway {
             chance: Rand64::new(u128::from(seed)),
             opened: now,
             backends: BTreeMap::new(),
             commands: HashMap::new(),
             customers: HashMap::new(),
-            paces: charter.workloads.iter().map(pace).collect(),
+            paces: charter.workloads.iter().map(|w| Pace::expecting(w.contract / 4, w.contract)).collect(),
             wanted: Tally::default(),
             settled: Tally::default(),
             warm: Tally::default(),
@@ -146,9 +71,7 @@
 
     /// Changes of the list of backends; a whole list also tells what is gone.
     pub fn roster(&mut self, whole: bool, lines: &[Listed]) {
-        for backend in self.backends.values_mut().filter(|_| whole) {
-            backend.listed.standing = Standing::Gone;
-        }
+        self.backends.values_mut().filter(|_| whole).for_each(|b| b.listed.standing = Standing::Gone);
         for line in lines {
             let known = self.backends.entry(line.id.clone()).or_default();
             if known.listed.started != line.started {
@@ -188,7 +111,7 @@
             let question = format!("asked.{}", self.peers.newest);
             orders.ask(controller, self.peers.newest, &offer);
             orders.wake(&question, contract / PATIENCE);
-            return self.wait(asked.id, question);
+            return self.wait(asked.id, question, Units::default());
         }
         self.decide(now, asked.id, asks && controls, orders);
     }
@@ -198,14 +121,39 @@
         let offer = self.commands[id].offer.clone();
         let verdict = self.draw(now, &offer, controls, orders);
         let Customer { sparse, ref terms, .. } = self.customers[&offer.customer];
-        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
+        let asks = self.customers[&offer.customer].is_unsure(offer.units, verdict.beyond);
         let time = self.charter.counter.is_some_and(|patience| self.commands[id].until - now > patience * 2);
-        if !(verdict.beyond && sparse && time && self.affords()) {
+        let fills = PERIOD.times(terms.store / terms.rate / PERIOD.secs()).max(PERIOD);
+        if !(asks && time && self.affords()) {
             return self.admit(now, id, verdict.beyond, orders);
         }
+        if !sparse {
+            return self.add_up(now, &offer.customer, Some((id, offer.units)), orders);
+        }
         let name = format!("{}/.{}", offer.customer, now.micros() / fills.micros());
         orders.count(&name, offer.units, fills * 2);
-        self.wait(id, name);
+        self.wait(id, name, Units::default());
+    }
+
+    /// Adds what was offered and sent here since the last time to a customer's sum; with it the units of a
+    /// command that goes only if the total allows it, lest several gateways give what all see in the store.
+    fn add_up(&mut self, now: Moment, customer: &str, waits: Option<(&str, f64)>, orders: &mut impl Orders) {
+        let (key, (id, units), number) = (customer, waits.unwrap_or_default(), now.among(PERIOD * SUM).0);
+        let Some(customer) = self.customers.get_mut(key) else { return };
+        customer.period.sent += units;
+        if customer.sums.begin(number) {
+            // The last one is read once more, as no one adds to it any longer; without it nothing is known.
+            let last = format!("{key}.{}", number - 1);
+            customer.read = customer.read.filter(|_| customer.sums.knows(number - 1));
+            if customer.read.is_some() {
+                orders.count(&last, 0.0, PERIOD * SUM * 2);
+                self.peers.waiting.entry(last).or_default().push_back(Default::default());
+            }
+        }
+        customer.due = Moment::default();
+        let (name, added) = (format!("{key}.{number}"), take(&mut customer.period));
+        orders.count(&name, added.packed(apart(&customer.terms)), PERIOD * SUM * 2);
+        self.wait(id, name, added);
     }
 
     /// Whether one more question is asked: fewer where many stay without an answer, lest they crowd all out.
@@ -213,18 +161,24 @@
         self.chance.rand_float() < (2.0 - CROWDED * self.peers.lost).max(NEWEST)
     }
 
-    fn wait(&mut self, id: &str, answer: String) {
-        self.peers.waiting.entry(answer).or_default().push_back(id.to_owned());
+    fn wait(&mut self, id: &str, answer: String, added: Units) {
+        self.peers.waiting.entry(answer).or_default().push_back((id.to_owned(), added));
         self.shift(id, State::Asking);
     }
 
+    /// What waited first for an answer, which has come, or has not.
+    fn next(&mut self, answer: &str, lost: bool) -> Option<(String, Units)> {
+        let next = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front)?;
+        self.peers.waiting.retain(|_, waiting| !waiting.is_empty());
+        self.peers.lost += (f64::from(lost) - self.peers.lost) * NEWEST;
+        Some(next)
+    }
+
     /// What a command waited for has been answered; or not, and the part here decides.
     fn resume(&mut self, now: Moment, answer: &str, verdict: Option<Verdict>, orders: &mut impl Orders) {
-        let Some(id) = self.peers.waiting.get_mut(answer).and_then(VecDeque::pop_front) else { return };
-        self.peers.waiting.retain(|_, ids| !ids.is_empty());
+        let Some((id, _)) = self.next(answer, verdict.is_none()) else { return };
         let Some(command) = self.commands.get_mut(&id) else { return };
         command.booked = verdict.is_some();
-        self.peers.lost += (f64::from(verdict.is_none()) - self.peers.lost) * NEWEST;
         let customer = self.customers.get_mut(&command.offer.customer);
         if let (Some(customer), Some(Verdict { beyond: true, ratio })) = (customer, verdict) {
             customer.directive = (ratio, now + PERIOD);
@@ -282,8 +236,9 @@
 
     pub fn woken(&mut self, now: Moment, token: &str, orders: &mut impl Orders) {
         match token.split_once('.') {
-            Some(("period", id)) => self.close_period(now, id, orders),
-            Some(("read", name)) => orders.count(name, 0.0, PERIOD * 4),
+            Some(("period", id)) if self.customers.get(id).is_some_and(|c| c.is_due(now)) => {
+                self.add_up(now, id, None, orders);
+            }
             Some(("sweep", _)) => {
                 // A customer is forgotten only once its share of a ceiling is whole again.
                 self.customers.retain(|_, c| {
@@ -310,16 +265,23 @@
         if !self.customers.contains_key(id) {
             self.peers.marks.insert(hash(id) as u32, id.to_owned());
             // An unseen customer may pass its limit divided by the gateways. Its share of a hard ceiling
-            // starts empty: a gateway cannot know whether an earlier life of its own has spent it.
-            let ceiling = (terms.ceiling_rate * (now - self.opened).secs()).min(terms.ceiling_depth) / width;
+            // starts with the part that a full one lacks: an earlier life of this gateway may have spent all
+            // that it had, and both together are no more than the share.
+            let filled = FIRST * terms.ceiling_depth + terms.ceiling_rate * (now - self.opened).secs();
+            let ceiling = filled.min((1.0 - FIRST) * terms.ceiling_depth) / width;
             let store = terms.store * if hears { NEAR } else { 1.0 / width };
-            let sparse = self.charter.peer_messages <= 0.0 && store < 2.0 * self.charter.largest;
-            let beat = PERIOD / if self.charter.peer_messages > 0.0 || sparse { 1 } else { CALM };
-            let unseen =
-                Customer { terms, width, sparse, beat, store, as_of: now, ceiling, ..Customer::default() };
-            self.customers.insert(id.to_owned(), unseen);
+            let alone = self.charter.peer_messages <= 0.0 && width > 1.0 && terms.rate > 0.0;
+            let sparse = alone && store < SPARSE * self.charter.largest;
+            let (counted, as_of) = (alone && !sparse, now);
+            let beat = PERIOD / if counted { CALM } else { 1 };
+            let mut met = Customer { terms, width, beat, store, as_of, ceiling, ..Customer::default() };
+            met.reserve = (HELD * met.terms.store).min(NEAR * self.charter.largest) * f64::from(counted);
+            (met.counted, met.sparse) = (counted, sparse);
+            self.customers.insert(id.to_owned(), met);
         }
         let customer = self.customers.get_mut(id).expect("just met");
+        // A counter that leaves most calls unanswered is silent for all, also those that seldom call.
+        customer.silent = if customer.counted && self.peers.lost > NEAR { LATELY } else { customer.silent };
         customer.reckon(now, hears);
         customer
     }
@@ -333,71 +295,61 @@
             (customer.held, customer.store) = (true, customer.terms.store);
         }
         customer.demand.add(now, customer.beat, offer.units);
-        if customer.period.offered <= 0.0 {
-            orders.wake(&format!("period.{id}"), beat(now, id, customer.beat).1);
-        }
         customer.period.offered += offer.units;
         let ratio = customer.ratio(offer.units, telling);
+        self.time(now, id, orders);
         self.note(id, Units { offered: offer.units, sent: 0.0 }, orders);
         Verdict { beyond: chance < ratio, ratio }
     }
 
-    /// A customer's period has ended: its offered units go to the counter, if there are any.
-    fn close_period(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
-        let hears = self.hears(now);
-        let Some(customer) = self.customers.get_mut(id) else { return };
-        customer.reckon(now, hears);
-        let (units, presumed) = (take(&mut customer.period), take(&mut customer.presumed));
-        // Settled units may be given back: less than nothing waits for the next period.
-        (customer.closed, customer.period.sent) = (None, units.sent.min(0.0));
-        // Calls have a price, and a silent counter may be crowded: then all call in the same few periods.
-        let (terms, usual) = (&customer.terms, customer.demand.last() / customer.part());
-        let room = customer.store > NEAR * terms.store && customer.others.is_some();
-        let calm = room && usual < NEAR * terms.rate * customer.beat.secs();
-        let calm = calm || hears || self.many || customer.silent > 0 && customer.beat < PERIOD;
-        let period = beat(now, id, customer.beat).0 - 1;
-        let due = (!calm || period % CALM == 0) && units.offered > 0.0 && units.sent >= 0.0;
-        let due = due && customer.width > 1.0 && customer.terms.rate > 0.0 && !customer.sparse;
-        if let Some(patience) = self.charter.counter.filter(|_| due) {
-            let name = format!("{id}.{period}");
-            orders.count(&name, units.sent + units.offered * apart(&customer.terms), PERIOD * 4);
-            // A controller reads what went by others' parts; reading it, these would be too bold.
-            customer.closed = (customer.held || !self.many).then_some((period, units, presumed));
-            // The total that the add brings lacks what others add later: where it matters it is read again.
-            if !calm && customer.silent == 0 {
-                orders.wake(&format!("read.{name}"), patience);
-            }
+    /// Has what was offered here go to the counter at the period's end. Calls have a price: later if all is
+    /// calm, and sooner only where much is sent in a beat or little is left, unless calls are lost.
+    fn time(&mut self, now: Moment, id: &str, orders: &mut impl Orders) {
+        let (calm, largest) = (self.many || self.hears(now), self.charter.largest);
+        let counts = |c: &&mut Customer| !c.sparse && c.width > 1.0 && c.terms.rate > 0.0;
+        let Some(c) = self.customers.get_mut(id).filter(counts) else { return };
+        let (limit, low) = (c.terms.rate * c.beat.secs(), NEAR * c.terms.store);
+        let usual = c.demand.last() + c.theirs() < NEAR * limit;
+        let calm = calm || c.share(false) >= 1.0 && c.silent == 0 && c.store > low && usual;
+        let often = c.counted && c.silent == 0 && (limit > NEAR * largest || c.store < low);
+        let quarters = if often { 1 } else { CALM };
+        let after = PERIOD / CALM * if calm { CALM * CALM } else { quarters };
+        if self.charter.counter.is_some() && (c.due <= now || now + after < c.due) {
+            c.due = now + after;
+            orders.wake(&format!("period.{id}"), after);
         }
     }
 
     pub fn counted(&mut self, now: Moment, name: &str, total: Total, orders: &mut impl Orders) {
-        let (hears, Some((id, period))) = (self.hears(now), name.rsplit_once('.')) else { return };
-        let waits = !matches!(total, Total::Late(_)); // else its command has gone on, and others wait by that name
-        if let Some(customer) = id.strip_suffix('/').filter(|_| waits).and_then(|id| self.customers.get(id)) {
+        let (hears, Some((id, number))) = (self.hears(now), name.rsplit_once('.')) else { return };
+        let late = matches!(total, Total::Late(_)); // its command has gone on, others may wait by that name
+        if let Some(customer) = id.strip_suffix('/').filter(|_| !late).and_then(|id| self.customers.get(id)) {
             let pool = POOL * customer.terms.store.max(customer.terms.rate * PERIOD.secs());
             let verdict = |total| Verdict { beyond: total > pool, ratio: 0.0 };
             return self.resume(now, name, total.known().map(verdict), orders);
         }
+        let next = if late { None } else { self.next(name, total.known().is_none()) };
+        let ((command, added), number) = (next.unwrap_or_default(), number.parse().unwrap_or(0));
         let Some(customer) = self.customers.get_mut(id) else { return };
-        let Some((closed, own, presumed)) = customer.closed.filter(|c| c.0.to_string() == period) else {
-            return;
-        };
-        customer.silent += 1;
-        customer.others = customer.others.filter(|_| customer.silent < LATELY);
-        let Some(total) = total.known() else { return };
-        let offered = (total / apart(&customer.terms)).floor();
-        let sent = total - offered * apart(&customer.terms);
-        // A total under its own part is of a counter that lost its counts: the last reading stays.
-        if offered + 0.5 < own.offered {
-            return;
-        }
         customer.reckon(now, hears);
-        let others = Units { offered: offered - own.offered, sent: (sent - own.sent).max(0.0) };
-        // What peers tell is newer than a reading.
-        let store = customer.store + if hears { 0.0 } else { presumed - others.sent };
-        customer.store = store.max(customer.store.min(0.0)).min(customer.terms.store);
-        (customer.others, customer.silent) = (Some(others), 0);
-        customer.closed = Some((closed, own, others.sent));
+        match total {
+            Total::NotAdded if customer.silent < LATELY => customer.period.add(added),
+            Total::NotAdded => {} // in a silence each keeps to its part, and does not tell of it later
+            _ => customer.sums.add(number, added),
+        }
+        // A controller reads what went by others' parts; reading it, these would be too bold.
+        match total.known().filter(|_| customer.held || !self.many) {
+            Some(total) => customer.learn(now, number, total, hears),
+            None => customer.silent += 1,
+        }
+        let (store, lacks, full) = (customer.store, customer.reserve(false), customer.terms.store);
+        let full = full * customer.share(false);
+        self.time(now, id, orders);
+        let Some(waits) = self.commands.get_mut(&command) else { return };
+        waits.booked = true;
+        let beyond = store < (waits.offer.units + lacks).min(full); // a full one gives a command of any size
+        self.shift(&command, State::Held);
+        self.admit(now, &command, beyond, orders);
     }
 
     /// Notes units of which peers are to be told, where they are few.
@@ -460,6 +412,11 @@
     /// The final answer of a command given up: a bounce only where a retry is harmless, in time for one.
     fn give_up(&mut self, id: &str, orders: &mut impl Orders) {
         let command = &self.commands[id];
+        // Units that are in the sum and do not go must not keep others from going.
+        let unsent = if command.booked && command.legs == 0 { command.offer.units } else { 0.0 };
+        if let Some(c) = self.customers.get_mut(&command.offer.customer).filter(|c| c.counted) {
+            c.period.sent -= unsent;
+        }
         let Workload { repeats, contract, .. } = self.charter.workloads[command.workload];
         let anywhere = matches!(repeats, Repeats::Repeatable | Repeats::Tagged { group: Group::All, .. });
         if command.bound_to.is_none() || anywhere {
@@ -476,7 +433,8 @@
         let (charter, workload) = (self.charter.clone(), self.commands[id].workload);
         let (pressure, command) = (self.pressure(now, workload), &self.commands[id]);
         let workload = &charter.workloads[command.workload];
-        let (expected, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
+        let (expected, overdue) =
+            (self.paces[command.workload].mean, self.paces[command.workload].past(OVERDUE));
         let left = command.until - now;
         let barred = match (workload.repeats, &command.bound_to) {
             (Repeats::OnceOnly, Some(_)) => true,
@@ -518,8 +476,9 @@
         }
         customer.ceiling -= if first { units } else { 0.0 };
         customer.out += 1;
-        if first && !booked {
-            customer.spend(units);
+        if first && (customer.counted || !booked) {
+            customer.store -= units;
+            customer.period.sent += units * f64::from(!booked); // what was asked for is in the sum already
             self.note(&id, Units { offered: 0.0, sent: units }, orders);
         }
         true
@@ -528,13 +487,13 @@
     /// The article's ratio for the fleet, over an idle backend's time: legs wanted against settled and room.
     fn pressure(&mut self, now: Moment, workload: usize) -> f64 {
         let time = self.paces.iter().map(|p| p.idle).max().unwrap_or(PERIOD).over(PERIOD);
-        let overdue = self.paces[workload].overdue();
+        let overdue = self.paces[workload].past(OVERDUE);
         let (mut live, mut out) = (0.0, 0.0);
         for b in self.backends.values_mut() {
             // Legs lost at a backend that answers nothing are no load on the others: all count by its record.
             let faith = b.trust(now, overdue, 0.0);
             out += faith * b.out.values().filter(|sent| now - **sent <= overdue).count() as f64;
-            live += if b.listed.standing == Standing::Live { faith } else { 0.0 };
+            live += if b.is_live() { faith } else { 0.0 };
         }
         let (wanted, settled) = (self.wanted.at(now, PERIOD), self.settled.at(now, PERIOD));
         let room = (ABREAST * live / f64::from(self.charter.gateways)).max(1.0) + QUEUE * time * settled;
@@ -546,24 +505,21 @@
     fn pick(&mut self, now: Moment, id: &str) -> Option<String> {
         let cold_start = self.charter.cold_start;
         let command = &self.commands[id];
-        let (usual, overdue) = (self.paces[command.workload].mean, self.paces[command.workload].overdue());
-        let fits = |b: &Listed| match (self.charter.workloads[command.workload].repeats, &command.bound_to) {
-            _ if b.standing != Standing::Live => false,
-            (Repeats::Tagged { group: Group::Zone, .. }, Some(bound)) => b.zone == bound.zone,
-            (Repeats::Tagged { group: Group::Cell, .. }, Some(bound)) => b.cell == bound.cell,
-            _ => true,
-        };
+        let (usual, overdue) =
+            (self.paces[command.workload].mean, self.paces[command.workload].past(OVERDUE));
+        let repeats = self.charter.workloads[command.workload].repeats;
+        let fits = |b: &Listed| command.bound_to.as_ref().is_none_or(|ran| repeats.dropped(ran, b));
         let (mut worth, mut able, mut out) = (0.0, 0.0, 0.0);
-        for b in self.backends.values().filter(|b| b.listed.standing == Standing::Live) {
-            let warmth = b.warmth(now, &cold_start);
+        for b in self.backends.values().filter(|b| b.is_live()) {
+            let warmth = cold_start.warmth(b.listed.started, now);
             worth += b.listed.size / b.slow.exp2() * warmth;
             able += b.listed.size * warmth;
             out += 1.0 + b.out.len() as f64; // room for one more each, by its share
         }
         let taken = self.warm.at(now, cold_start.window) / able;
         let (mut odds, mut sum) = (Vec::new(), 0.0);
-        for (id, b) in self.backends.iter_mut().filter(|(_, b)| fits(&b.listed)) {
-            let warmth = b.warmth(now, &cold_start);
+        for (id, b) in self.backends.iter_mut().filter(|(_, b)| b.is_live() && fits(&b.listed)) {
+            let warmth = cold_start.warmth(b.listed.started, now);
             if warmth < 1.0 {
                 // A cold backend falls over if all gateways together send too much: this one sends in step
                 // with what warm ones of like size settle for it, or its part of what one core can do.
@@ -593,10 +549,10 @@
         let usual = pace.mean.max(Span::from_micros(1));
         if end.ending == Ending::Silent {
             // Lost answers are no sign of long ones: they move the usual time slowly.
-            pace.learn(end.took.min(pace.overdue() / 2));
+            pace.learn(end.took.min(pace.past(OVERDUE) / 2), NEWEST);
         }
         if went_well {
-            pace.learn(end.took);
+            pace.learn(end.took, NEWEST);
             self.settled.add(now, PERIOD, 1.0);
             self.warm.add(now, cold_start.window, 1.0);
         }
@@ -607,7 +563,7 @@
             by.add(now, MEMORY, 1.0);
             against.scale(0.5);
         }
-        if went_well && b.warmth(now, &cold_start) >= 1.0 {
+        if went_well && cold_start.warmth(b.listed.started, now) >= 1.0 {
             let ratio = end.took.over(usual).log2().clamp(-1.0, 6.0);
             b.slow += (ratio - b.slow) / b.good.last().clamp(1.0, 8.0);
         }
@@ -620,15 +576,15 @@
         let terms = self.terms.clone();
         let past = now - replace(&mut self.as_of, now);
         let (share, part) = (self.share(hears), self.part());
-        // By a current reading the others draw what they sent in its period, at most their part of the limit.
-        let theirs = (terms.rate * self.beat.secs() + self.store.max(0.0)) * (1.0 - part);
-        let others = self.others.filter(|_| !hears).map_or(0.0, |others| others.sent);
-        let drawn = others.min(theirs) * past.over(self.beat);
-        self.presumed += drawn;
+        // By a reading the others draw what they sent on of late, at most their part of the limit.
+        let theirs =
+            (terms.rate * past.secs() + self.store.max(0.0)) * (1.0 - part) * f64::from(share >= 1.0);
+        let drawn = (self.gone.last() - self.gone.at(now, PERIOD * LATELY)).min(theirs).max(0.0);
         let filled = self.store + terms.rate * share * past.secs();
         self.store = (filled - drawn).max(self.store.min(0.0)).min(terms.store * share);
+        self.slack = (self.slack + filled - self.store).min(terms.store);
         let ceiling = self.ceiling * self.width + terms.ceiling_rate * past.secs();
-        self.ceiling = ceiling.min(terms.ceiling_depth) / self.width;
+        self.ceiling = ceiling.min((1.0 - FIRST) * terms.ceiling_depth) / self.width;
         self.demand.at(now, self.beat);
         self.told.at(now, PERIOD * LATELY);
     }
@@ -636,20 +592,17 @@
     /// The article's ratio for one command: (actual - limit) / actual, never below zero.
     fn ratio(&self, units: f64, telling: Option<Span>) -> f64 {
         let (terms, share) = (&self.terms, self.share(telling.is_some()));
-        let out = 1.0 + f64::from(self.out) / self.part();
+        let out = 1.0 + f64::from(self.out) / share;
         let legs_ratio = if terms.legs_out > 0 { excess(out, f64::from(terms.legs_out)) } else { 0.0 };
         // A full store, or share of one, gives a command of any size.
         if terms.rate <= 0.0 || self.store >= terms.store * share {
             return legs_ratio;
         }
-        let (mut others, mut store) = (self.others.map_or(0.0, |others| others.offered), self.store);
-        if let Some(telling) = telling {
-            // What peers may have sent on since they told is no longer in the store.
-            others = self.told.last() / LATELY as f64;
-            store -= others.min(terms.rate) * telling.secs();
-        }
+        let others = self.theirs() * f64::from(share >= 1.0);
+        // What peers may have sent on since they told is no longer in the store.
+        let store = self.store - telling.map_or(0.0, |telling| others.min(terms.rate) * telling.secs());
         // What the store cannot hold is beyond the quota: chance is too coarse where commands are large.
-        if store < units {
+        if store < units + self.reserve(telling.is_some()) {
             return 1.0;
         }
         excess(self.demand.last() + others, terms.rate * share * self.beat.secs() + store).max(legs_ratio)
@@ -661,10 +614,62 @@
         self.period.sent += units;
     }
 
+    /// Takes in what a total tells of the others: its growth since the last one.
+    fn learn(&mut self, now: Moment, number: i64, total: f64, hears: bool) {
+        let (all, (running, since)) = (Units::unpacked(total, apart(&self.terms)), now.among(PERIOD * SUM));
+        let Some(grown) = self.sums.read(number, all) else { return };
+        // A counter that has lost its counts shows less than before: it is read on from there.
+        let drawn = if grown.offered < 0.0 { 0.0 } else { grown.sent };
+        // The last sum's end is read just before the new one: what is left of the slack is for that.
+        let slack = if number == running { self.slack } else { self.slack.min(drawn) };
+        self.slack -= slack;
+        let lately = (PERIOD * LATELY).over(self.read.map_or(PERIOD, |read| now - read)).min(1.0);
+        // What peers tell is newer than a reading.
+        if !hears {
+            self.told.add(now, PERIOD * LATELY, grown.offered.max(0.0) * lately);
+            self.gone.add(now, PERIOD * LATELY, drawn * lately);
+            // A first reading: of a customer that is offered more than its limit nothing is left, else what
+            // the sum lacks of it. After a silence, in which each kept to its part, the rest fills again.
+            let (store, filled) = (self.terms.store, self.terms.rate * since.secs());
+            let left =
+                if all.offered > store + filled { 0.0 } else { store - (all.sent - NEAR * filled).max(0.0) };
+            self.store = match self.read {
+                None => left - self.period.sent,
+                Some(_) if self.silent >= LATELY => self.store,
+                // What went beyond the quota has not drawn on it.
+                Some(_) => (self.store + slack - drawn).max(self.store.min(0.0)).min(store),
+            };
+        }
+        self.read = if number == running { Some(now) } else { self.read };
+        self.silent = 0;
+    }
+
+    /// Whether the counter is asked before a command goes: each of the others may send as much as it, and as
+    /// this gateway sent since the last count; what is beyond a part is not known to be beyond the whole.
+    fn is_unsure(&self, units: f64, beyond: bool) -> bool {
+        let unseen = (self.width - 1.0) * (units + self.period.sent.max(0.0));
+        let counted = if beyond { self.read.is_none() } else { self.store < units + unseen };
+        self.sparse && beyond || self.counted && counted
+    }
+
+    fn is_due(&self, now: Moment) -> bool {
+        self.due != Moment::default() && now >= self.due && self.period.offered > 0.0
+    }
+
+    /// Units of the store that are left for what others draw unseen.
+    fn reserve(&self, hears: bool) -> f64 {
+        self.reserve * f64::from(self.share(hears) >= 1.0)
+    }
+
+    /// What the others were offered of late in a beat.
+    fn theirs(&self) -> f64 {
+        self.told.last() * self.beat.over(PERIOD * LATELY)
+    }
+
     /// The part of the quota that this gateway may give: all of it with a current reading or told by peers.
     /// Guards against a silent or crowded counter; hurts a customer that moves here just then.
     fn share(&self, hears: bool) -> f64 {
-        f64::max(self.part(), f64::from(self.others.is_some() || hears))
+        f64::max(self.part(), f64::from(self.read.is_some() && self.silent < LATELY || hears))
     }
 
     /// This gateway's part of the quota.
@@ -674,11 +679,8 @@
 }
 
 impl Backend {
-    /// The share of its capacity that a backend has at least.
-    fn warmth(&self, now: Moment, cold_start: &ColdStart) -> f64 {
-        let Some(started) = self.listed.started else { return 1.0 };
-        let age = (now - started).over(cold_start.warm_within).max(0.0);
-        (cold_start.least + (1.0 - cold_start.least) * age).min(1.0)
+    fn is_live(&self) -> bool {
+        self.listed.standing == Standing::Live
     }
 
     /// Its chance of success, so many deviations from the posterior's mean; overdue legs weigh like failures.
@@ -691,40 +693,12 @@
     }
 }
 
-impl Pace {
-    fn learn(&mut self, took: Span) {
-        let off = took - self.mean;
-        self.mean = self.mean + off.times(NEWEST);
-        self.idle = self.mean.min(self.idle + (self.mean - self.idle).times(NEWEST * NEWEST * NEWEST));
-        self.deviation = self.deviation + (off.max(Span::ZERO - off) - self.deviation).times(NEWEST);
-    }
-
-    fn overdue(&self) -> Span {
-        (self.mean + self.deviation.times(OVERDUE)).min(self.contract)
-    }
-}
-
 /// The article's ratio.
 fn excess(actual: f64, limit: f64) -> f64 {
     ((actual - limit) / actual.max(f64::EPSILON)).clamp(0.0, 1.0)
 }
 
-/// The number of a customer's period and what is left of it: alike at all gateways, but not for all
-/// customers, so that neither calls nor ratios nor the clients they turn away come all at once.
-fn beat(now: Moment, id: &str, period: Span) -> (i64, Span) {
-    let phase = (hash(id) >> 32) as f64 / f64::from(u32::MAX);
-    let since = (now - period.times(phase)).micros();
-    let left = period.micros() - since.rem_euclid(period.micros());
-    (since.div_euclid(period.micros()), Span::from_micros(left))
-}
-
-/// Tells ids apart, alike at all gateways.
-fn hash(id: &str) -> u64 {
-    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
 /// One amount carries offered and sent units, set apart by far more than a period can send on.
 fn apart(terms: &Plan) -> f64 {
-    10f64.powf((10.0 * (terms.rate * PERIOD.secs() + terms.store)).max(1.0).log10().ceil())
+    10f64.powf((2.5 * (terms.rate * (PERIOD * SUM).secs() + terms.store)).max(1.0).log10().ceil())
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -23,6 +23,15 @@
     pub cold_start: ColdStart,
 }
 
+impl ColdStart {
+    /// The share of its capacity that a backend has at least.
+    pub fn warmth(&self, started: Option<Moment>, now: Moment) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = (now - started).over(self.warm_within).max(0.0);
+        (self.least + (1.0 - self.least) * age).min(1.0)
+    }
+}
+
 /// How a backend comes up, and what makes it fall over.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
@@ -56,6 +65,17 @@
     OnceOnly,
 }
 
+impl Repeats {
+    /// Whether a backend drops repeats of what may have run at another.
+    pub fn dropped(self, ran: &Listed, here: &Listed) -> bool {
+        match self {
+            Repeats::Tagged { group: Group::Zone, .. } => here.zone == ran.zone,
+            Repeats::Tagged { group: Group::Cell, .. } => here.cell == ran.cell,
+            _ => true,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
     All,
@@ -152,6 +172,23 @@
     pub sent: f64,
 }
 
+impl Units {
+    /// Both in one number, set apart by more than may be sent.
+    pub fn packed(self, apart: f64) -> f64 {
+        self.offered * apart + self.sent
+    }
+
+    pub fn unpacked(number: f64, apart: f64) -> Units {
+        let offered = (number / apart).round();
+        Units { offered, sent: number - offered * apart }
+    }
+
+    pub fn add(&mut self, more: Units) {
+        self.offered += more.offered;
+        self.sent += more.sent;
+    }
+}
+
 /// What a gateway tells its peers of a customer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
@@ -186,13 +223,15 @@
     Late(f64),
     /// No answer in time, or none that tells: the amount may have been added.
     Unknown,
+    /// The amount was surely not added.
+    NotAdded,
 }
 
 impl Total {
     pub fn known(self) -> Option<f64> {
         match self {
             Total::Of(total) | Total::Late(total) => Some(total),
-            Total::Unknown => None,
+            Total::Unknown | Total::NotAdded => None,
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod clock;
 mod interface;
+mod record;
 mod tally;
 
 pub use choice::Gateway;
