--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -12,6 +12,9 @@
 use std::io::Write;
 use std::net::SocketAddr;
 
+/// Connections at once: the newest, and those that part.
+const MOST_LINKS: usize = 4;
+
 struct Call {
     due: Moment,
     name: String,
@@ -23,8 +26,10 @@
     number: u32,
     socket: OwnedFd,
     connected: bool,
-    /// Its address was given up: it brings the answers that it owes, and no more calls go to it.
+    /// No more calls go to it, as its address was given up or it has fallen silent: it brings what it owes,
     parting: bool,
+    /// and what comes late, until then.
+    until: Moment,
     begun: Moment,
     /// When it last brought an answer, or was last written to with nothing to answer.
     lively: Moment,
@@ -45,7 +50,7 @@
     /// Calls that have been put nowhere yet, in the order they were made.
     unsent: VecDeque<Call>,
     /// Set while somebody waits for an answer.
-    timer: Option<TimerKey>,
+    timer: Option<(Moment, TimerKey)>,
     begun: u32,
     /// When a connection was last begun, until it is made.
     tried: Option<Moment>,
@@ -58,7 +63,8 @@
 
     fn due(&self) -> Option<Moment> {
         let sent = self.links.iter().flat_map(|link| link.calls.get(link.told));
-        sent.chain(self.unsent.front()).map(|call| call.due).min()
+        let parting = self.links.iter().filter(|link| link.parting).map(|link| link.until);
+        sent.chain(self.unsent.front()).map(|call| call.due).chain(parting).min()
     }
 }
 
@@ -82,10 +88,12 @@
         if address == self.counter.address {
             return;
         }
+        let until = self.now() + self.charter.counter.unwrap_or_default();
         self.counter.address = address;
         self.counter.tried = None;
-        self.counter.links.iter_mut().for_each(|link| link.parting = true);
+        self.counter.links.iter_mut().for_each(|link| (link.parting, link.until) = (true, until));
         self.drop_parted();
+        self.wait_for_calls();
         let Some(patience) = self.charter.counter.filter(|_| address.is_some()) else {
             return self.fail_unsent();
         };
@@ -113,6 +121,7 @@
                 socket,
                 connected: false,
                 parting: false,
+                until: now,
                 begun: now,
                 lively: now,
                 reader: Reader::default(),
@@ -236,8 +245,13 @@
 
     /// Sets one timer for all: most calls are answered long before, and a timer for each would wake for nothing.
     fn wait_for_calls(&mut self) {
-        if let (Some(due), None) = (self.counter.due(), self.counter.timer) {
-            self.counter.timer = Some(self.timers.set(due, Timer::Calls));
+        let Some(due) = self.counter.due() else { return };
+        // A connection that parts may be waited for longer than a call that is made meanwhile.
+        if let Some((_, later)) = self.counter.timer.take_if(|(set, _)| due < *set) {
+            self.timers.take_back(later);
+        }
+        if self.counter.timer.is_none() {
+            self.counter.timer = Some((due, self.timers.set(due, Timer::Calls)));
         }
     }
 
@@ -245,18 +259,28 @@
     pub fn calls_due(&mut self) {
         let now = self.now();
         let allowed = self.carriage.connect_within;
+        let patience = self.charter.counter.unwrap_or(allowed).min(allowed);
         let counter = &mut self.counter;
         counter.timer = None;
+        let room = counter.links.len() < MOST_LINKS;
         for link in &mut counter.links {
             let told = link.told;
             while let Some(call) = link.calls.get(link.told).filter(|call| call.due <= now) {
                 self.events.push_back(Event::Counted { name: call.name.clone(), total: Total::Unknown });
                 link.told += 1;
             }
-            // A machine that has gone silent never ends its connections, and behind an answer that does not go
-            // on no other will come: a new connection finds out whether the counter is back.
-            let stuck = link.reader.begun(&link.input) || now - link.lively > allowed * 4;
-            link.parting |= link.told > told && stuck;
+            // A machine that has gone silent never ends its connections, one connection can stall while others
+            // do not, and behind an answer that does not go on no other will come: a new one finds out. A
+            // counter that is only slow is still heard over the old ones, of which there are not many.
+            let stuck = link.reader.begun(&link.input) || now - link.lively > patience * 4;
+            if link.told > told && stuck && room && !link.parting {
+                (link.parting, link.until) = (true, link.lively + allowed * 8);
+                // In this order: the next call of a name must not be answered before these are told of.
+                for call in link.calls.iter().skip(link.told) {
+                    self.events.push_back(Event::Counted { name: call.name.clone(), total: Total::Unknown });
+                }
+                link.told = link.calls.len();
+            }
         }
         // What nobody waits for any more is not sent.
         while let Some(call) = counter.unsent.pop_front_if(|call| call.due <= now) {
@@ -269,9 +293,10 @@
         self.wait_for_calls();
     }
 
-    /// Drops the connections that part and owe nothing that anybody waits for.
+    /// Drops the connections that part and owe nothing that anybody waits for, nor may bring it late.
     fn drop_parted(&mut self) {
-        let owes = |link: &Link| link.connected && link.told < link.calls.len();
+        let now = self.at;
+        let owes = |link: &Link| link.connected && (link.told < link.calls.len() || now < link.until);
         self.counter.links.retain(|link| !link.parting || owes(link));
     }
 
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -417,9 +417,12 @@
 /// A gateway, a client of it and a connection to its backend, after the first command: for the next the counter
 /// is asked.
 pub fn spent(counter: SocketAddr) -> (Gateway, Watch, Line, Line) {
+    spent_by(&Plan { counter: Some(counter), ..Plan::default() })
+}
+
+fn spent_by(plan: &Plan) -> (Gateway, Watch, Line, Line) {
     let stand = Stand::open();
-    let plan = Plan { counter: Some(counter), ..Plan::default() };
-    let (gateway, watch) = Gateway::ready(&plan, &[backend("b1", stand.address, "ready")]);
+    let (gateway, watch) = Gateway::ready(plan, &[backend("b1", stand.address, "ready")]);
     let mut client = gateway.line();
     ask(&mut client, "t1");
     let mut line = stand.line();
@@ -448,6 +451,30 @@
     while silent.hear_or_end().is_some() {}
 }
 
+#[test]
+fn a_connection_to_the_counter_that_stalls_is_left_long_before_one_that_does_not_come_up_would_be() {
+    let counter = Stand::open();
+    let plan =
+        Plan { counter: Some(counter.address), connect_within: 8.0, patience: 0.05, ..Plan::default() };
+    let (_gateway, _watch, mut client, mut line) = spent_by(&plan);
+    ask(&mut client, "t2");
+    let mut stalled = counter.line();
+    stalled.hear();
+    let mut calls = counter.line();
+    calls.hear();
+    // What it brings late is heard, and is not taken for the answer to a later call.
+    stalled.say(ok("999"));
+    calls.say(ok("0.5"));
+    pass(&mut client, &mut line);
+    // The old connection is kept for long, but no call waits for its end.
+    ask(&mut client, "t3");
+    calls.hear();
+    let mut calls = counter.line();
+    calls.hear();
+    calls.say(ok("0.5"));
+    pass(&mut client, &mut line);
+}
+
 #[test]
 fn a_watch_that_has_fallen_silent_is_taken_up_again() {
     let (gateway, _silent, stand) = serving(256);
@@ -509,7 +536,7 @@
 #[test]
 fn a_total_that_comes_late_still_tells_of_the_others() {
     let (counter, stand) = (Stand::open(), Stand::open());
-    let plan = Plan { counter: Some(counter.address), ..Plan::default() };
+    let plan = Plan { counter: Some(counter.address), connect_within: 8.0, ..Plan::default() };
     let (gateway, _watch) = Gateway::ready(&plan, &[backend("b1", stand.address, "ready")]);
     let mut client = gateway.line();
     let one = |trace| command("once", trace).replace("spread=1", "spread=2") + "\r\n";
--- a/crates/gateway/tests/sockets/stand.rs
+++ b/crates/gateway/tests/sockets/stand.rs
@@ -221,11 +221,13 @@
     pub counter: Option<SocketAddr>,
     pub known: &'a [String],
     pub connect_within: f64,
+    /// The time of a call to the counter.
+    pub patience: f64,
 }
 
 impl Default for Plan<'_> {
     fn default() -> Self {
-        Plan { sockets: 256, counter: None, known: &[], connect_within: 0.25 }
+        Plan { sockets: 256, counter: None, known: &[], connect_within: 0.25, patience: 0.5 }
     }
 }
 
@@ -244,7 +246,10 @@
         let (address, discovery) = (nobody(), Stand::open());
         let counter = plan.counter.map_or("null".to_owned(), |counter| format!("\"{counter}\""));
         let within = format!("\"ConnectTimeout\":{}", plan.connect_within);
-        let settings = settings(plan.counter.is_some()).replace("\"ConnectTimeout\":0.25", &within);
+        let patience = format!("\"CounterTimeout\":{}", plan.patience);
+        let settings = settings(plan.counter.is_some())
+            .replace("\"ConnectTimeout\":0.25", &within)
+            .replace("\"CounterTimeout\":0.5", &patience);
         let text = format!(
             r#"{{"name":"g0","listen":"{address}","discovery":"{}","counter":{counter},"seed":"8c1f30d27a5be964",
              "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"settings":{settings},
