A gateway's store takes its part of the quota's slack: fewer refusals in a quota

Change: the store's depth has the gateway's part of what the operators bear beyond a limit (0.7 of it, divided by the live gateways). The bound in every window is tested with cut-off gateways, a lost holder, sudden and moving demand.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -274,11 +274,11 @@
         self.acts.push(Act::Keep(ticket, records));
     }
 
-    fn to_peer(&mut self, station: &str, word: Word) {
+    fn send(&mut self, station: &str, word: Word) {
         self.acts.push(Act::Peer(station.to_owned(), word));
     }
 
-    fn to_peers(&mut self, word: &Word) {
+    fn send_all(&mut self, word: &Word) {
         for station in self.peers.keys() {
             self.acts.push(Act::Peer(station.clone(), word.clone()));
         }
@@ -330,7 +330,7 @@
         self.told.1 = Moment::default(); // it is to be told of the sessions here
         self.inquired = Moment::default();
         let controls = self.stops().into_iter().collect();
-        self.to_peer(&station, Word::Live(Live { controls, ..Live::default() }));
+        self.send(&station, Word::Live(Live { controls, ..Live::default() }));
     }
 
     /// One that was given up for its silence has to say again who it is.
@@ -358,7 +358,7 @@
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.to_peer(station, Word::Buckets(self.buckets(true)));
+                    self.send(station, Word::Buckets(self.buckets(true)));
                 }
             }
             Word::Live(live) => return live.controls,
@@ -368,7 +368,7 @@
             Word::Buckets(buckets) => {
                 let items: Vec<ItemWord> =
                     self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
-                self.to_peer(station, Word::Items(Items { items }));
+                self.send(station, Word::Items(Items { items }));
             }
             Word::Store(store) => self.copy(station, store),
             Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, station),
@@ -376,22 +376,21 @@
                 let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
                 let founded = self.cast().is_some();
                 let held = Held { ticket: inquire.ticket, items, full: self.full, founded };
-                self.to_peer(station, Word::Held(held));
+                self.send(station, Word::Held(held));
             }
             Word::Held(held) => self.held(now, station, held),
             Word::Claim(claim) => {
                 let grant = self.vote(now, station, &claim);
-                self.to_peer(station, Word::Grant(grant));
+                self.send(station, Word::Grant(grant));
             }
             Word::Grant(grant) => self.granted(now, station, &grant),
             Word::Sessions(sessions) => {
-                if self.table.hear(now, station, life, &sessions) {
-                    self.lived.1 = Moment::default();
-                }
+                let news = self.table.hear(now, station, life, &sessions);
+                self.lived.1 = if news { Moment::default() } else { self.lived.1 };
             }
             Word::Adds(adds) => {
                 if let Some(totals) = self.add(now, &adds) {
-                    self.to_peer(station, Word::Totals(totals));
+                    self.send(station, Word::Totals(totals));
                 }
             }
             Word::Totals(totals) => self.totals(totals),
@@ -449,7 +448,7 @@
     fn inquire(&mut self) {
         self.inquiry = self.ticket();
         let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec() };
-        self.to_peers(&Word::Inquire(word));
+        self.send_all(&Word::Inquire(word));
     }
 
     // Orders.
@@ -474,7 +473,7 @@
         let step = Step::Reading(self.full.then(|| self.me.station.clone()).into_iter().collect());
         self.work.insert(id, Work { caller, order, step, since: now });
         let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec() };
-        self.to_peers(&Word::Inquire(word));
+        self.send_all(&Word::Inquire(word));
         self.proceed(now, id);
     }
 
@@ -549,7 +548,7 @@
         self.step(id, Step::Storing(BTreeSet::new()));
         self.keep(&known, Kept::Order(id));
         let items = known.iter().map(ItemWord::from).collect();
-        self.to_peers(&Word::Store(Store { ticket: id, items }));
+        self.send_all(&Word::Store(Store { ticket: id, items }));
         self.spread(&news);
         self.proceed(now, id);
     }
@@ -570,7 +569,7 @@
             }
             Some(Kept::Copy { peer, ticket }) => {
                 let stored = Stored { ticket, full: self.full };
-                self.to_peer(&peer, Word::Stored(stored));
+                self.send(&peer, Word::Stored(stored));
             }
             Some(Kept::Full) => {
                 self.full = true;
@@ -633,7 +632,7 @@
                 None => {
                     let holder = self.voter.holder(now, DUTY).map(str::to_owned);
                     if let Some(holder) = holder.filter(|holder| self.peers.contains_key(holder)) {
-                        self.to_peer(&holder, Word::Adds(adds));
+                        self.send(&holder, Word::Adds(adds));
                     }
                 }
             },
@@ -667,7 +666,7 @@
         let sessions = Sessions { number, members };
         let me = (self.me.station.clone(), self.life);
         self.table.hear(now, &me.0, me.1, &sessions);
-        self.to_peers(&Word::Sessions(sessions));
+        self.send_all(&Word::Sessions(sessions));
         if changed {
             self.lived.1 = Moment::default();
         }
@@ -706,7 +705,7 @@
             debug!("event=list news={}", news.len());
             let items = news.iter().map(ItemWord::from).collect();
             self.take(news);
-            self.to_peers(&Word::Items(Items { items }));
+            self.send_all(&Word::Items(Items { items }));
         }
     }
 
@@ -783,7 +782,7 @@
     fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
         let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full };
-        self.to_peers(&Word::Beat(beat.clone()));
+        self.send_all(&Word::Beat(beat.clone()));
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
             self.peers.iter().filter(|(_, p)| silent(p.heard)).map(|(s, _)| s.clone()).collect();
@@ -837,7 +836,7 @@
         let cast = Cast { seats, edition: 1 };
         info!("event=found seats={}", cast.seats.len());
         let item = cast.item(NOW);
-        self.to_peers(&Word::Items(Items { items: vec![(&item).into()] }));
+        self.send_all(&Word::Items(Items { items: vec![(&item).into()] }));
         self.take(vec![item]);
     }
 
@@ -850,7 +849,7 @@
         }
         let wait = Span::from_micros(self.chance.rand_range(0..400_000) as i64);
         if let Some(claim) = self.claimant.tick(now, free, wait) {
-            self.to_peers(&Word::Claim(claim.clone()));
+            self.send_all(&Word::Claim(claim.clone()));
             let grant = self.vote(now, &self.me.station.clone(), &claim);
             self.granted(now, &self.me.station.clone(), &grant);
         }
@@ -887,7 +886,7 @@
     /// The process ends: nothing new is taken, and the duty is free at once.
     pub fn leave(&mut self, now: Moment) {
         if let Some(claim) = self.claimant.release(now) {
-            self.to_peers(&Word::Claim(claim));
+            self.send_all(&Word::Claim(claim));
         }
         self.shift(Standing::Leaving);
         let ids: Vec<u64> = self.sessions.keys().copied().collect();
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -605,9 +605,9 @@
         }
         let Some((body, status)) = stage else { return Ok(()) };
         let room = MOST_CALL - bytes.len().min(MOST_CALL);
-        if !body.read(&mut wire.input, bytes, room).map_err(|_| "garbled")?
-            && !(ended && body.ended().is_ok())
-        {
+        let whole = body.read(&mut wire.input, bytes, room).map_err(|_| "garbled")?;
+        let whole = whole || ended && body.ended().is_ok();
+        if !whole {
             return Ok(());
         }
         let (status, bytes) = (*status, std::mem::take(bytes));
--- a/crates/course/src/quota.rs
+++ b/crates/course/src/quota.rs
@@ -34,6 +34,20 @@
     pub surge: f64,
 }
 
+/// What the operators bear beyond a limit, over all gateways together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slack {
+    /// Seconds of a window.
+    pub window: f64,
+    /// Part of what a window allows, and requests.
+    pub excess: f64,
+    pub margin: f64,
+}
+
+/// The part of the slack that is divided among the gateways, so that a small part of a limit still takes two or
+/// three requests that come together; the rest is for requests that are sent in one window and arrive in the next.
+const SLACK_USED: f64 = 0.7;
+
 #[derive(Debug)]
 struct Customer {
     terms: Terms,
@@ -55,11 +69,24 @@
     customers: BTreeMap<Arc<str>, Customer>,
     chance: oorandom::Rand64,
     gateways: usize,
+    slack: Slack,
 }
 
 impl Quota {
-    pub fn new(seed: u64) -> Quota {
-        Quota { customers: BTreeMap::new(), chance: oorandom::Rand64::new(u128::from(seed)), gateways: 1 }
+    pub fn new(seed: u64, slack: Slack) -> Quota {
+        let chance = oorandom::Rand64::new(u128::from(seed));
+        Quota { customers: BTreeMap::new(), chance, gateways: 1, slack }
+    }
+
+    pub fn slack(&mut self, slack: Slack) {
+        self.slack = slack;
+    }
+
+    /// The most that a gateway's store holds.
+    fn depth(&self, Terms { rate, surge }: Terms, share: f64) -> f64 {
+        let Slack { window, excess, margin } = self.slack;
+        let slack = excess * (rate * window + surge) + margin;
+        surge * share + SLACK_USED * slack / self.gateways as f64
     }
 
     /// How many gateways count as live.
@@ -78,7 +105,7 @@
                 return false; // fail closed: what is not counted would pass without limit
             }
             // Unseen: it may pass its limit over the gateways.
-            let store = FIRST * (terms.rate + terms.surge) * alone;
+            let store = FIRST * (terms.rate * alone + self.depth(terms, alone));
             let customer = Customer {
                 terms,
                 offered: 0,
@@ -88,19 +115,21 @@
                 heard: None,
                 share: alone,
                 told: Some(now),
-                store: store.max(1.0),
+                store,
                 as_of: now,
                 used: now,
                 idle: 0,
             };
             self.customers.insert(tenant.clone(), customer);
         }
+        let share = self.customers[tenant].share;
+        let depth = self.depth(terms, share);
         let customer = self.customers.get_mut(tenant).expect("put in above");
         customer.terms = terms;
         customer.used = now;
         customer.idle = 0;
         customer.offered = customer.offered.saturating_add(1);
-        customer.fill(now, alone);
+        customer.fill(now, alone, depth);
         let fresh = customer.heard.is_some_and(|heard| now - heard < RATIO_LIFE);
         let ratio = if fresh { customer.ratio } else { 0.0 };
         let beyond = self.chance.rand_float() < ratio || customer.store < 1.0;
@@ -144,7 +173,7 @@
             customer.ratio = excess(actual, limit);
             customer.heard = Some(now);
             if total.share >= 0.0 {
-                customer.fill(now, alone);
+                customer.fill(now, alone, f64::MAX);
                 customer.share = f64::from(total.share);
                 customer.told = Some(now);
             }
@@ -162,15 +191,14 @@
 
 impl Customer {
     /// Brings the store up to now.
-    fn fill(&mut self, now: Moment, alone: f64) {
+    fn fill(&mut self, now: Moment, alone: f64, depth: f64) {
         let past = (now - self.as_of).secs().max(0.0);
         self.as_of = now;
         // Danger: one that hears nothing goes on with a part that is given to others by now.
         if self.told.is_none_or(|told| now - told >= PART_LIFE) {
             self.share = self.share.min(ALIKE * alone);
         }
-        let Terms { rate, surge } = self.terms;
-        self.store = (self.store + rate * self.share * past).min((surge * self.share).max(1.0));
+        self.store = (self.store + self.terms.rate * self.share * past).min(depth);
     }
 }
 
@@ -201,7 +229,7 @@
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         let at = |millis: i64| Moment::from_micros(millis * 1000);
         let tenant: Arc<str> = "t".into();
-        let mut gateways: Vec<Quota> = (0..8).map(|n| Quota::new(seed * 8 + n)).collect();
+        let mut gateways: Vec<Quota> = (0..8).map(|n| Quota::new(seed * 8 + n, SLACK)).collect();
         gateways.iter_mut().for_each(|quota| quota.live(8));
         let mut counts = Counts::new(at(-10_000));
         let (mut passed, mut offered) = (Vec::new(), 0.0);
@@ -220,12 +248,12 @@
                 }
             }
             let (rate, first) = (fleet.demand)(now);
-            for who in 0..8usize {
+            for (who, quota) in gateways.iter_mut().enumerate() {
                 let share = if who == 0 { first } else { (1.0 - first) / 7.0 };
                 if chance.rand_float() < rate * share / 1000.0 {
                     offered += 1.0;
                     let rate = (fleet.limit)(now);
-                    if gateways[who].draw(at(now), &tenant, Terms { rate, surge: rate }) {
+                    if quota.draw(at(now), &tenant, Terms { rate, surge: rate }) {
                         passed.push(now);
                     }
                 }
@@ -234,6 +262,7 @@
         (passed, offered)
     }
 
+    const SLACK: Slack = Slack { window: 5.0, excess: 0.1, margin: 20.0 };
     const ALL: fn(u64, i64) -> bool = |_, _| true;
     const NEVER: fn(i64) -> bool = |_| false;
     const CALM: fn(i64) -> (f64, f64) = |_| (150.0, 0.125);
@@ -278,7 +307,7 @@
     /// parts; refused requests count as offered, and an unlimited tenant is not counted at all.
     #[test]
     fn the_draw_follows_the_ratio_of_all_that_was_offered() {
-        let mut quota = Quota::new(1);
+        let mut quota = Quota::new(1, SLACK);
         quota.live(1);
         let (tenant, terms) = ("t".into(), Terms { rate: 100.0, surge: 0.0 });
         let at = |millis: i64| Moment::from_micros(millis * 1000);
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -4,7 +4,7 @@
 use crate::job::{Job, State, WINDOW};
 use crate::link::{Brought, Link};
 use crate::pick::{End, Need, Pick};
-use crate::quota::{Quota, Terms, PERIOD};
+use crate::quota::{Quota, Slack, Terms, PERIOD};
 use kitepass::{Moment, Span};
 use kitepass_bond::words::{self, Adds, Hello, Word};
 use kitepass_intent::{Settings, Watch};
@@ -152,6 +152,15 @@
     Budget { ratio: bounds.retry_ratio, window, margin: bounds.retry_margin }
 }
 
+fn slack(settings: &Settings) -> Slack {
+    let bounds = &settings.bounds;
+    Slack {
+        window: bounds.quota_window.as_secs_f64(),
+        excess: bounds.quota_excess,
+        margin: bounds.quota_margin,
+    }
+}
+
 impl Server {
     pub fn open(path: PathBuf) -> Result<Server, Error> {
         let settings = Settings::load(&path).context(SettingsSnafu)?;
@@ -185,7 +194,7 @@
         let watch = Watch::new(path);
         let now = clock.now();
         Ok(Server {
-            quota: Quota::new(life),
+            quota: Quota::new(life, slack(&settings)),
             pick: Pick::new(life ^ 1, &settings.station, &settings.district, &settings.districts),
             further: Further::new(budget(&settings)),
             settings,
@@ -267,6 +276,7 @@
                 info!("event=settings");
                 self.link.stops(settings.first_stops.iter().map(|stop| stop.ip().to_string()).collect());
                 self.further.set(budget(&settings));
+                self.quota.slack(slack(&settings));
                 self.settings = settings;
             }
             Some(Err(error)) => error!("event=settings-refused why={:?}", error.to_string()),
