Backends and live gateways are kept on disk: a core killed whole serves at once

Change: backends and the list of live stations are recorded on disk; look-ups hold for 1 s; a control process tried in vain is tried again after 0.35 s.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -18,7 +18,7 @@
 /// Time between two signs of life to each other control process and each session.
 const BEAT: Span = Span::from_micros(500_000);
 /// A peer or session that has said nothing for so long is given up.
-const SILENT: Span = Span::from_micros(2_000_000);
+const SILENT: Span = Span::from_micros(1_500_000);
 /// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
 const PATIENCE: Span = Span::from_micros(2_500_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
@@ -30,6 +30,9 @@
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
 const FULL: &[u8] = b"full";
+/// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
+/// that come back for all, and give each too large a part of every quota.
+const LIVE: &[u8] = b"live";
 
 /// What a control process wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -150,10 +153,13 @@
 
 impl Core {
     pub fn new(now: Moment, start: Start) -> Core {
-        let (mut ledger, mut full) = (Ledger::new(), false);
+        let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
         for (key, value) in &start.records {
             if key == FULL {
                 full = true;
+            } else if key == LIVE {
+                let stations = String::from_utf8_lossy(value);
+                stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
             } else if let Some(item) = unrecord(key, value) {
                 ledger.merge(item);
             }
@@ -179,7 +185,7 @@
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            table: Table::default(),
+            table,
             told: (0, Moment::default(), Vec::new()),
             lived: (0, Moment::default()),
             claimant: Claimant::new(DUTY),
@@ -264,7 +270,7 @@
     }
 
     fn keep(&mut self, items: &[Item], why: Kept) {
-        let records = items.iter().filter(|item| item.kind.is_durable()).map(record).collect();
+        let records = items.iter().map(record).collect();
         self.keep_records(records, why);
     }
 
@@ -290,9 +296,7 @@
         if news.is_empty() {
             return false;
         }
-        if news.iter().any(|item| item.kind.is_durable()) {
-            self.keep(&news, Kept::Nothing);
-        }
+        self.keep(&news, Kept::Nothing);
         self.spread(&news);
         self.founded();
         true
@@ -800,6 +804,9 @@
         }
         let live = self.table.live();
         if live.len() != self.lived.0 || now - self.lived.1 > BEAT * 10 {
+            if live.len() != self.lived.0 {
+                self.keep_records(vec![(LIVE.to_vec(), live.join(",").into_bytes())], Kept::Nothing);
+            }
             self.lived = (live.len(), now);
             let mut controls: Vec<(&str, &str)> =
                 self.peers.values().map(|p| (p.hello.ip.as_str(), p.hello.district.as_str())).collect();
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -35,6 +35,8 @@
 /// Time between two readings of the platform's list, and the longest that one page may take.
 const READING: Span = Span::from_micros(700_000);
 const PAGE: Span = Span::from_micros(1_000_000);
+/// Seconds for which an answer on where to go holds: a look-up is cheap, and a lost gateway is met until then.
+const VALID: f64 = 1.0;
 /// The log on disk is compacted past so many bytes.
 const LOG: u64 = 4 * 1024 * 1024;
 /// After SIGTERM orders under way have so long.
@@ -408,7 +410,7 @@
         if addresses.is_empty() {
             return self.answer(id, 503, "text/plain", b"no gateway is ready", Some(1));
         }
-        let valid = self.settings.bounds.ttl_max.as_secs_f64().clamp(1.0, 4.0);
+        let valid = self.settings.bounds.ttl_max.as_secs_f64().min(VALID);
         let body = json!({"addresses": addresses, "valid-s": valid}).to_string();
         self.answer(id, 200, "application/json", body.as_bytes(), None);
     }
--- a/crates/bond/src/session.rs
+++ b/crates/bond/src/session.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// A gateway that counted as live in an earlier life of this process.
+    pub fn recall(&mut self, now: Moment, station: &str) {
+        self.seen.insert(station.to_owned(), now);
+    }
+
     /// Forgets what is long past; to be called about once a second.
     pub fn sweep(&mut self, now: Moment) {
         self.lists.retain(|_, list| now - list.heard < SILENT);
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -12,6 +12,8 @@
 const SILENT: Span = Span::from_micros(1_600_000);
 /// A session that is not up by then is given up.
 const COMING: Span = Span::from_micros(1_200_000);
+/// One that was tried in vain is left alone for so long, times how often that was.
+const AGAIN: Span = Span::from_micros(350_000);
 /// A better control process is gone over to no sooner.
 const SETTLED: Span = Span::from_micros(3_000_000);
 
@@ -43,7 +45,8 @@
     first: Vec<String>,
     /// Control processes by address, with district.
     known: BTreeMap<String, String>,
-    tried: BTreeMap<String, Moment>,
+    /// When each was tried last, and how often in vain since.
+    tried: BTreeMap<String, (Moment, u32)>,
     at: String,
     heard: Moment,
     since: Moment,
@@ -120,12 +123,15 @@
         if let Some(cast) = Cast::of(&self.ledger, NOW) {
             all.extend(cast.seats.into_iter().map(|seat| seat.ip));
         }
-        let late = |ip: &String| self.tried.get(ip).is_some_and(|tried| now - *tried < SILENT * 2);
+        let late = |ip: &String| {
+            self.tried.get(ip).is_some_and(|(tried, vain)| now - *tried < AGAIN * i64::from((*vain).min(6)))
+        };
         let fresh: Vec<&String> = all.iter().filter(|ip| !late(ip)).collect();
         let best = fresh.iter().map(|ip| self.rank(ip)).min()?;
         let best: Vec<&&String> = fresh.iter().filter(|ip| self.rank(ip) == best).collect();
         let ip = best[(draw % best.len() as u64) as usize].to_string();
-        self.tried.insert(ip.clone(), now);
+        let vain = self.tried.get(&ip).map_or(0, |(_, vain)| *vain);
+        self.tried.insert(ip.clone(), (now, vain + 1));
         self.at = ip.clone();
         self.shift(State::Coming(now));
         (self.heard, self.since, self.differs) = (now, now, 0);
@@ -155,7 +161,8 @@
             _ => {}
         }
         let better = self.known.keys().any(|ip| {
-            self.rank(ip) < self.rank(&self.at) && self.tried.get(ip).is_none_or(|t| now - *t > SETTLED * 4)
+            self.rank(ip) < self.rank(&self.at)
+                && self.tried.get(ip).is_none_or(|(tried, _)| now - *tried > SETTLED * 4)
         });
         if self.state == State::Synced && better && now - self.since > SETTLED {
             return true;
@@ -190,6 +197,7 @@
                 if buckets.back {
                     self.caught = true;
                     self.shift(State::Synced);
+                    self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
                 } else {
                     let hashes = self.ledger.buckets().to_vec();
                     self.out.push(Word::Buckets(Buckets { hashes, back: false }));
--- a/crates/tenet/src/item.rs
+++ b/crates/tenet/src/item.rs
@@ -26,7 +26,8 @@
         Kind::ALL.into_iter().find(|kind| *kind as u8 == number)
     }
 
-    /// Whether items of this kind must outlive a restart. Backends announce themselves anew.
+    /// Whether items of this kind must be on disk before they are acknowledged. Backends are kept too, but only
+    /// so that a core that was killed whole serves at once: the platform's list tells them anew.
     pub fn is_durable(self) -> bool {
         self != Kind::Backend
     }
