A control process cut off from the core tells its gateways, which go to another

Change: one that hears fewer than a majority of the cast is Apart: it takes no orders and says so in each beat; gateways go on to another within 1.5 s. It is Current again only after hearing what was acknowledged meanwhile. Test: one_that_is_cut_off_tells_its_gateways_and_catches_up_first.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -60,6 +60,9 @@
     Behind,
     /// It has caught up: it takes orders and sessions.
     Current,
+    /// It had caught up, and hears too few of the core now to know of all that is acknowledged. Gateways are told,
+    /// and go to another if there is a better one.
+    Apart,
     /// It ends: nothing new is taken.
     Leaving,
 }
@@ -437,7 +440,8 @@
         if self.full {
             heard.insert(self.me.station.clone());
         }
-        if self.standing != Standing::Behind || !self.is_read(&heard) {
+        let apart = self.standing == Standing::Apart && !self.hears_enough();
+        if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
             return;
         }
         if self.full {
@@ -450,6 +454,8 @@
     }
 
     fn inquire(&mut self) {
+        // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Apart from
+        // the core that is not so: what it heard then may be old by now.
         self.inquiry = self.ticket();
         let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec() };
         self.send_all(&Word::Inquire(word));
@@ -589,7 +595,7 @@
     /// A gateway asks for a session. Danger: one that has not caught up would tell it an old configuration.
     pub fn session_came(&mut self, now: Moment, id: u64, hello: Hello) {
         self.acts.push(Act::Session(id, Word::Hello(self.hello())));
-        if self.standing != Standing::Current {
+        if !matches!(self.standing, Standing::Current | Standing::Apart) {
             return self.acts.push(Act::Close(id));
         }
         info!("event=session station={} life={:x}", hello.station, hello.life);
@@ -766,12 +772,17 @@
             self.beat(now);
         }
         match self.standing {
-            Standing::Blank | Standing::Behind if now - self.inquired > BEAT => {
+            Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
                 self.inquired = now;
                 self.inquire();
-                self.catch_up();
                 self.found(now);
             }
+            // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
+            Standing::Current if !self.hears_enough() => {
+                self.caught.clear();
+                self.shift(Standing::Apart);
+                self.beat(now);
+            }
             _ => {}
         }
         self.claim(now);
@@ -783,6 +794,14 @@
         }
     }
 
+    /// Whether a majority of the cast, itself among them, has been heard lately.
+    fn hears_enough(&self) -> bool {
+        self.cast().is_some_and(|cast| {
+            let heard = cast.seats.iter().filter(|seat| self.peers.contains_key(&seat.station)).count();
+            heard + usize::from(cast.has(&self.me.station)) >= cast.majority()
+        })
+    }
+
     fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
         let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full };
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -403,7 +403,7 @@
     }
 
     fn lookup(&mut self, id: u64, province: &str, district: &str) {
-        if !matches!(self.core.standing(), Standing::Current) {
+        if !matches!(self.core.standing(), Standing::Current | Standing::Apart) {
             return self.answer(id, 503, "text/plain", b"not caught up", Some(1));
         }
         let addresses = self.core.lookup(province, district, &self.settings.districts);
--- a/crates/accord/tests/cluster.rs
+++ b/crates/accord/tests/cluster.rs
@@ -344,3 +344,26 @@
     assert!(matches!(world.answers[&call].1, Reply::Elsewhere(_)));
     assert!(world.nodes[0].core.as_ref().is_some_and(|core| !core.hello().full));
 }
+
+/// One that is cut off from the core says so, and knows what was acknowledged meanwhile before it says otherwise.
+#[test]
+fn one_that_is_cut_off_tells_its_gateways_and_catches_up_first() {
+    let mut world = World::new(4);
+    world.run(4_000);
+    let until = world.now + 6_000;
+    (1..6).for_each(|other| _ = world.cuts.insert((0, other), until));
+    world.run(2_500);
+    let standing = |world: &World, n: usize| world.nodes[n].core.as_ref().unwrap().standing();
+    assert_eq!((standing(&world, 0), standing(&world, 1)), (Standing::Apart, Standing::Current));
+    let call = world.patch(3, "l", 3, Some(LINE));
+    let apart = world.patch(0, "l", 5, Some(LINE));
+    world.run(800);
+    assert_eq!(world.answers[&call].1, Reply::Done);
+    assert!(matches!(world.answers[&apart].1, Reply::Elsewhere(_)));
+    while standing(&world, 0) != Standing::Current {
+        world.step();
+        assert!(world.now < until + 3_000);
+    }
+    let item = world.nodes[0].core.as_ref().unwrap().ledger().get(Kind::Line, "l");
+    assert_eq!(item.map(|item| item.edition), Some(3));
+}
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -14,6 +14,8 @@
 const COMING: Span = Span::from_micros(1_200_000);
 /// One that was tried in vain is left alone for so long, times how often that was.
 const AGAIN: Span = Span::from_micros(350_000);
+/// So long one that is cut off from the core is stayed with, if no other is better.
+const APART: Span = Span::from_micros(1_500_000);
 /// A better control process is gone over to no sooner.
 const SETTLED: Span = Span::from_micros(3_000_000);
 
@@ -51,7 +53,8 @@
     heard: Moment,
     since: Moment,
     beat: Moment,
-    differs: u32,
+    /// The control process is cut off from the core: it is gone from for another, if there is a better one.
+    apart: bool,
     /// It has caught up with the core once: from then on it may serve.
     caught: bool,
     lived: bool,
@@ -75,7 +78,7 @@
             heard: Moment::default(),
             since: Moment::default(),
             beat: Moment::default(),
-            differs: 0,
+            apart: false,
             caught: false,
             lived: false,
             provinces,
@@ -127,14 +130,15 @@
             self.tried.get(ip).is_some_and(|(tried, vain)| now - *tried < AGAIN * i64::from((*vain).min(6)))
         };
         let fresh: Vec<&String> = all.iter().filter(|ip| !late(ip)).collect();
-        let best = fresh.iter().map(|ip| self.rank(ip)).min()?;
-        let best: Vec<&&String> = fresh.iter().filter(|ip| self.rank(ip) == best).collect();
+        let order = |ip: &String| (self.tried.get(ip).map_or(0, |(_, vain)| *vain), self.rank(ip));
+        let best = fresh.iter().map(|ip| order(ip)).min()?;
+        let best: Vec<&&String> = fresh.iter().filter(|ip| order(ip) == best).collect();
         let ip = best[(draw % best.len() as u64) as usize].to_string();
         let vain = self.tried.get(&ip).map_or(0, |(_, vain)| *vain);
         self.tried.insert(ip.clone(), (now, vain + 1));
         self.at = ip.clone();
         self.shift(State::Coming(now));
-        (self.heard, self.since, self.differs) = (now, now, 0);
+        (self.heard, self.since, self.apart) = (now, now, false);
         self.out = vec![
             Word::Hello(self.hello.clone()),
             Word::Buckets(Buckets { hashes: self.ledger.buckets().to_vec(), back: false }),
@@ -158,6 +162,7 @@
             State::Away => return false,
             State::Coming(since) if now - since > COMING => return true,
             _ if now - self.heard > SILENT => return true,
+            State::Synced if self.apart && now - self.since > APART => return true,
             _ => {}
         }
         let better = self.known.keys().any(|ip| {
@@ -180,15 +185,17 @@
         match word {
             Word::Hello(hello) => {
                 self.known.insert(hello.ip.clone(), hello.district.clone());
-                brought.close |= !hello.current;
+                // Danger: an old configuration. One that has caught up once does no worse by staying a while.
+                self.apart = !hello.current;
+                brought.close |= self.apart && !self.caught;
             }
+            Word::Beat(beat) => self.apart = !beat.current,
             Word::Items(items) => {
                 for item in items.items.into_iter().filter_map(ItemWord::item) {
                     if self.ledger.merge(item.clone()) {
                         brought.items.push(item);
                     }
                 }
-                self.differs = 0;
             }
             Word::Buckets(buckets) => {
                 // What this gateway was told by one that is lost, and the core may not have.
@@ -197,7 +204,9 @@
                 if buckets.back {
                     self.caught = true;
                     self.shift(State::Synced);
-                    self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
+                    if !self.apart {
+                        self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
+                    }
                 } else {
                     let hashes = self.ledger.buckets().to_vec();
                     self.out.push(Word::Buckets(Buckets { hashes, back: false }));
