--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy system check-system
 
 build:
 	cargo build --release --locked
@@ -18,3 +18,17 @@
 # What the example's gateway needs around it
 toy:
 	python3 examples/toy.py
+
+# The system's two programs, as deploy/system.toml has them built
+SYSTEM = cargo build --profile system --locked -p kitepass-course -p kitepass-accord
+PROGRAMS = $${CARGO_TARGET_DIR:-target}/system
+
+# A small system on loopback until Ctrl-C; its options: make system ARGS="--folder /tmp/kitepass"
+system:
+	$(SYSTEM)
+	@python3 examples/system/system.py --programs $(PROGRAMS) $(ARGS)
+
+# The same, with a handful of requests through it; ends with 0 if all is well
+check-system:
+	$(SYSTEM)
+	@python3 examples/system/system.py --programs $(PROGRAMS) --check $(ARGS)
--- a/crates/accord/src/command.rs
+++ b/crates/accord/src/command.rs
@@ -1,53 +1,593 @@
 //! The command line: the control process itself, and what an operator asks of a running system.
 
+#[path = "ask.rs"]
+mod ask;
+
 use crate::server::Server;
+use kitepass_tenet::{judge, read_call, Checker, Item, Kind, Ledger};
 use lexopt::prelude::*;
-use std::path::PathBuf;
+use serde_json::{Map, Value as Json};
+use snafu::{OptionExt, ResultExt, Snafu};
+use std::collections::BTreeSet;
+use std::ffi::OsString;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Control desks to ask where `--at` names none.
+const VARIABLE: &str = "KITEPASS_AT";
+/// Characters of a field's value that `diff` shows.
+const MOST_SHOWN: usize = 60;
+
 const HELP: &str = "\
 accord: the control plane of kitepass
 
 usage:
-  accord [serve] [--settings FILE]   a control process, by its settings file (or the variable KITEPASS_NODE_FILE)
+  accord [serve] [--settings FILE]       a control process
+  accord get [--at ADDR,..] [--out FILE] the newest configuration in full
+  accord apply FILE [--at ADDR,..]       change the configuration
+  accord check FILE [--against FILE]     whether a file would be taken; asks nobody
+  accord diff FILE [--at ADDR,..]        what of a file is newer than what stands
+  accord evacuate start|end ZONE [--at ADDR,..]
+                                         send nothing more to a zone's backends, or again
+  accord members [--at ADDR,..] [--json] the core's seats and the gateways
+  accord COMMAND --help                  more on one of them
   accord --help | --version
+
+--at names control desks (address and port) that are asked in turn; without it the variable KITEPASS_AT does.
+
+exit codes: 0 done; 1 refused by the system, or not valid; 2 usage, or a file that cannot be read or written;
+3 nobody reachable, or nobody who could do it now: the same command may be given again.
 ";
 
+/// A command, as its help and its arguments go.
+struct Command {
+    name: &'static str,
+    /// Its arguments, all of them needed.
+    words: &'static [&'static str],
+    options: &'static [&'static str],
+    help: &'static str,
+    run: fn(&Args) -> Result<(), Error>,
+}
+
+static COMMANDS: [Command; 7] = [
+    Command {
+        name: "serve",
+        words: &[],
+        options: &["settings"],
+        help: "\
+usage: accord [serve] [--settings FILE]
+
+A control process, by its settings file (or the one that the variable KITEPASS_NODE_FILE names).
+KITEPASS_LOG sets how much is logged to standard error: error, warn, info (the default), debug.
+SIGTERM has it finish what it took and end; SIGHUP has it read the settings file again.
+It ends with 0 after SIGTERM, with 1 and one line where it cannot start or go on.
+",
+        run: serve,
+    },
+    Command {
+        name: "get",
+        words: &[],
+        options: &["at", "out"],
+        help: "\
+usage: accord get [--at ADDR,..] [--out FILE]
+
+Prints the newest configuration in full as JSON, one item a line: every item that stands, with its version.
+--out writes it to a file instead, which only its owner can read: customers' keys are in it.
+What it prints, apply, check and diff take.
+",
+        run: get,
+    },
+    Command {
+        name: "apply",
+        words: &["FILE"],
+        options: &["at"],
+        help: "\
+usage: accord apply FILE [--at ADDR,..]
+
+Sends a change of the configuration. FILE holds a call ({\"deliver\": .., \"withdraw\": ..}) or what get printed.
+Each item whose version is above the one that is known takes effect, any other has none; a call with anything
+invalid in it is refused whole. Done means: safe on disk at a majority of the core. It may be given again.
+",
+        run: apply,
+    },
+    Command {
+        name: "check",
+        words: &["FILE"],
+        options: &["against"],
+        help: "\
+usage: accord check FILE [--against FILE]
+
+Tells whether a call would be taken by a system that holds nothing, or the items of another file (as get
+prints it). Asks nobody. 0 where it would be, 1 and one line where not.
+",
+        run: check,
+    },
+    Command {
+        name: "diff",
+        words: &["FILE"],
+        options: &["at"],
+        help: "\
+usage: accord diff FILE [--at ADDR,..]
+
+Compares a file's items with those that stand, one line each:
+  newer    its version is above the one that stands; the fields that it changes follow
+  older    its version is below: it has no effect
+  equal    same version, same content
+  differs  same version, other content: it has no effect, and somebody should know
+  unknown  nothing stands under this name; new, or withdrawn before
+Customers' keys are counted, not shown.
+",
+        run: diff,
+    },
+    Command {
+        name: "evacuate",
+        words: &["start|end", "ZONE"],
+        options: &["at"],
+        help: "\
+usage: accord evacuate start|end ZONE [--at ADDR,..]
+
+start: nothing more is sent to the backends of a zone (a district of the settings). end: they are used again.
+It may be given again.
+",
+        run: evacuate,
+    },
+    Command {
+        name: "members",
+        words: &[],
+        options: &["at", "json"],
+        help: "\
+usage: accord members [--at ADDR,..] [--json]
+
+The seats of the core, and whether the process that was asked hears of each; its own standing; the gateways with
+a session, where they take clients, and whether they are ready. Standings:
+  blank    it knows of no core
+  behind   it has yet to hear what was acknowledged while it was away
+  current  it has caught up: it takes calls and gateways
+  apart    it had, and hears too few of the core now
+  leaving  it ends
+",
+        run: members,
+    },
+];
+
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{why}"))]
+    Usage { why: String },
+    #[snafu(display("{}: {source}", path.display()))]
+    File { path: PathBuf, source: std::io::Error },
+    #[snafu(display("standard output: {source}"))]
+    Output { source: std::io::Error },
+    #[snafu(display("{}: {why}", path.display()))]
+    Invalid { path: PathBuf, why: String },
+    #[snafu(display("{source}"))]
+    Ask { source: ask::Error },
+    #[snafu(display("an answer that this program cannot read: {why}"))]
+    Strange { why: String },
+    #[snafu(display("no settings file: name one with --settings or {}", kitepass_intent::VARIABLE))]
+    NoSettings,
+    #[snafu(display("{source}"))]
+    Serve { source: crate::server::Error },
+}
+
+impl Error {
+    fn code(&self) -> u8 {
+        match self {
+            Error::Usage { .. } | Error::File { .. } | Error::Output { .. } => 2,
+            Error::Ask { source: ask::Error::Nobody { .. } } => 3,
+            Error::Ask { source: ask::Error::Refused { .. } } => 1,
+            Error::Invalid { .. } | Error::Strange { .. } => 1,
+            Error::NoSettings | Error::Serve { .. } => 1,
+        }
+    }
+}
+
+/// Arguments as they came; which of them a command takes is looked at afterwards.
+#[derive(Default)]
+struct Args {
+    words: Vec<String>,
+    settings: Option<PathBuf>,
+    at: Vec<SocketAddr>,
+    out: Option<PathBuf>,
+    against: Option<PathBuf>,
+    json: bool,
+    help: bool,
+    version: bool,
+    /// The options that were given, by name.
+    given: BTreeSet<&'static str>,
+}
+
 pub fn main() -> ExitCode {
-    match run() {
+    match run(std::env::args_os().skip(1)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("accord: {why}");
-            ExitCode::FAILURE
+        // Whoever read the output has enough of it.
+        Err(Error::Output { source }) if source.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("accord: {error}");
+            ExitCode::from(error.code())
         }
     }
 }
 
-fn run() -> Result<(), String> {
-    let mut parser = lexopt::Parser::from_env();
-    let (mut settings, mut verb) = (None, None);
-    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
+fn run(args: impl Iterator<Item = OsString>) -> Result<(), Error> {
+    let mut args =
+        parse(args).map_err(|error| Error::Usage { why: format!("{error}; see accord --help") })?;
+    if args.version {
+        return say(&format!("accord {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let named = (!args.words.is_empty()).then(|| args.words.remove(0));
+    let Some(name) = named.as_deref().or((!args.help).then_some("serve")) else { return say(HELP) };
+    let command = COMMANDS.iter().find(|command| command.name == name);
+    let command =
+        command.with_context(|| UsageSnafu { why: format!("no such command: {name}; see accord --help") })?;
+    if args.help {
+        return say(command.help);
+    }
+    let wrong = |why: String| UsageSnafu { why: format!("{name}: {why}; see accord {name} --help") }.fail();
+    if let Some(option) = args.given.iter().find(|option| !command.options.contains(*option)) {
+        return wrong(format!("--{option} is not for this command"));
+    }
+    if let Some(missing) = command.words.get(args.words.len()) {
+        return wrong(format!("{missing} is missing"));
+    }
+    if let Some(more) = args.words.get(command.words.len()) {
+        return wrong(format!("unexpected argument {more:?}"));
+    }
+    (command.run)(&args)
+}
+
+fn parse(args: impl Iterator<Item = OsString>) -> Result<Args, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut args = Args::default();
+    while let Some(arg) = parser.next()? {
         match arg {
-            Long("help") | Short('h') => {
-                print!("{HELP}");
-                return Ok(());
+            Long("help") | Short('h') => args.help = true,
+            Long("version") | Short('V') => args.version = true,
+            Long("json") => {
+                args.given.insert("json");
+                args.json = true;
+            }
+            Long("settings") => {
+                args.given.insert("settings");
+                args.settings = Some(PathBuf::from(parser.value()?));
+            }
+            Long("out") => {
+                args.given.insert("out");
+                args.out = Some(PathBuf::from(parser.value()?));
+            }
+            Long("against") => {
+                args.given.insert("against");
+                args.against = Some(PathBuf::from(parser.value()?));
             }
-            Long("version") | Short('V') => {
-                println!("accord {}", env!("CARGO_PKG_VERSION"));
-                return Ok(());
+            Long("at") => {
+                args.given.insert("at");
+                args.at.extend(addresses("--at", &parser.value()?.string()?)?);
             }
-            Long("settings") => settings = Some(PathBuf::from(parser.value().map_err(|e| e.to_string())?)),
-            Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
-            other => return Err(other.unexpected().to_string()),
+            Value(word) => args.words.push(word.string()?),
+            other => return Err(other.unexpected()),
         }
     }
-    match verb.as_deref().unwrap_or("serve") {
-        "serve" => {
-            kitepass_intent::log_to_stderr(kitepass_intent::level_from_env());
-            let path = settings.or_else(|| std::env::var_os(kitepass_intent::VARIABLE).map(PathBuf::from));
-            let path = path.ok_or("no settings file: name one with --settings or KITEPASS_NODE_FILE")?;
-            Server::open(path).and_then(Server::run).map_err(|e| e.to_string())
+    Ok(args)
+}
+
+fn addresses(whence: &str, text: &str) -> Result<Vec<SocketAddr>, String> {
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    let read = |part: &str| {
+        part.parse().map_err(|_| format!("{whence}: {part:?} is no address and port, as 10.1.0.35:8688 is"))
+    };
+    parts.map(read).collect()
+}
+
+/// The control desks to ask.
+fn desks(args: &Args) -> Result<Vec<SocketAddr>, Error> {
+    let mut desks = args.at.clone();
+    if desks.is_empty() {
+        let text = std::env::var(VARIABLE).unwrap_or_default();
+        desks = addresses(VARIABLE, &text).map_err(|why| Error::Usage { why })?;
+    }
+    if desks.is_empty() {
+        let why = format!("nobody to ask: name control desks with --at ADDR[,ADDR..] or {VARIABLE}");
+        return UsageSnafu { why }.fail();
+    }
+    Ok(desks)
+}
+
+fn say(text: &str) -> Result<(), Error> {
+    let mut out = std::io::stdout().lock();
+    out.write_all(text.as_bytes()).and_then(|()| out.flush()).context(OutputSnafu)
+}
+
+fn serve(args: &Args) -> Result<(), Error> {
+    kitepass_intent::log_to_stderr(kitepass_intent::level_from_env());
+    let path = args.settings.clone();
+    let path = path.or_else(|| std::env::var_os(kitepass_intent::VARIABLE).map(PathBuf::from));
+    let path = path.context(NoSettingsSnafu)?;
+    Server::open(path).and_then(Server::run).context(ServeSnafu)
+}
+
+fn get(args: &Args) -> Result<(), Error> {
+    let body = ask::ask(&desks(args)?, "GET", "/v1/Timetable.Get", b"").context(AskSnafu)?;
+    let whole: Json = serde_json::from_slice(&body).map_err(strange)?;
+    let text = laid_out(&whole);
+    let Some(path) = &args.out else { return say(&text) };
+    // Danger: the file holds customers' keys, and the usual mode lets everybody on the machine read it.
+    let mut options = std::fs::OpenOptions::new();
+    options.write(true).create(true).truncate(true).mode(0o600);
+    let file = options.open(path);
+    file.and_then(|mut file| file.write_all(text.as_bytes())).context(FileSnafu { path })
+}
+
+fn strange(error: impl std::fmt::Display) -> Error {
+    Error::Strange { why: error.to_string() }
+}
+
+/// A configuration with each item on a line of its own, so that two of them can be compared line by line.
+fn laid_out(whole: &Json) -> String {
+    let Json::Object(parts) = whole else { return format!("{whole}\n") };
+    let parts = parts.iter().map(|(name, part)| {
+        let name = Json::from(name.as_str());
+        let Some(entries) = part["entries"].as_array().filter(|entries| !entries.is_empty()) else {
+            return format!("  {name}: {part}");
+        };
+        let rows: Vec<String> = entries.iter().map(|entry| format!("      {entry}")).collect();
+        format!(
+            "  {name}: {{\n    \"headings\": {},\n    \"entries\": [\n{}\n    ]\n  }}",
+            part["headings"],
+            rows.join(",\n")
+        )
+    });
+    format!("{{\n{}\n}}\n", parts.collect::<Vec<_>>().join(",\n"))
+}
+
+/// A file's call: as it stands there, or made of what `get` printed.
+fn call_of(path: &Path) -> Result<Vec<u8>, Error> {
+    let text = std::fs::read(path).context(FileSnafu { path })?;
+    let whole: Json = serde_json::from_slice(&text)
+        .map_err(|error| Error::Invalid { path: path.to_owned(), why: format!("not whole JSON: {error}") })?;
+    let lists = ["itineraries", "customers", "carrier-lines", "weight-limits"];
+    let has = |names: &[&str]| names.iter().any(|name| whole.get(name).is_some());
+    if has(&lists) && !has(&["deliver", "withdraw"]) {
+        return Ok([b"{\"deliver\":", text.as_slice(), b"}"].concat());
+    }
+    Ok(text)
+}
+
+fn items_of(checker: &Checker, path: &Path) -> Result<Vec<Item>, Error> {
+    let invalid =
+        |refusal: kitepass_tenet::Refusal| Error::Invalid { path: path.to_owned(), why: refusal.to_string() };
+    read_call(checker, &call_of(path)?).map_err(invalid)
+}
+
+fn apply(args: &Args) -> Result<(), Error> {
+    let desks = desks(args)?;
+    let path = Path::new(&args.words[0]);
+    ask::ask(&desks, "POST", "/v1/Timetable.Patch", &call_of(path)?).context(AskSnafu)?;
+    say(&format!("{}: taken\n", path.display()))
+}
+
+fn check(args: &Args) -> Result<(), Error> {
+    let path = Path::new(&args.words[0]);
+    let (checker, mut whole) = (Checker::new(), Ledger::new());
+    if let Some(against) = &args.against {
+        for item in items_of(&checker, against)? {
+            whole.take(item);
         }
-        other => Err(format!("no such command: {other}; see accord --help")),
     }
+    let items = items_of(&checker, path)?;
+    judge(&whole, &items)
+        .map_err(|refusal| Error::Invalid { path: path.to_owned(), why: refusal.to_string() })?;
+    let news = items.iter().filter(|item| whole.is_news(item)).count();
+    say(&format!("{}: valid, {} items, {news} of them with an effect\n", path.display(), items.len()))
+}
+
+/// How a file's item stands to the system's. [`compare`] alone decides it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Against {
+    Newer,
+    Older,
+    Equal,
+    Differs,
+    Unknown,
+}
+
+impl Against {
+    const ALL: [Against; 5] =
+        [Against::Newer, Against::Older, Against::Equal, Against::Differs, Against::Unknown];
+
+    fn name(self) -> &'static str {
+        match self {
+            Against::Newer => "newer",
+            Against::Older => "older",
+            Against::Equal => "equal",
+            Against::Differs => "differs",
+            Against::Unknown => "unknown",
+        }
+    }
+}
+
+fn compare(item: &Item, stands: Option<&Item>) -> Against {
+    match stands {
+        None => Against::Unknown,
+        Some(stands) if item.edition > stands.edition => Against::Newer,
+        Some(stands) if item.edition < stands.edition => Against::Older,
+        Some(stands) if item.value == stands.value => Against::Equal,
+        Some(_) => Against::Differs,
+    }
+}
+
+fn list_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Route => "itineraries",
+        Kind::Tenant => "customers",
+        Kind::Line => "carrier-lines",
+        _ => "weight-limits",
+    }
+}
+
+fn diff(args: &Args) -> Result<(), Error> {
+    let desks = desks(args)?;
+    let checker = Checker::new();
+    let items = items_of(&checker, Path::new(&args.words[0]))?;
+    let body = ask::ask(&desks, "GET", "/v1/Timetable.Get", b"").context(AskSnafu)?;
+    let body = [b"{\"deliver\":", body.as_slice(), b"}"].concat();
+    let mut whole = Ledger::new();
+    for item in read_call(&checker, &body).map_err(strange)? {
+        whole.take(item);
+    }
+    say(&compared(&items, &whole))
+}
+
+fn compared(items: &[Item], whole: &Ledger) -> String {
+    let mut sums = [0; Against::ALL.len()];
+    let mut rows = Vec::new();
+    for item in items {
+        let stands = whole.get(item.kind, &item.name);
+        let against = compare(item, stands);
+        sums[against as usize] += 1;
+        let there =
+            stands.map_or_else(|| "nothing stands".to_owned(), |stands| format!("r{}", stands.edition));
+        let versions = match against {
+            Against::Equal | Against::Differs => there,
+            _ => format!("{there} -> r{}", item.edition),
+        };
+        let name = shown(if item.name.is_empty() { "-" } else { &item.name });
+        let mut row: Vec<String> =
+            vec![list_name(item.kind).to_owned(), name, against.name().to_owned(), versions];
+        match (stands, item.stands()) {
+            (_, false) => row.push("withdrawn".to_owned()),
+            (Some(stands), true) if matches!(against, Against::Newer | Against::Differs) => {
+                row.push(changes(item, stands));
+            }
+            _ => {}
+        }
+        rows.push(row);
+    }
+    let named: BTreeSet<(Kind, &str)> = items.iter().map(|item| (item.kind, &*item.name)).collect();
+    let others = whole.all().filter(|item| !named.contains(&(item.kind, &*item.name))).count();
+    let sums = Against::ALL.iter().map(|against| format!("{} {}", sums[*against as usize], against.name()));
+    let sums = sums.collect::<Vec<_>>().join(", ");
+    format!("{}{sums}; {others} standing items are not in the file\n", table(&rows))
+}
+
+/// The fields in which two versions of an item differ, as `field old -> new`.
+fn changes(item: &Item, stands: &Item) -> String {
+    let read = |item: &Item| -> Map<String, Json> {
+        item.value.as_deref().and_then(|value| serde_json::from_slice(value).ok()).unwrap_or_default()
+    };
+    let (new, old) = (read(item), read(stands));
+    let fields: BTreeSet<&String> = new.keys().chain(old.keys()).collect();
+    let changed = fields.into_iter().filter(|field| new.get(*field) != old.get(*field));
+    let told = changed.map(|field| {
+        if item.kind == Kind::Tenant && field == "permits" {
+            return format!("permits {}", keys(old.get(field), new.get(field)));
+        }
+        let text = |value: Option<&Json>| value.map_or("none".to_owned(), |value| shown(&value.to_string()));
+        format!("{} {} -> {}", shown(field), text(old.get(field)), text(new.get(field)))
+    });
+    let told: Vec<String> = told.collect();
+    if told.is_empty() {
+        "no field changes".to_owned()
+    } else {
+        told.join(", ")
+    }
+}
+
+/// Danger: keys are secrets, and a terminal's lines end up in tickets.
+fn keys(old: Option<&Json>, new: Option<&Json>) -> String {
+    let set = |keys: Option<&Json>| -> BTreeSet<String> {
+        keys.and_then(Json::as_array).into_iter().flatten().map(Json::to_string).collect()
+    };
+    let (old, new) = (set(old), set(new));
+    format!("{} added, {} taken away", new.difference(&old).count(), old.difference(&new).count())
+}
+
+fn shown(text: &str) -> String {
+    let text = ask::shown(text.as_bytes());
+    match text.char_indices().nth(MOST_SHOWN) {
+        Some((cut, _)) => format!("{}..", &text[..cut]),
+        None => text,
+    }
+}
+
+fn evacuate(args: &Args) -> Result<(), Error> {
+    let desks = desks(args)?;
+    let verb = match args.words[0].as_str() {
+        "start" => "Start",
+        "end" => "End",
+        other => return UsageSnafu { why: format!("evacuate: start or end, not {other:?}") }.fail(),
+    };
+    let zone = &args.words[1];
+    // Danger: a zone of several words, or with a line's end in it, would make another call of this one.
+    if !zone.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte)) || zone.is_empty() {
+        return UsageSnafu { why: format!("evacuate: {zone:?} is no zone's name") }.fail();
+    }
+    ask::ask(&desks, "POST", &format!("/v1/Evacuate.{verb}/{zone}"), b"").context(AskSnafu)?;
+    say(&format!("{zone}: evacuation {}\n", if verb == "Start" { "started" } else { "ended" }))
+}
+
+fn members(args: &Args) -> Result<(), Error> {
+    let body = ask::ask(&desks(args)?, "GET", "/v1/members", b"").context(AskSnafu)?;
+    let told: Json = serde_json::from_slice(&body).map_err(strange)?;
+    if args.json {
+        return say(&format!("{told:#}\n"));
+    }
+    let text = |value: &Json| value.as_str().map_or("-".to_owned(), shown);
+    let yes = |value: &Json| if value.as_bool() == Some(true) { "yes" } else { "no" }.to_owned();
+    let list = |name: &str| told[name].as_array().cloned().unwrap_or_default();
+    let (asked, standing) = (text(&told["asked"]), text(&told["standing"]));
+    let held =
+        told["duty"].as_object().into_iter().flatten().filter(|(_, held)| held.as_bool() == Some(true));
+    let held: Vec<String> = held.map(|(name, _)| shown(name)).collect();
+    let duty = if held.is_empty() { "no duty".to_owned() } else { format!("duty {}", held.join(", ")) };
+    let row = |words: &[&str]| words.iter().map(|word| (*word).to_owned()).collect::<Vec<String>>();
+    let mut core = vec![row(&["core", "address", "district", "heard", "standing"])];
+    for seat in list("core") {
+        let own = seat["station"] == told["asked"];
+        let stands = if own { format!("{standing}, {duty}") } else { "-".to_owned() };
+        core.push(vec![
+            text(&seat["station"]),
+            text(&seat["ip"]),
+            text(&seat["district"]),
+            yes(&seat["heard"]),
+            stands,
+        ]);
+    }
+    let mut gateways = vec![row(&["gateway", "front", "district", "ready"])];
+    for gateway in list("gateways") {
+        gateways.push(vec![
+            text(&gateway["station"]),
+            text(&gateway["front"]),
+            text(&gateway["district"]),
+            yes(&gateway["ready"]),
+        ]);
+    }
+    let part = |rows: &[Vec<String>], none: &str| {
+        if rows.len() > 1 {
+            table(rows)
+        } else {
+            format!("{none}\n")
+        }
+    };
+    let (core, gateways) = (part(&core, "no core is known"), part(&gateways, "no gateway has a session"));
+    say(&format!("asked {asked}: {standing}, {duty}\n\n{core}\n{gateways}"))
+}
+
+/// Rows in columns; the last column of a row is as long as it is.
+fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        text.push_str(cells.collect::<Vec<_>>().join("  ").trim_end());
+        text.push('\n');
+    }
+    text
 }
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -33,7 +33,8 @@
 impl Launch {
     /// Reads the configuration that `BALANCER_CONFIG` names.
     pub fn from_env() -> Result<Launch, String> {
-        let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG: expected a file's path")?;
+        let path = std::env::var_os("BALANCER_CONFIG");
+        let path = path.ok_or("BALANCER_CONFIG: expected a file's path; see kitepass --help")?;
         Launch::read(Path::new(&path))
     }
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -105,7 +105,7 @@
         serve(Backend, address, id)
     serve(Counter, ("127.0.0.1", 6400))
     serve(Discovery, ("127.0.0.1", 8500))
-    print("serving; 'drain b1' and 'ready b1' change the list, Ctrl-D ends")
+    print("serving; 'drain b1' and 'ready b1' change the list, Ctrl-C ends", flush=True)
     lifecycles = {"drain": "draining", "ready": "ready"}
     for line in sys.stdin:
         word, _, id = line.strip().partition(" ")
@@ -115,10 +115,14 @@
                 Discovery.changed.notify_all()
         else:
             print("expected: drain|ready, and one of " + ", ".join(BACKENDS))
+    if sys.stdin.isatty():
+        return print("Ctrl-D: ends")
+    print("standard input is closed: the list stays as it is; serving on, Ctrl-C or SIGTERM ends", flush=True)
+    threading.Event().wait()
 
 
 if __name__ == "__main__":
     try:
         main()
     except KeyboardInterrupt:
-        pass
+        print("interrupted: ends")
