Quotas by granted requests: what passes the draw takes one that the count's holder granted

Change: the holder keeps a store a tenant and grants from it, in advance where a gateway is offered many, one by one where few; who is not heard goes by rate over gateways, which the holder leaves to it. A holder says so in its beats: votes alone did not tell the control processes whose vote had gone elsewhere.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
-use kitepass_bond::count::Counts;
+use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
-use kitepass_tenet::{Checker, Item, Kind, Ledger};
+use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
 use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -72,6 +72,7 @@
     heard: Moment,
     digest: u64,
     differs: u32,
+    duty: u64,
 }
 
 struct Session {
@@ -133,6 +134,9 @@
     voter: Voter,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
+    /// Limits of the tenants that stand.
+    terms: BTreeMap<String, Terms>,
+    slack: Slack,
     roster: Roster,
     work: BTreeMap<u64, Work>,
     keeping: BTreeMap<u64, Kept>,
@@ -152,6 +156,8 @@
     /// The one that gathers the first cast.
     pub founder: bool,
     pub records: Vec<(Vec<u8>, Vec<u8>)>,
+    /// What is borne beyond a quota.
+    pub slack: Slack,
 }
 
 impl Core {
@@ -167,6 +173,8 @@
                 ledger.merge(item);
             }
         }
+        let mut terms = BTreeMap::new();
+        ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
         let empty = start.records.is_empty();
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
@@ -193,6 +201,8 @@
             lived: (0, Moment::default()),
             claimant: Claimant::new(DUTY),
             counts: None,
+            terms,
+            slack: start.slack,
             roster: Roster::default(),
             work: BTreeMap::new(),
             keeping: BTreeMap::new(),
@@ -306,6 +316,7 @@
     }
 
     fn spread(&mut self, news: &[Item]) {
+        news.iter().for_each(|item| learn(&mut self.terms, item));
         for session in self.sessions.keys().filter(|_| !news.is_empty()) {
             self.acts.push(Act::Items(*session, news.to_vec()));
         }
@@ -332,7 +343,7 @@
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
         self.lost.remove(&station);
-        let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0 };
+        let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0, duty: 0 };
         self.peers.insert(station.clone(), peer);
         self.told.1 = Moment::default(); // it is to be told of the sessions here
         self.inquired = Moment::default();
@@ -360,6 +371,7 @@
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
+                peer.duty = beat.duty;
                 peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
                 self.table.alive(now, station, life);
@@ -640,8 +652,7 @@
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
                 None => {
-                    let holder = self.voter.holder(now, DUTY).map(str::to_owned);
-                    if let Some(holder) = holder.filter(|holder| self.peers.contains_key(holder)) {
+                    if let Some(holder) = self.holder() {
                         self.send(&holder, Word::Adds(adds));
                     }
                 }
@@ -698,7 +709,8 @@
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term}");
             self.roster.begin(term, &self.ledger);
-            self.counts = Some((term, Counts::new(now)));
+            self.counts = Some((term, Counts::new(self.slack)));
+            self.beat(now);
         }
     }
 
@@ -707,6 +719,13 @@
         self.claimant.holds(now)
     }
 
+    /// Who does the duty, by its own word: a vote that went to another tells nothing of who holds it.
+    fn holder(&self) -> Option<String> {
+        let (station, _) =
+            self.peers.iter().filter(|(_, peer)| peer.duty > 0).max_by_key(|(_, peer)| peer.duty)?;
+        Some(station.clone())
+    }
+
     /// A whole reading of the platform's list.
     pub fn list_read(&mut self, now: Moment, entries: Vec<crate::roster::Entry>) {
         let Some(term) = self.holds(now) else { return };
@@ -721,8 +740,10 @@
 
     fn add(&mut self, now: Moment, adds: &Adds) -> Option<Totals> {
         self.holds(now)?;
-        let live = self.table.live().len();
-        self.counts.as_mut().map(|(_, counts)| counts.add(now, adds, live))
+        let live = self.table.live();
+        let terms = &self.terms;
+        let (_, counts) = self.counts.as_mut()?;
+        Some(counts.add(now, adds, &live, |tenant| terms.get(tenant).copied()))
     }
 
     fn totals(&mut self, totals: Totals) {
@@ -804,7 +825,8 @@
 
     fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
-        let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full };
+        let duty = self.holds(now).unwrap_or(0);
+        let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
         self.send_all(&Word::Beat(beat.clone()));
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
@@ -838,7 +860,7 @@
             }
         }
         for id in self.sessions.keys() {
-            let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full };
+            let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
             self.acts.push(Act::Session(*id, Word::Beat(beat)));
         }
     }
@@ -869,7 +891,8 @@
     fn claim(&mut self, now: Moment) {
         let cast = self.cast();
         let seated = cast.as_ref().is_some_and(|cast| cast.has(&self.me.station));
-        let free = self.voter.holder(now, DUTY).is_none_or(|holder| holder == self.me.station);
+        let free = self.voter.holder(now, DUTY).is_none_or(|holder| holder == self.me.station)
+            && self.holder().is_none();
         if self.standing != Standing::Current || !self.full || !seated {
             return;
         }
@@ -924,6 +947,19 @@
     }
 }
 
+/// Takes a tenant's limit up.
+fn learn(terms: &mut BTreeMap<String, Terms>, item: &Item) {
+    if item.kind != Kind::Tenant {
+        return;
+    }
+    match Tenant::of(item) {
+        Some(tenant) => {
+            terms.insert(item.name.to_string(), Terms { rate: tenant.rate, surge: tenant.surge });
+        }
+        None => _ = terms.remove(&*item.name),
+    }
+}
+
 fn record(item: &Item) -> (Vec<u8>, Vec<u8>) {
     let mut key = vec![item.kind as u8];
     key.extend_from_slice(item.name.as_bytes());
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -5,6 +5,7 @@
 use crate::roster::{self, Entry};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::Seat;
+use kitepass_bond::count::Slack;
 use kitepass_bond::words::{self, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_recall::Store;
@@ -157,7 +158,13 @@
         let founder = settings.first_stops.first().is_some_and(|stop| stop.ip() == IpAddr::V4(settings.ip));
         let life = life(&settings.station);
         let now = clock.now();
-        let start = Start { me, life, maiden: settings.maiden_run, founder, records };
+        let bounds = &settings.bounds;
+        let slack = Slack {
+            window: bounds.quota_window.as_secs_f64(),
+            excess: bounds.quota_excess,
+            margin: bounds.quota_margin,
+        };
+        let start = Start { me, life, maiden: settings.maiden_run, founder, records, slack };
         let watch = Watch::new(path);
         Ok(Server {
             core: Core::new(now, start),
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -98,6 +98,9 @@
     pub current: bool,
     #[prost(bool, tag = "4")]
     pub full: bool,
+    /// The term under which it does the duty now, or 0.
+    #[prost(uint64, tag = "5")]
+    pub duty: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -243,9 +246,14 @@
     pub offered: u32,
     #[prost(uint32, tag = "3")]
     pub sent: u32,
-    /// The part of the tenant's limit that the gateway was told last and still uses.
-    #[prost(float, tag = "4")]
-    pub held: f32,
+    /// Requests of the tenant's allowance that the gateway holds, and how many more it would have.
+    #[prost(uint32, tag = "4")]
+    pub held: u32,
+    #[prost(uint32, tag = "5")]
+    pub wants: u32,
+    /// Requests that it gives back: it holds fewer by now.
+    #[prost(uint32, tag = "6")]
+    pub back: u32,
 }
 
 /// A gateway's adds to the counts of its last period. Adding zero reads alone.
@@ -259,6 +267,9 @@
     pub adds: Vec<Add>,
     #[prost(fixed64, tag = "4")]
     pub life: u64,
+    /// Between two periods: it asks for more, and adds nothing.
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -270,9 +281,9 @@
     pub offered: f32,
     #[prost(float, tag = "3")]
     pub sent: f32,
-    /// The part of the tenant's limit that the asking gateway may use while it hears nothing newer.
-    #[prost(float, tag = "4")]
-    pub share: f32,
+    /// Requests of the allowance that the gateway holds from now on, beside those that it held.
+    #[prost(uint32, tag = "4")]
+    pub granted: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -285,6 +296,8 @@
     pub totals: Vec<Total>,
     #[prost(fixed64, tag = "4")]
     pub life: u64,
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
 }
 
 /// What a gateway is told of the others.
@@ -351,10 +364,10 @@
 
     #[test]
     fn words_are_the_same_wherever_they_are_cut_and_lies_are_refused() {
-        let add = Add { tenant: "a".into(), offered: 7, sent: 3, held: 0.5 };
+        let add = Add { tenant: "a".into(), offered: 7, sent: 3, ..Add::default() };
         let words = [
             Word::Hello(Hello { station: "one".into(), life: 7, ..Hello::default() }),
-            Word::Adds(Adds { ticket: 3, station: "one".into(), adds: vec![add], life: 9 }),
+            Word::Adds(Adds { ticket: 3, station: "one".into(), adds: vec![add], life: 9, asks: false }),
             Word::Beat(Beat { digest: 5, ready: true, ..Beat::default() }),
         ];
         let mut bytes = Vec::new();
--- a/crates/course/src/job.rs
+++ b/crates/course/src/job.rs
@@ -44,6 +44,8 @@
     pub sent: u32,
     /// A leg ended that may have run.
     pub ran: bool,
+    /// It waits for a grant of its tenant's quota.
+    pub waits: bool,
     state: State,
 }
 
@@ -77,6 +79,7 @@
             leg: None,
             sent: 0,
             ran: false,
+            waits: false,
             state: State::Held,
         }
     }
@@ -104,9 +107,9 @@
         self.base == 0
     }
 
-    /// Whether a leg may begin: the body is whole, or too long to be kept.
+    /// Whether a leg may begin: it is in its quota, and the body is whole, or too long to be kept.
     pub fn is_due(&self) -> bool {
-        self.whole || self.body.len() >= WINDOW
+        !self.waits && (self.whole || self.body.len() >= WINDOW)
     }
 
     /// What a leg begins with.
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -34,7 +34,7 @@
 pub struct Brought {
     pub items: Vec<Item>,
     pub live: Option<(usize, Vec<String>)>,
-    pub totals: Vec<Total>,
+    pub totals: Vec<Totals>,
     pub ready_changed: bool,
     /// The session is to be closed.
     pub close: bool,
@@ -174,7 +174,13 @@
         }
         if now - self.beat >= BEAT || self.ready != self.told_ready {
             (self.beat, self.told_ready) = (now, self.ready);
-            let beat = Beat { digest: self.ledger.digest(), ready: self.ready, current: false, full: false };
+            let beat = Beat {
+                digest: self.ledger.digest(),
+                ready: self.ready,
+                current: false,
+                full: false,
+                duty: 0,
+            };
             self.out.push(Word::Beat(beat));
         }
         false
@@ -220,7 +226,7 @@
                 brought.live = Some((live.gateways as usize, live.stations));
                 brought.ready_changed = true;
             }
-            Word::Totals(totals) => brought.totals.extend(totals.totals),
+            Word::Totals(totals) => brought.totals.push(totals),
             _ => {}
         }
     }
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -4,9 +4,10 @@
 use crate::job::{Job, State, WINDOW};
 use crate::link::{Brought, Link};
 use crate::pick::{End, Need, Pick};
-use crate::quota::{Quota, Slack, Terms, PERIOD};
+use crate::quota::{Quota, Verdict as Draw, PERIOD};
 use kitepass::{Moment, Span};
-use kitepass_bond::words::{self, Adds, Hello, Word};
+use kitepass_bond::count::{Slack, Terms};
+use kitepass_bond::words::{self, Add, Adds, Hello, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_strand::flow::{Body, Framing, Head, HeadReader};
 use kitepass_strand::http::{digits, Kind as Which};
@@ -138,6 +139,8 @@
     live: usize,
     life: u64,
     ticket: u64,
+    /// Words to the count, by when they were sent.
+    asked: BTreeMap<u64, Moment>,
     chance: oorandom::Rand64,
     piece: Vec<u8>,
     leaves: Option<Moment>,
@@ -194,7 +197,7 @@
         let watch = Watch::new(path);
         let now = clock.now();
         Ok(Server {
-            quota: Quota::new(life, slack(&settings)),
+            quota: Quota::new(now, life, slack(&settings)),
             pick: Pick::new(life ^ 1, &settings.station, &settings.district, &settings.districts),
             further: Further::new(budget(&settings)),
             settings,
@@ -215,6 +218,7 @@
             live: 1,
             life,
             ticket: 0,
+            asked: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(life ^ 2)),
             piece: vec![0; 64 * 1024],
             leaves: None,
@@ -263,6 +267,7 @@
                 self.reload();
             }
             self.refresh(now);
+            self.go_on(now);
             self.speak();
             if self.leave(now) {
                 return Ok(());
@@ -351,6 +356,7 @@
                 None => self.link.lost("no-way"),
             }
         }
+        self.quota.tick(now);
         let limits = &self.view.limits;
         let head = Span::from_micros(i64::from(limits.envelope_ms) * 1000);
         let idle = Span::from_micros(i64::from(limits.idle_ms) * 1000);
@@ -382,10 +388,41 @@
     /// The design's period: adds to the count, and reads the total.
     fn close_period(&mut self, now: Moment) {
         let adds = self.quota.period(now);
-        if !adds.is_empty() && self.session.is_some() {
-            self.ticket += 1;
-            let station = self.settings.station.clone();
-            self.link.out.push(Word::Adds(Adds { ticket: self.ticket, station, adds, life: self.life }));
+        self.add(now, adds, false);
+    }
+
+    /// A word to the count. One without adds is a sign of life: the holder leaves no part to this gateway.
+    fn add(&mut self, now: Moment, adds: Vec<Add>, asks: bool) {
+        if self.session.is_none() {
+            return;
+        }
+        self.ticket += 1;
+        self.asked.insert(self.ticket, now);
+        self.asked.retain(|_, at| now - *at < PERIOD * 3);
+        let station = self.settings.station.clone();
+        self.link.out.push(Word::Adds(Adds { ticket: self.ticket, station, adds, life: self.life, asks }));
+    }
+
+    /// Requests that waited for their quota go on, or are refused.
+    fn go_on(&mut self, now: Moment) {
+        loop {
+            let decided = self.quota.decided();
+            if decided.is_empty() {
+                break;
+            }
+            for (id, passes) in decided {
+                let Some(job) = self.jobs.get_mut(&id) else { continue };
+                job.waits = false;
+                if !passes {
+                    self.give_up(now, id, 429);
+                } else if job.is_due() {
+                    self.advance(now, id);
+                }
+            }
+        }
+        let asks = self.quota.asks();
+        if !asks.is_empty() {
+            self.add(now, asks, true);
         }
     }
 
@@ -446,7 +483,11 @@
             self.quota.live(live);
             self.pick.live(stations);
         }
-        self.quota.totals(now, &brought.totals);
+        for totals in &brought.totals {
+            if let Some(sent) = self.asked.remove(&totals.ticket) {
+                self.quota.totals(now, sent, totals);
+            }
+        }
         let why = match read {
             Ok(true) => "closed",
             Err(error) => cause(error),
@@ -621,10 +662,14 @@
         if head.field("x-try-id").is_none_or(<[u8]>::is_empty) {
             return self.refuse_client(id, 400, None);
         }
+        let (job, mut waits) = (self.next, false);
+        self.next += 1;
         if let Some(tenant) = &tenant {
             let terms = Terms { rate: tenant.rate, surge: tenant.surge };
-            if !self.quota.draw(now, &tenant.name, terms) {
-                return self.refuse_client(id, 429, Some(1000));
+            match self.quota.draw(now, &tenant.name, terms, job) {
+                Draw::Passes => {}
+                Draw::Refused => return self.refuse_client(id, 429, Some(1000)),
+                Draw::Waits => waits = true,
             }
         }
         let left = head.field("x-time-left-ms").and_then(digits).unwrap_or(u64::from(route.deadline_ms));
@@ -635,12 +680,12 @@
         }
         let line = self.line_of(&route);
         let until = now + Span::from_micros(left * 1000);
-        let job = self.next;
-        self.next += 1;
         self.further.first(now, &line);
         let client = self.clients.get_mut(&id).expect("as above");
         (client.skips, client.job) = (false, Some(job));
-        self.jobs.insert(job, Job::new(id, head, route, line, tenant, view, now, until, length));
+        let mut work = Job::new(id, head, route, line, tenant, view, now, until, length);
+        work.waits = waits;
+        self.jobs.insert(job, work);
         self.timers.set(until, Due::Deadline(job));
     }
 
@@ -761,7 +806,11 @@
     fn give_up(&mut self, _now: Moment, id: u64, status: u16) {
         let Some(job) = self.jobs.get(&id) else { return };
         let client = job.client;
-        let retry = (status == 503).then(|| 200 + self.chance.rand_range(0..300));
+        let retry = match status {
+            429 => Some(1000),
+            503 => Some(200 + self.chance.rand_range(0..300)),
+            _ => None,
+        };
         self.end_job(id, End::Left);
         if let Some(c) = self.clients.get_mut(&client) {
             c.job = None;
