--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -7,7 +7,7 @@
 use stand::*;
 use std::net::SocketAddr;
 use std::process::Stdio;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 fn serving(sockets: u32) -> (Gateway, Watch, Stand) {
     serving_with(sockets, 1)
@@ -262,7 +262,7 @@
 
 #[test]
 fn a_gateway_told_to_end_answers_what_it_took_and_what_still_comes() {
-    let (mut gateway, _watch, stand) = serving(256);
+    let (mut gateway, _watch, stand) = serving_with(256, 12);
     let (mut early, mut idle) = (gateway.line(), gateway.line());
     early.say(command("once", "t1") + "\r\n");
     let mut line = stand.line();
@@ -537,14 +537,22 @@
     let (gateway, _watch) = Gateway::ready(&plan, &[backend("b1", stand.address, "ready")]);
     let mut client = gateway.line();
     let one = |trace| command("once", trace).replace("spread=1", "spread=2") + "\r\n";
-    let (mut line, mut calls) = (None, None);
+    // A sum runs on for 8 s of the wall clock under one name. A total of the last one says nothing of what is left
+    // now, so all calls, a second's worth, have to fall into one sum.
+    let into_sum = || SystemTime::UNIX_EPOCH.elapsed().unwrap().as_millis() % 8000;
+    while into_sum() > 5000 {
+        client.say("GET /healthz HTTP/1.1\r\nHost: g\r\n\r\n").hear();
+    }
+    let (mut line, mut calls, mut names) = (None, None, Vec::new());
     // The third call goes half of the call's time after the second, and that one as long after the first.
     for trace in ["t1", "t2", "t3"] {
         client.say(one(trace));
         pass(&mut client, line.get_or_insert_with(|| stand.line()));
         let call = calls.get_or_insert_with(|| counter.line()).hear().head;
         assert!(call.contains("/counters/00000000b4d65521."), "{call}");
+        names.push(call.split('?').next().unwrap().to_owned());
     }
+    assert!(names.iter().all(|name| *name == names[0]), "not one sum: {names:?}");
     // The others were offered so much that nothing is left of the quota.
     calls.unwrap().say(ok("900000000000000"));
     assert_eq!(client.say(one("t4")).hear().status(), 429);
--- a/crates/gateway/tests/sockets/reload.rs
+++ b/crates/gateway/tests/sockets/reload.rs
@@ -50,7 +50,9 @@
 #[test]
 fn a_configuration_that_cannot_be_read_again_changes_nothing() {
     let stand = Stand::open();
-    let (mut gateway, mut watch) = Gateway::ready(&Plan::default(), &[]);
+    let (mut gateway, mut watch) = Gateway::ready(&Plan::default(), &[backend("b0", stand.address, "ready")]);
+    let mut client = gateway.line();
+    let mut idle = crate::see_through(&mut client, &stand, "t0");
     let discovery = format!("\"discovery\":\"{}\"", gateway.discovery.address);
     let (there, bad_counter) = ("\"discovery\":\"there\"", "\"counter\":5");
     for (changes, what) in [
@@ -67,7 +69,8 @@
     assert!(gateway.said().contains("No such file"));
     // The watch is the old one still.
     watch.tell(9, true, &[backend("b1", stand.address, "ready")]);
-    crate::see_through(&mut gateway.line(), &stand, "t1");
+    assert!(idle.ends(), "closed on the news that b0 is gone");
+    crate::see_through(&mut client, &stand, "t1");
     assert!(gateway.discovery.is_untouched() && gateway.has_said_nothing());
 }
 
--- a/crates/gateway/tests/sockets/stand.rs
+++ b/crates/gateway/tests/sockets/stand.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what a gateway talks to, all of them led by the test step by step: a connection that comes in
 //! is handed over, and each side says only what the test has it say. Nothing waits for longer than `PATIENCE`.
 
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -89,13 +90,17 @@
 
     fn more(&mut self) -> bool {
         let mut piece = [0; 4096];
-        match self.stream.read(&mut piece) {
-            Ok(length) => {
-                self.input.extend_from_slice(&piece[..length]);
-                length > 0
-            }
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
-            Err(error) => panic!("nothing came: {error}"),
+        loop {
+            return match self.stream.read(&mut piece) {
+                Ok(length) => {
+                    self.input.extend_from_slice(&piece[..length]);
+                    length > 0
+                }
+                // A machine or program that is stopped and goes on cuts a read short that has a time.
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
+                Err(error) => panic!("nothing came: {error}"),
+            };
         }
     }
 
@@ -149,7 +154,7 @@
 impl Crowded {
     pub fn open() -> Crowded {
         let listener = TcpListener::bind((own_address(), 0)).unwrap();
-        rustix::net::listen(&listener, 0).unwrap(); // one may wait
+        net::listen(&listener, 0).unwrap(); // one may wait
         let address = listener.local_addr().unwrap();
         Crowded { address, listener, _first: TcpStream::connect(address).unwrap() }
     }
@@ -161,10 +166,15 @@
     }
 }
 
-/// An address where connections are refused.
+/// An address where connections are refused, and where a gateway can listen.
 pub fn nobody() -> SocketAddr {
-    let listener = TcpListener::bind((own_address(), 0)).unwrap();
-    listener.local_addr().unwrap()
+    // It never listens. Danger: a program that another test starts just now holds a copy of every descriptor until
+    // it runs; a listener would go on in it, take connections in and keep the address from the gateway.
+    let socket =
+        net::socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC, None).unwrap();
+    net::sockopt::set_socket_reuseaddr(&socket, true).unwrap();
+    net::bind(&socket, &SocketAddr::new(own_address(), 0)).unwrap();
+    net::getsockname(&socket).unwrap().try_into().unwrap()
 }
 
 pub fn backend(id: &str, address: SocketAddr, lifecycle: &str) -> String {
@@ -212,7 +222,7 @@
   {"Name":"once","Effect":"fragile","Objective":2.0,"LateWorth":0.2}],
  "FamilyInfo":{"SharedCounter":COUNTED,"CounterTimeout":0.5,"MaxUnits":6},
  "Plans":[{"Name":"team","Refill":1000.0,"StoreSize":1000.0},{"Name":"tiny","Refill":0.001,"StoreSize":1.0},
-  {"Name":"pooled","Refill":0.001,"StoreSize":2.8}],
+  {"Name":"pooled","Refill":0.000001,"StoreSize":2.8}],
  "Safety":{"AnswerSlack":0.016,"DrainGrace":0.5,"Fall":1.0,"FallMultiple":3.0,"WarmWithin":10.0,"ColdFrom":0.3}}"#;
 
 /// What a gateway is started with, beside the settings.
--- a/crates/recall/src/disk.rs
+++ b/crates/recall/src/disk.rs
@@ -17,10 +17,13 @@
     fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
     /// Makes a file, or empties it.
     fn create(&self, name: &str) -> io::Result<Self::File>;
-    /// Appends to a file.
+    /// Appends to a file. A call that fails may have written a part.
     fn write(&self, file: &mut Self::File, bytes: &[u8]) -> io::Result<()>;
-    /// Makes what was written to a file last.
+    /// Makes what was written to a file last. Once it has failed for a file, what it says of that file later
+    /// means nothing.
     fn sync(&self, file: &mut Self::File) -> io::Result<()>;
+    /// Cuts a file to a length, to give back the room behind it. Nothing is written to the file afterwards.
+    fn cut(&self, file: &mut Self::File, length: u64) -> io::Result<()>;
     /// Renames a file; a file of the new name is replaced.
     fn rename(&self, from: &str, to: &str) -> io::Result<()>;
     /// Removes a file.
@@ -78,6 +81,10 @@
         file.sync_data()
     }
 
+    fn cut(&self, file: &mut File, length: u64) -> io::Result<()> {
+        file.set_len(length)
+    }
+
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         std::fs::rename(self.0.join(from), self.0.join(to))
     }
--- a/crates/recall/src/format.rs
+++ b/crates/recall/src/format.rs
@@ -18,7 +18,7 @@
 pub(crate) type Map = BTreeMap<Vec<u8>, Vec<u8>>;
 
 /// How many bytes a record takes.
-pub(crate) fn size(key: &[u8], value: &[u8]) -> usize {
+fn size(key: &[u8], value: &[u8]) -> usize {
     8 + key.len() + value.len()
 }
 
@@ -37,9 +37,9 @@
     Some(u64::from_le_bytes(take(bytes, 8)?.try_into().ok()?))
 }
 
-/// A length as it is written. The bound on what may wait keeps each far below 4 GiB.
+/// A length as it is written. Whoever puts a record sees to it that each stays below 4 GiB.
 fn length(count: usize) -> [u8; 4] {
-    u32::try_from(count).expect("bounded by MOST_WAITING").to_le_bytes()
+    u32::try_from(count).expect("below 4 GiB").to_le_bytes()
 }
 
 fn add_record(out: &mut Vec<u8>, key: &[u8], value: &[u8]) {
@@ -67,19 +67,25 @@
     hasher.finalize()
 }
 
-/// Appends an entry to `out`.
-pub(crate) fn add_entry(out: &mut Vec<u8>, log: u64, sequence: u64, records: &[Record]) {
-    let start = out.len();
+/// How many bytes the entry of these records takes; `None` where they are too many for one.
+pub(crate) fn entry_size(records: &Map) -> Option<u64> {
+    let payload: usize = records.iter().map(|(key, value)| size(key, value)).sum();
+    u32::try_from(payload).ok().map(|payload| ENTRY_HEAD as u64 + u64::from(payload))
+}
+
+/// An entry of records that [`entry_size`] has found to fit.
+pub(crate) fn entry(log: u64, sequence: u64, records: &Map) -> Vec<u8> {
     let payload = records.iter().map(|(key, value)| size(key, value)).sum();
-    out.reserve(ENTRY_HEAD + payload);
+    let mut out = Vec::with_capacity(ENTRY_HEAD + payload);
     out.extend_from_slice(&[0; 4]);
     out.extend_from_slice(&length(payload));
     out.extend_from_slice(&sequence.to_le_bytes());
     for (key, value) in records {
-        add_record(out, key, value);
+        add_record(&mut out, key, value);
     }
-    let sum = checksum(log, &out[start + 4..]);
-    out[start..start + 4].copy_from_slice(&sum.to_le_bytes());
+    let sum = checksum(log, &out[4..]);
+    out[..4].copy_from_slice(&sum.to_le_bytes());
+    out
 }
 
 /// Takes the next entry off a log's bytes: its sequence and records. `None` at the end and where the entry is
--- a/crates/recall/src/journal.rs
+++ b/crates/recall/src/journal.rs
@@ -7,28 +7,39 @@
 
 use crate::disk::Disk;
 use crate::format::{self, Map, Snapshot};
-use crate::{DiskSnafu, Error, Record, SpoiltSnafu};
+use crate::{DiskSnafu, Error, SpoiltSnafu};
 
 const SNAPSHOT: &str = "snapshot";
 const SNAPSHOT_NEW: &str = "snapshot.new";
 
-/// After a call has failed the journal must not be used: what the disk holds is not known then. Above all a
-/// failed sync must not be tried again. Danger: the system may have dropped what it could not write, and the
-/// second sync would report success over the hole.
+/// The map in memory is always the newest. What of it is surely on disk, the last call of [`Journal::keep`] says.
 #[derive(Debug)]
 pub(crate) struct Journal<D: Disk> {
     disk: D,
     map: Map,
     /// Bytes that the log may take.
     bound: u64,
-    /// The log that is appended to.
+    log: Log<D::File>,
+    /// The number last given to a log.
     number: u64,
-    file: D::File,
-    bytes: u64,
-    /// The sequence of the next entry.
+    /// The sequence of the next entry. Never used again, not even where writing the entry failed.
     next: u64,
-    /// What one sync is to cover; kept so as not to ask for its memory each time.
-    group: Vec<u8>,
+    /// The logs that may hold what no surely lasting snapshot covers: from the first that the last such snapshot
+    /// names, to the newest that entries may have been written to. All others are superseded or empty.
+    needed: std::ops::RangeInclusive<u64>,
+}
+
+/// The log that is appended to.
+#[derive(Debug)]
+enum Log<F> {
+    Whole {
+        file: F,
+        bytes: u64,
+    },
+    /// There is none: a write or a sync has failed, or the folder was only read yet. Danger: the system may have
+    /// dropped what it could not write, and a second sync of the file would report success over the hole. So
+    /// such a file is never synced or appended to again; a snapshot in a new file takes its place.
+    Broken,
 }
 
 fn log_name(number: u64) -> String {
@@ -41,17 +52,16 @@
     move |error| DiskSnafu { path, cause: error.to_string() }.build()
 }
 
-/// The logs in the folder, by number.
-fn logs<D: Disk>(disk: &D) -> Result<Vec<u64>, Error> {
-    let names = disk.list().map_err(at(disk, ""))?;
+/// The numbers of the logs among the names, from the lowest.
+fn logs(names: &[String]) -> Vec<u64> {
     let number = |name: &String| name.strip_prefix("log-")?.parse().ok().filter(|n| log_name(*n) == *name);
     let mut logs: Vec<u64> = names.iter().filter_map(number).collect();
     logs.sort_unstable();
-    Ok(logs)
+    logs
 }
 
-/// Reads the snapshot and the logs that follow it.
-fn recover<D: Disk>(disk: &D, logs: &[u64]) -> Result<Snapshot, Error> {
+/// Reads the snapshot and the logs that follow it; gives too whether there are entries in those.
+fn recover<D: Disk>(disk: &D, logs: &[u64]) -> Result<(Snapshot, bool), Error> {
     let bytes = disk.read(SNAPSHOT).map_err(at(disk, SNAPSHOT))?;
     let first_time = bytes.is_none();
     let mut found = match bytes {
@@ -60,6 +70,7 @@
             SpoiltSnafu { path: disk.path(SNAPSHOT), cause: "not a whole snapshot" }.build()
         })?,
     };
+    let covered = found.next;
     for &number in logs.iter().filter(|number| **number >= found.from) {
         let name = log_name(number);
         let bytes = disk.read(&name).map_err(at(disk, &name))?.unwrap_or_default();
@@ -76,72 +87,85 @@
             found.map.extend(records);
         }
     }
-    Ok(found)
+    let entries = found.next > covered;
+    Ok((found, entries))
 }
 
 impl<D: Disk> Journal<D> {
-    /// Recovers what the folder holds and compacts it. By that, all that was recovered is surely on disk: it
-    /// may have been written and not synced by a process that was killed.
+    /// Reads what the folder holds, and writes nothing. Until the first [`Journal::keep`] has succeeded nothing of
+    /// it is sure: a process that was killed may have written and not synced it, or failed to sync it.
     pub(crate) fn open(disk: D, bound: u64) -> Result<Journal<D>, Error> {
-        let logs = logs(&disk)?;
-        let found = recover(&disk, &logs)?;
+        let logs = logs(&disk.list().map_err(at(&disk, ""))?);
+        let (Snapshot { map, from, next }, entries) = recover(&disk, &logs)?;
         // Above each log that is there: none is ever written to twice.
-        let number = logs.last().map_or(0, |last| last + 1).max(found.from).max(1);
-        let file = disk.create(&log_name(number)).map_err(at(&disk, &log_name(number)))?;
-        let Snapshot { map, next, .. } = found;
-        let mut journal = Journal { disk, map, bound, number, file, bytes: 0, next, group: Vec::new() };
-        journal.begin_log()?;
-        journal.write_snapshot()?;
-        journal.remove_old()?;
-        Ok(journal)
+        let newest = logs.last().copied().unwrap_or(0);
+        // A snapshot's rename may be visible and not synced, and the logs below the one that it names are still
+        // needed then. An entry in that one tells that it was synced: none is written before.
+        let needed = if entries { from..=newest } else { 0..=newest };
+        Ok(Journal { disk, map, bound, log: Log::Broken, number: newest.max(from), next, needed })
     }
 
     pub(crate) fn map(&self) -> &Map {
         &self.map
     }
 
-    /// Writes the batches and syncs them once; then they are surely on disk, each whole.
-    pub(crate) fn append(&mut self, batches: Vec<Vec<Record>>) -> Result<(), Error> {
-        self.group.clear();
-        for batch in &batches {
-            format::add_entry(&mut self.group, self.number, self.next, batch);
-            self.next += 1;
+    /// Takes records into the map and makes the whole map last: by an entry in the log where the log is whole and
+    /// has room, else by a snapshot. The records are kept all or none. Gives whether it was by a snapshot.
+    ///
+    /// # Errors
+    /// What the disk said. The records stay in the map, and the next call that succeeds covers them too.
+    pub(crate) fn keep(&mut self, records: Map) -> Result<bool, Error> {
+        let room = match &self.log {
+            Log::Whole { bytes, .. } => self.bound.saturating_sub(*bytes),
+            Log::Broken => 0,
+        };
+        let fits = format::entry_size(&records).is_some_and(|size| size <= room);
+        if matches!(self.log, Log::Whole { .. }) && records.is_empty() {
+            return Ok(false);
+        }
+        let kept = if fits {
+            let entry = format::entry(self.number, self.next, &records);
+            self.map.extend(records);
+            self.append(&entry)
+        } else {
+            self.map.extend(records);
+            self.rewrite()
+        };
+        if kept.is_err() {
+            self.broke();
         }
+        kept.map(|()| !fits)
+    }
+
+    /// Writes and syncs the next entry.
+    fn append(&mut self, entry: &[u8]) -> Result<(), Error> {
         let name = log_name(self.number);
-        self.disk.write(&mut self.file, &self.group).map_err(at(&self.disk, &name))?;
-        self.disk.sync(&mut self.file).map_err(at(&self.disk, &name))?;
-        self.bytes += self.group.len() as u64;
-        self.map.extend(batches.into_iter().flatten());
-        // One large batch must not hold its memory for good.
-        self.group.shrink_to(256 << 10);
+        let Log::Whole { file, bytes } = &mut self.log else { return self.rewrite() };
+        self.next += 1;
+        self.disk.write(file, entry).map_err(at(&self.disk, &name))?;
+        self.disk.sync(file).map_err(at(&self.disk, &name))?;
+        *bytes += entry.len() as u64;
         Ok(())
     }
 
-    /// Compacts where the log has reached its bound; gives whether it did.
-    pub(crate) fn compact_if_due(&mut self) -> Result<bool, Error> {
-        if self.bytes < self.bound {
-            return Ok(false);
-        }
+    /// Puts a snapshot of the whole map in the place of the old one and its logs, and begins a new log.
+    fn rewrite(&mut self) -> Result<(), Error> {
+        // Danger: what a removal that failed has left would take the room that the new files need.
+        self.sweep();
         self.number += 1;
         let name = log_name(self.number);
-        self.file = self.disk.create(&name).map_err(at(&self.disk, &name))?;
-        self.begin_log()?;
+        let mut file = self.disk.create(&name).map_err(at(&self.disk, &name))?;
+        self.disk.write(&mut file, format::LOG_MAGIC).map_err(at(&self.disk, &name))?;
+        self.disk.sync(&mut file).map_err(at(&self.disk, &name))?;
         self.write_snapshot()?;
-        self.remove_old()?;
-        Ok(true)
-    }
-
-    fn begin_log(&mut self) -> Result<(), Error> {
-        let name = log_name(self.number);
-        self.disk.write(&mut self.file, format::LOG_MAGIC).map_err(at(&self.disk, &name))?;
-        self.disk.sync(&mut self.file).map_err(at(&self.disk, &name))?;
-        self.bytes = format::LOG_MAGIC.len() as u64;
+        self.began(file);
         Ok(())
     }
 
     /// Puts the map in the snapshot's place. Only the rename shows it, and it is synced by then: no reader
-    /// finds a part of it. The sync of the folder also covers the new log's name, for disks that need it.
-    fn write_snapshot(&mut self) -> Result<(), Error> {
+    /// finds a part of it. The sync of the folder also covers the new log's name, for disks that need it. Where
+    /// that sync fails the next attempt renames anew, so that there is something new for the next sync.
+    fn write_snapshot(&self) -> Result<(), Error> {
         let disk = &self.disk;
         let mut file = disk.create(SNAPSHOT_NEW).map_err(at(disk, SNAPSHOT_NEW))?;
         format::write_snapshot(&self.map, self.number, self.next, |piece| disk.write(&mut file, piece))
@@ -151,13 +175,32 @@
         disk.sync_folder().map_err(at(disk, ""))
     }
 
-    /// Removes the logs that the snapshot covers. A removal that does not last does no harm: recovery skips
-    /// them by number, and the next compaction removes them again.
-    fn remove_old(&mut self) -> Result<(), Error> {
-        for number in logs(&self.disk)?.into_iter().filter(|number| *number < self.number) {
-            let name = log_name(number);
-            self.disk.remove(&name).map_err(at(&self.disk, &name))?;
+    /// The snapshot surely lasts, and the log that it names is the only one needed.
+    fn began(&mut self, file: D::File) {
+        self.log = Log::Whole { file, bytes: format::LOG_MAGIC.len() as u64 };
+        self.needed = self.number..=self.number;
+        self.sweep();
+    }
+
+    /// A call has failed: the log is not written to any more, and gives back the room of what was not synced.
+    fn broke(&mut self) {
+        if let Log::Whole { file, bytes } = &mut self.log {
+            // Where this fails too, recovery finds a torn tail, or an entry that was not acknowledged.
+            let _ = self.disk.cut(file, *bytes);
+        }
+        // By this the file is closed. Danger: a removed file that is open holds its room.
+        self.log = Log::Broken;
+        self.sweep();
+    }
+
+    /// Removes what is surely superseded, and what an attempt that failed has left. What cannot be removed, or
+    /// comes back with a loss of power, does no harm, and goes at the next call: recovery skips logs by their
+    /// number, and one that no snapshot led to holds no entry.
+    fn sweep(&self) {
+        let Ok(names) = self.disk.list() else { return };
+        let logs = logs(&names).into_iter().filter(|number| !self.needed.contains(number)).map(log_name);
+        for name in logs.chain(names.into_iter().filter(|name| name == SNAPSHOT_NEW)) {
+            let _ = self.disk.remove(&name);
         }
-        Ok(())
     }
 }
--- a/crates/recall/src/lib.rs
+++ b/crates/recall/src/lib.rs
@@ -5,16 +5,36 @@
 //!
 //! # On disk
 //!
-//! The folder holds `snapshot`, the whole map at some point, and `log-<number>` with what came after it. Once
-//! the log has grown to its bound, and at each opening, the map goes to `snapshot.new`, is synced, renamed to
-//! `snapshot`, and the folder is synced; only then are the logs that it covers removed. A snapshot names the
-//! first log that it does not cover. A log is only ever appended to by the process that made it: it is not
-//! renamed and not reused, and nothing is written behind what may be a torn tail.
+//! The folder holds `snapshot`, the whole map at some point, and `log-<number>` with what came after it. Where an
+//! entry would take the log beyond its bound, and at each opening, the map goes to `snapshot.new`, is synced,
+//! renamed to `snapshot`, and the folder is synced; only then are the logs that it covers removed. A snapshot
+//! names the first log that it does not cover. A log is only ever appended to by the process that made it: it is
+//! not renamed and not reused, and nothing is written behind what may be a torn tail.
 //!
-//! This relies on the following of the disk. What was written before a file's sync is there after it. A new file
-//! lasts once it was synced. Renames and removals last once the folder was synced. A log's last writes may be
-//! missing or torn in any mix; checksums, and numbers that go up by one, cut the log off before the first
-//! that is.
+//! This relies on the following of the disk. What was written before a file's sync is there after it, if the sync
+//! succeeded and none of the file failed before. A new file lasts once it was synced. Renames and removals last
+//! once the folder was synced. A log's last writes may be missing or torn in any mix; checksums, and numbers that
+//! go up by one, cut the log off before the first that is.
+//!
+//! # A disk that refuses, fills up or hangs
+//!
+//! None of these ends the store; tickets come later, that is all. What waits collapses to the newest value of each
+//! key, so that memory holds a few times the map at most, and [`MOST_TICKETS`] bounds the tickets.
+//!
+//! * After any call that failed, the store is *refused* (`event=store_refused`): the log is not touched again, as a
+//!   sync that failed tells nothing when repeated, but cut to what was synced. After a pause, 0.25 s at first and
+//!   2 s in the end, the whole map goes to a new snapshot with a new log behind it. What a failed attempt wrote is
+//!   removed at once, so as not to hold room. Once one succeeds (`event=store_again`) all tickets that it covers
+//!   come back. What was acknowledged before lasts all the while: the old snapshot and its log stay until then.
+//! * An opening that can read and not write gives what it read and starts refused.
+//! * A disk that hangs holds the store's thread and nobody else. A wait of a second or more, or tickets dropped in
+//!   it, are told by `event=store_slow`.
+//!
+//! The files take no more room than the bound and twice the map, except for what the disk refuses to remove or
+//! brings back with a loss of power; that goes at the next compaction. No room is reserved beyond that, say by writing the log full of zeros first:
+//! it would double what is written, helps neither against errors nor on disks that write copies, and the next
+//! compaction needs room for the whole map anyway. What a full disk costs is a wait, and a wait is what any refusal
+//! costs.
 //!
 //! # Why not `okaywal`
 //!
@@ -48,12 +68,12 @@
 use snafu::Snafu;
 
 pub use memory::{Kept, Memory};
-pub use store::{Store, MOST_WAITING};
+pub use store::{Store, MOST_TICKETS};
 
 /// A record: its key and its value.
 pub type Record = (Vec<u8>, Vec<u8>);
 
-/// Why the store could not be opened, or ended.
+/// Why the store could not be opened, or ended, or why the disk refuses (which the log alone tells).
 #[derive(Clone, Debug, PartialEq, Snafu)]
 #[snafu(visibility(pub(crate)))]
 #[non_exhaustive]
@@ -75,12 +95,6 @@
         /// What is wrong with it.
         cause: String,
     },
-    /// More than [`MOST_WAITING`] bytes were handed over and not yet written.
-    #[snafu(display("{}: more than {MOST_WAITING} bytes wait for the disk", path.display()))]
-    Backlog {
-        /// The store's folder.
-        path: PathBuf,
-    },
     /// The store's thread or descriptor could not be made, or the thread has died.
     #[snafu(display("{}: {cause}", path.display()))]
     Thread {
@@ -97,7 +111,8 @@
     /// kept all or none. Never waits.
     fn put(&self, ticket: u64, records: Vec<Record>);
 
-    /// Tickets whose records were kept since the last call, in the order of [`Shelf::put`].
+    /// Tickets whose records were kept since the last call, in the order of [`Shelf::put`]. Those of all earlier
+    /// puts are kept then too.
     ///
     /// # Errors
     /// What ended the shelf, at each call from then on. Tickets that had not come back by then never do:
