A resting connection goes first, some requests are granted in advance where there is plenty

Cause: on the grown site requests waited 50 to 450 ms for a grant over slow links, new connections to far backends cost two ways, and one out of reach was tried every 0.4 s by each gateway. Change: two of the backends with a resting connection are drawn, a new one costs its way; unreachable ones are left alone for 1.2 s at first; grants in advance down to 0.4 of a store; a new holder's stores begin with a quarter of the slack.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -584,7 +584,10 @@
 
     /// Records are on disk.
     pub fn kept(&mut self, now: Moment, ticket: u64) {
-        match self.keeping.remove(&ticket) {
+        // A disk in trouble may drop old tickets; what they were for is over.
+        let kept = self.keeping.remove(&ticket);
+        self.keeping = self.keeping.split_off(&ticket);
+        match kept {
             Some(Kept::Order(id)) if self.full => {
                 let me = self.me.station.clone();
                 self.stored(now, id, &me);
--- a/crates/bond/src/count.rs
+++ b/crates/bond/src/count.rs
@@ -25,6 +25,10 @@
 const HELD: Span = Span::from_micros(10_000_000);
 /// The part of what the operators bear beyond a limit that the store holds on top.
 const SLACK_USED: f64 = 0.6;
+/// The part of a full store from which nothing is granted in advance.
+const PLENTY: f64 = 0.4;
+/// The part of the slack that a new holder's stores begin with: what is left of it beside the part that is used.
+const FIRST: f64 = 0.25;
 /// Tenants kept at most; beyond that the longest unused go.
 const MOST_TENANTS: usize = 65_536;
 
@@ -80,7 +84,7 @@
 
 impl Counts {
     /// Counts begin empty, and are rebuilt from those who told of them: by a period every gateway has added. Danger:
-    /// an earlier holder may have granted all there was a moment ago; so the stores begin with nothing, too.
+    /// an earlier holder may have granted all there was a moment ago; so the stores begin with next to nothing.
     pub fn new(slack: Slack) -> Counts {
         Counts { tenants: BTreeMap::new(), heard: BTreeMap::new(), slack }
     }
@@ -117,7 +121,8 @@
         if self.tenants.len() >= MOST_TENANTS && !self.tenants.contains_key(&add.tenant) {
             self.sweep(now);
         }
-        let fresh = || Pool { terms, store: 0.0, as_of: now, reports: BTreeMap::new() };
+        let store = FIRST / SLACK_USED * self.slack.of(terms);
+        let fresh = || Pool { terms, store, as_of: now, reports: BTreeMap::new() };
         let pool = self.tenants.entry(add.tenant.clone()).or_insert_with(fresh);
         pool.terms = terms;
         pool.reports.retain(|_, report| now - report.asked < HELD);
@@ -131,8 +136,13 @@
         pool.as_of = now;
         let most = terms.surge + self.slack.of(terms) - held;
         pool.store = (pool.store + terms.rate * part * past + f64::from(add.back)).min(most.max(0.0));
-        let granted = f64::from(add.wants).min(pool.store.floor()).max(0.0);
-        pool.store -= granted;
+        let wanted = f64::from(add.wants).min(pool.store.floor()).max(0.0);
+        pool.store -= wanted;
+        // What is held in advance is out of the others' reach: of a half of the store there is none.
+        let plenty = pool.store - PLENTY * (terms.surge + self.slack.of(terms));
+        let ahead = f64::from(add.ahead).min(plenty.floor()).max(0.0);
+        pool.store -= ahead;
+        let granted = wanted + ahead;
         let report = pool.reports.get_mut(&adds.station).expect("put in above");
         report.held += granted;
         let fresh = |report: &&Report| report.at != Moment::default() && now - report.at < FRESH;
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -254,6 +254,9 @@
     /// Requests that it gives back: it holds fewer by now.
     #[prost(uint32, tag = "6")]
     pub back: u32,
+    /// Requests that it would hold in advance, if there is plenty.
+    #[prost(uint32, tag = "7")]
+    pub ahead: u32,
 }
 
 /// A gateway's adds to the counts of its last period. Adding zero reads alone.
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -20,8 +20,10 @@
 const FAR: Span = Span::from_micros(110_000);
 /// What another zone's bytes are worth in time.
 const NEXT_DOOR: f64 = 1.1;
-/// Backends drawn of the near ones and of all.
-const DRAWN: usize = 3;
+/// Backends drawn of the near ones that a connection rests to, of all near ones, and of all.
+const DRAWN: [usize; 3] = [2, 2, 1];
+/// What a new connection is worth in time, beside its way there and back.
+const HANDSHAKE: Span = Span::from_micros(20_000);
 /// A backend that failed is left alone for so long at first, and twice as long each time, up to the most.
 const BARRED: Span = Span::from_micros(400_000);
 const BARRED_MOST: Span = Span::from_micros(6_400_000);
@@ -69,6 +71,8 @@
     pub homes: [&'a [Arc<str>]; 2],
     /// Backends that had a leg of this request.
     pub had: &'a [Arc<str>],
+    /// Whether a connection rests to a backend: a new one costs a way there and back, and a slot for a moment.
+    pub rests: &'a dyn Fn(&Arc<str>) -> bool,
 }
 
 pub struct Pick {
@@ -205,37 +209,51 @@
             && need.homes.iter().all(|homes| homes.is_empty() || homes.iter().any(|home| **home == *province))
     }
 
-    fn cost(&self, now: Moment, backend: &Backend) -> f64 {
+    fn cost(&self, now: Moment, backend: &Backend, rests: bool) -> f64 {
         let far = *self.province != *self.province_of(&backend.district);
         let usual =
             backend.pace.unwrap_or_else(|| self.pace(&backend.line) + if far { FAR } else { Span::ZERO });
         let door = if backend.district == self.district { 1.0 } else { NEXT_DOOR };
         let barred = if backend.barred > now { 1e6 + (backend.barred - now).secs() * 1e3 } else { 0.0 };
-        usual.secs() * (1.0 + CROWD * f64::from(backend.out)) * door + barred
+        let way = HANDSHAKE + if far { FAR } else { Span::ZERO };
+        let opening = if rests { Span::ZERO } else { way };
+        usual.secs() * (1.0 + CROWD * f64::from(backend.out)) * door + opening.secs() + barred
     }
 
     /// Draws a backend for a leg, which is out there from now on.
     pub fn pick(&mut self, now: Moment, need: &Need) -> Option<Arc<str>> {
+        let draws: [u64; 5] = std::array::from_fn(|_| self.chance.rand_u64());
+        let mut draws = draws.into_iter();
         let known = self.lines.get(need.line)?;
-        let (mut near, mut all) = (Vec::new(), Vec::new());
+        let (mut resting, mut near, mut all) = (Vec::new(), Vec::new(), Vec::new());
         for call_sign in known {
             let backend = &self.backends[call_sign];
             if !self.fits(backend, need) || backend.cold_until > now && !self.takes_cold(now, backend) {
                 continue;
             }
-            all.push(call_sign.clone());
+            all.push(call_sign);
             if *self.province_of(&backend.district) == *self.province && backend.barred <= now {
-                near.push(call_sign.clone());
+                near.push(call_sign);
+                if (need.rests)(call_sign) {
+                    resting.push(call_sign);
+                }
             }
         }
-        let mut drawn: Vec<Arc<str>> = Vec::new();
-        for (from, times) in [(&near, DRAWN), (&all, if near.is_empty() { DRAWN } else { 1 })] {
+        // One that failed lately is tried only where there is no other.
+        if all.iter().any(|c| self.backends[*c].barred <= now) {
+            all.retain(|c| self.backends[*c].barred <= now);
+        }
+        let [of_resting, of_near, of_all] = DRAWN;
+        let of_all = if near.is_empty() { of_near + of_all } else { of_all };
+        let mut drawn: Vec<&Arc<str>> = Vec::new();
+        for (from, times) in [(&resting, of_resting), (&near, of_near), (&all, of_all)] {
             for _ in 0..times.min(from.len()) {
-                drawn.push(from[self.chance.rand_range(0..from.len() as u64) as usize].clone());
+                let draw = draws.next().unwrap_or_default();
+                drawn.push(from[(draw % from.len() as u64) as usize]);
             }
         }
-        let cost = |call_sign: &Arc<str>| self.cost(now, &self.backends[call_sign]);
-        let best = drawn.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let cost = |c: &Arc<str>| self.cost(now, &self.backends[c], (need.rests)(c));
+        let best = drawn.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?.clone();
         let backend = self.backends.get_mut(&best).expect("drawn from these");
         backend.out += 1;
         if backend.cold_until > now {
@@ -259,7 +277,7 @@
         };
         let own = score(&self.station);
         let before = self.stations.iter().filter(|s| ***s != *self.station && score(s) < own).count();
-        let gap = PERIOD_SECS * few as f64 / rate;
+        let gap = few as f64 / rate; // seconds between two of one gateway
         before < few && backend.last_cold.is_none_or(|last| (now - last).secs() >= gap)
     }
 
@@ -286,7 +304,9 @@
             }
             End::Elsewhere => backend.barred = now + BARRED_MOST,
             End::Unreached | End::Broken => {
-                let span = BARRED * (1 << backend.fails.min(4));
+                // One that cannot be reached has nothing to say: it is left alone for longer.
+                let first = if end == End::Unreached { BARRED * 3 } else { BARRED };
+                let span = first * (1 << backend.fails.min(4));
                 backend.fails += 1;
                 backend.barred = now + span.min(BARRED_MOST);
             }
@@ -302,4 +322,102 @@
     }
 }
 
-const PERIOD_SECS: f64 = 1.0;
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+    use rstest::rstest;
+
+    const NOW: Moment = Moment::from_micros(1_000_000_000);
+
+    fn pick(station: &str) -> Pick {
+        let provinces = [("a1", "a"), ("a2", "a"), ("b1", "b")].map(|(d, p)| (d.to_owned(), p.to_owned()));
+        let mut pick = Pick::new(7, station, "a1", &provinces.into());
+        pick.live((0..12).map(|n| format!("g{n}")).collect());
+        pick.cold_rates([("l".into(), 6.7)].into_iter());
+        pick
+    }
+
+    fn learn(pick: &mut Pick, name: &str, district: &str, closing: bool, cold_ms: u32) {
+        let value = format!(
+            r#"{{"line":"l","address":"10.0.0.1:80","district":"{district}","closing":{closing},"cold-ms":{cold_ms}}}"#
+        );
+        let value = Some(Bytes::from(value));
+        pick.learn(NOW, &Item { kind: Kind::Backend, name: name.into(), edition: 1, value });
+    }
+
+    fn go(pick: &mut Pick, homes: &[Arc<str>], had: &[Arc<str>], resting: &str) -> Option<String> {
+        let rests = |c: &Arc<str>| **c == *resting;
+        let need = Need { line: &"l".into(), homes: [homes, &[]], had, rests: &rests };
+        pick.pick(NOW, &need).map(|call_sign| call_sign.to_string())
+    }
+
+    /// Where nothing may go nothing goes: a closing or cold backend, an evacuated zone, one that had the request,
+    /// and one that is not at home.
+    #[rstest]
+    #[case::open(false, 0, &[], &[], &[], true)]
+    #[case::closing(true, 0, &[], &[], &[], false)]
+    #[case::evacuated(false, 0, &["a2"], &[], &[], false)]
+    #[case::had(false, 0, &[], &[], &["x"], false)]
+    #[case::not_at_home(false, 0, &[], &["b"], &[], false)]
+    #[case::at_home(false, 0, &[], &["b", "a"], &[], true)]
+    fn only_what_fits_is_picked(
+        #[case] closing: bool,
+        #[case] cold_ms: u32,
+        #[case] evacuated: &[&str],
+        #[case] homes: &[&str],
+        #[case] had: &[&str],
+        #[case] goes: bool,
+    ) {
+        let arcs = |names: &[&str]| names.iter().map(|name| Arc::from(*name)).collect::<Vec<Arc<str>>>();
+        let mut pick = pick("g0");
+        learn(&mut pick, "x", "a2", closing, cold_ms);
+        pick.evacuated(NOW, &arcs(evacuated).into_iter().collect());
+        assert_eq!(go(&mut pick, &arcs(homes), &arcs(had), "").is_some(), goes);
+    }
+
+    /// All gateways together, each by itself: a cold backend gets no more than it bears in any second.
+    #[test]
+    fn a_cold_backend_gets_little_from_all_gateways_together() {
+        let mut gateways: Vec<Pick> = (0..12).map(|n| pick(&format!("g{n}"))).collect();
+        let (mut sent, line) = (Vec::new(), "l".into());
+        for gateway in &mut gateways {
+            learn(gateway, "x", "a1", false, 60_000);
+        }
+        for millis in 0..20_000i64 {
+            let now = NOW + Span::from_micros(millis * 1000);
+            let need = Need { line: &line, homes: [&[], &[]], had: &[], rests: &|_| false };
+            sent.extend(gateways.iter_mut().filter_map(|g| g.pick(now, &need)).map(|_| millis));
+        }
+        for end in 1_000..20_000 {
+            let within = sent.iter().filter(|at| (end - 1_000..end).contains(*at)).count() as f64;
+            assert!(within <= 6.7, "{within} in the second before {end}");
+        }
+        assert!(sent.len() > 40, "{}", sent.len());
+    }
+
+    /// A failed backend is left alone, near goes before far, and a resting connection before a new one.
+    #[test]
+    fn the_cheap_go_first() {
+        let mut pick = pick("g0");
+        ["x", "y"].into_iter().for_each(|name| learn(&mut pick, name, "a1", false, 0));
+        learn(&mut pick, "far", "b1", false, 0);
+        let count = |pick: &mut Pick, name: &str, resting: &str| {
+            let went: Vec<String> = (0..200)
+                .filter_map(|_| {
+                    let went = go(pick, &[], &[], resting)?;
+                    pick.ended(NOW, &went, End::Left, Span::ZERO);
+                    Some(went)
+                })
+                .collect();
+            went.iter().filter(|w| *w == name).count()
+        };
+        assert_eq!(count(&mut pick, "far", ""), 0);
+        assert_eq!(count(&mut pick, "y", "y"), 200);
+        pick.ended(NOW, "y", End::Unreached, Span::ZERO);
+        assert_eq!(count(&mut pick, "x", "y"), 200);
+        // Of two that are out of reach the far one is better than none.
+        pick.ended(NOW, "x", End::Unreached, Span::ZERO);
+        assert_eq!(count(&mut pick, "far", ""), 200);
+    }
+}
--- a/crates/course/src/quota.rs
+++ b/crates/course/src/quota.rs
@@ -155,8 +155,7 @@
             None => {
                 customer.waiting.push_back(request);
                 if customer.asked.is_none() {
-                    let more = u32::from(customer.expected >= 0.3);
-                    self.asks.push(customer.ask(now, tenant, more));
+                    self.asks.push(customer.ask(now, tenant));
                 }
                 return Verdict::Waits;
             }
@@ -181,14 +180,15 @@
                 }
             }
             let (offered, sent) = (std::mem::take(&mut customer.offered), std::mem::take(&mut customer.sent));
-            let target =
-                if customer.expected >= 1.0 { (customer.expected * AHEAD).ceil() as u32 + 1 } else { 0 };
+            let target = (customer.expected * AHEAD).floor() as u32;
+            let most = if customer.expected > 0.05 { target + 1 } else { 0 };
             // What is held and not needed goes back, for the others.
-            let back = if customer.held > target + 2 { customer.held - target } else { 0 };
+            let back = if customer.held > most + 2 { customer.held - most } else { 0 };
             customer.held -= back;
             let wants = if customer.asked.is_none() { target.saturating_sub(customer.held) } else { 0 };
             let held = customer.held;
-            adds.push(Add { tenant: tenant.to_string(), offered, sent, held, wants, back });
+            let ahead = if customer.asked.is_none() { most.saturating_sub(held + wants) } else { 0 };
+            adds.push(Add { tenant: tenant.to_string(), offered, sent, held, wants, back, ahead });
         }
         adds
     }
@@ -221,7 +221,7 @@
                     customer.dry = now + DRY;
                     self.decided.extend(customer.waiting.drain(..).map(|request| (request, false)));
                 } else if !customer.waiting.is_empty() {
-                    self.asks.push(customer.ask(now, &tenant, 0));
+                    self.asks.push(customer.ask(now, &tenant));
                 }
                 continue;
             }
@@ -293,10 +293,11 @@
         }
     }
 
-    fn ask(&mut self, now: Moment, tenant: &str, more: u32) -> Add {
-        let wants = self.waiting.len() as u32 + more;
+    fn ask(&mut self, now: Moment, tenant: &str) -> Add {
+        let wants = self.waiting.len() as u32;
         self.asked = Some((now, wants));
-        Add { tenant: tenant.to_owned(), held: self.held, wants, ..Add::default() }
+        let ahead = 1 + (self.expected / 4.0) as u32;
+        Add { tenant: tenant.to_owned(), held: self.held, wants, ahead, ..Add::default() }
     }
 }
 
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -781,7 +781,9 @@
             }
             let homes: [&[Arc<str>]; 2] =
                 [&job.route.homes, job.tenant.as_ref().map_or(&[], |tenant| &tenant.homes)];
-            let need = Need { line: &job.line, homes, had: &job.had };
+            let idle = &self.idle;
+            let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
+            let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
             if further && !self.further.allows(now, &job.line, self.live) {
                 return self.settle_up(now, id);
             }
@@ -864,6 +866,9 @@
         let far = self.pick.province_of(&district) != self.settings.province;
         let mut line = None;
         while let Some(rested) = self.idle.get_mut(call_sign).and_then(Vec::pop) {
+            if self.idle.get(call_sign).is_some_and(Vec::is_empty) {
+                self.idle.remove(call_sign);
+            }
             let fit = self.lines.get(&rested).is_some_and(|l| l.wire.is_quiet() && now < l.rests_until);
             if fit {
                 line = Some(rested);
@@ -1143,7 +1148,9 @@
     fn again(&mut self, now: Moment, id: u64) {
         let Some(job) = self.jobs.get(&id) else { return };
         let homes: [&[Arc<str>]; 2] = [&job.route.homes, job.tenant.as_ref().map_or(&[], |t| &t.homes)];
-        let need = Need { line: &job.line, homes, had: &job.had };
+        let idle = &self.idle;
+        let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
+        let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
         let Some(call_sign) = self.pick.pick(now, &need) else { return self.settle_up(now, id) };
         self.jobs.get_mut(&id).expect("found above").had.push(call_sign.clone());
         if !self.send(now, id, &call_sign) {
