What grows with the square of the gateways: the heard part, ranks at cold backends, the list of the living

Cause: slopes at 60, 200 and 600 gateways: an ask cost the holder 20, 57 and 299 us (each looked all stations up); a pick with a tenth of the backends cold 48, 528, 6,643 us; the list of live stations went whole to all each 5 s. Change: the living are reckoned once a beat and the heard part each 0.25 s; ranks once a list of stations; the list goes out on a change and to newcomers.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -130,7 +130,8 @@
     sessions: BTreeMap<u64, Session>,
     table: Table,
     told: (u64, Moment, Vec<Member>),
-    lived: (usize, Moment),
+    /// Gateways that count as live, reckoned once a beat.
+    live: Vec<String>,
     voter: Voter,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
@@ -198,7 +199,7 @@
             sessions: BTreeMap::new(),
             table,
             told: (0, Moment::default(), Vec::new()),
-            lived: (0, Moment::default()),
+            live: Vec::new(),
             claimant: Claimant::new(DUTY),
             counts: None,
             terms,
@@ -404,8 +405,7 @@
             }
             Word::Grant(grant) => self.granted(now, station, &grant),
             Word::Sessions(sessions) => {
-                let news = self.table.hear(now, station, life, &sessions);
-                self.lived.1 = if news { Moment::default() } else { self.lived.1 };
+                self.table.hear(now, station, life, &sessions);
             }
             Word::Adds(adds) => {
                 if let Some(totals) = self.add(now, &adds) {
@@ -615,7 +615,8 @@
         }
         info!("event=session station={} life={:x}", hello.station, hello.life);
         self.sessions.insert(id, Session { hello, ready: false, heard: now, differs: 0 });
-        self.lived.1 = Moment::default();
+        let word = Word::Live(self.live_word());
+        self.acts.push(Act::Session(id, word));
     }
 
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
@@ -691,9 +692,6 @@
         let me = (self.me.station.clone(), self.life);
         self.table.hear(now, &me.0, me.1, &sessions);
         self.send_all(&Word::Sessions(sessions));
-        if changed {
-            self.lived.1 = Moment::default();
-        }
     }
 
     // Duties.
@@ -743,10 +741,9 @@
 
     fn add(&mut self, now: Moment, adds: &Adds) -> Option<Totals> {
         self.holds(now)?;
-        let live = self.table.live();
-        let terms = &self.terms;
+        let (terms, live) = (&self.terms, &self.live);
         let (_, counts) = self.counts.as_mut()?;
-        Some(counts.add(now, adds, &live, |tenant| terms.get(tenant).copied()))
+        Some(counts.add(now, adds, live, |tenant| terms.get(tenant).copied()))
     }
 
     fn totals(&mut self, totals: Totals) {
@@ -818,6 +815,16 @@
         }
     }
 
+    /// What gateways are told of the others: at a session's start, and when it changes.
+    fn live_word(&self) -> Live {
+        let mut controls: Vec<(&str, &str)> =
+            self.peers.values().map(|p| (p.hello.ip.as_str(), p.hello.district.as_str())).collect();
+        controls.push((&self.me.ip, &self.me.district));
+        let (controls, control_districts) =
+            controls.into_iter().map(|(ip, d)| (ip.to_owned(), d.to_owned())).unzip();
+        Live { gateways: self.live.len() as u32, stations: self.live.clone(), controls, control_districts }
+    }
+
     /// Whether a majority of the cast, itself among them, has been heard lately.
     fn hears_enough(&self) -> bool {
         self.cast().is_some_and(|cast| {
@@ -847,20 +854,12 @@
             counts.sweep(now);
         }
         let live = self.table.live();
-        if live.len() != self.lived.0 || now - self.lived.1 > BEAT * 10 {
-            if live.len() != self.lived.0 {
-                self.keep_records(vec![(LIVE.to_vec(), live.join(",").into_bytes())], Kept::Nothing);
-            }
-            self.lived = (live.len(), now);
-            let mut controls: Vec<(&str, &str)> =
-                self.peers.values().map(|p| (p.hello.ip.as_str(), p.hello.district.as_str())).collect();
-            controls.push((&self.me.ip, &self.me.district));
-            let (controls, control_districts) =
-                controls.into_iter().map(|(ip, d)| (ip.to_owned(), d.to_owned())).unzip();
-            let live = Live { gateways: live.len() as u32, stations: live, controls, control_districts };
-            for id in self.sessions.keys() {
-                self.acts.push(Act::Session(*id, Word::Live(live.clone())));
-            }
+        if live != self.live {
+            self.keep_records(vec![(LIVE.to_vec(), live.join(",").into_bytes())], Kept::Nothing);
+            self.live = live;
+            let word = Word::Live(self.live_word());
+            let ids: Vec<u64> = self.sessions.keys().copied().collect();
+            ids.into_iter().for_each(|id| self.acts.push(Act::Session(id, word.clone())));
         }
         for id in self.sessions.keys() {
             let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
--- a/crates/bond/src/count.rs
+++ b/crates/bond/src/count.rs
@@ -25,6 +25,8 @@
 const HELD: Span = Span::from_micros(10_000_000);
 /// The part of what the operators bear beyond a limit that the store holds on top.
 const SLACK_USED: f64 = 0.6;
+/// The part of the gateways that is heard is reckoned so often.
+const RECKON: Span = Span::from_micros(250_000);
 /// The part of a full store from which nothing is granted in advance.
 const PLENTY: f64 = 0.4;
 /// The part of the slack that a new holder's stores begin with: what is left of it beside the part that is used.
@@ -80,13 +82,17 @@
     tenants: BTreeMap<String, Pool>,
     heard: BTreeMap<String, Moment>,
     slack: Slack,
+    /// The part of the live gateways that is heard, of how many, and when that was reckoned.
+    part: (usize, f64),
+    reckoned: Moment,
 }
 
 impl Counts {
     /// Counts begin empty, and are rebuilt from those who told of them: by a period every gateway has added. Danger:
     /// an earlier holder may have granted all there was a moment ago; so the stores begin with next to nothing.
     pub fn new(slack: Slack) -> Counts {
-        Counts { tenants: BTreeMap::new(), heard: BTreeMap::new(), slack }
+        let (tenants, heard) = (BTreeMap::new(), BTreeMap::new());
+        Counts { tenants, heard, slack, part: (0, 1.0), reckoned: Moment::default() }
     }
 
     /// Adds a gateway's period and reads the totals, or grants what it asks for between two periods. `live` are
@@ -98,10 +104,16 @@
         live: &[String],
         terms: impl Fn(&str) -> Option<Terms>,
     ) -> Totals {
-        self.heard.insert(adds.station.clone(), now);
-        let heard = live.iter().filter(|s| self.heard.get(*s).is_some_and(|at| now - *at < HEARD)).count();
-        // One that is heard counts, listed or not.
-        let part = heard.max(1) as f64 / live.len().max(heard).max(1) as f64;
+        let known = self.heard.insert(adds.station.clone(), now).is_some_and(|at| now - at < HEARD);
+        // Reckoned now and then: for each word it would grow with the square of the gateways.
+        if !known || now - self.reckoned >= RECKON || self.part.0 != live.len() {
+            let heard =
+                live.iter().filter(|s| self.heard.get(*s).is_some_and(|at| now - *at < HEARD)).count();
+            // One that is heard counts, listed or not.
+            let part = heard.max(1) as f64 / live.len().max(heard).max(1) as f64;
+            (self.reckoned, self.part) = (now, (live.len(), part));
+        }
+        let part = self.part.1;
         let mut totals = Vec::with_capacity(adds.adds.len());
         for add in &adds.adds {
             if let Some(terms) = terms(&add.tenant).filter(|terms| terms.rate > 0.0) {
--- a/crates/course/examples/slopes.rs
+++ b/crates/course/examples/tables.rs
@@ -1,4 +1,4 @@
-//! What the data plane's tables cost as the system grows: `cargo run --release -p kitepass-course --example slopes`.
+//! What the data plane's tables cost as the system grows: `cargo run --release -p kitepass-course --example tables`.
 //!
 //! The true [`Link`], [`View`], [`Pick`] and [`Quota`] at three sizes, each in a process of its own so that memory is
 //! told apart: microseconds a call, and resident memory. docs/CAPACITY.md uses what it prints.
@@ -307,7 +307,7 @@
     });
     let pick_of = |what: &str, pick: &mut Pick, line: usize| {
         let line = line_name(line);
-        let need = Need { line: &line, homes: [&[], &[]], had: &[] };
+        let need = Need { line: &line, homes: [&[], &[]], had: &[], rests: &|_| false };
         time(what, 1_000, |n| {
             let now = at(50_000 + n as i64);
             if let Some(call_sign) = pick.pick(now, &need) {
--- a/crates/course/src/pick.rs
+++ b/crates/course/src/pick.rs
@@ -62,6 +62,8 @@
     fails: u32,
     barred: Moment,
     last_cold: Option<Moment>,
+    /// How many gateways go before this one at it while it is cold, and by which list of stations.
+    before: (u64, usize),
 }
 
 /// What a leg needs.
@@ -85,6 +87,8 @@
     provinces: BTreeMap<String, String>,
     evacuated: BTreeSet<Arc<str>>,
     stations: Vec<String>,
+    /// Which list of stations this is.
+    listed: u64,
     chance: oorandom::Rand64,
     /// Requests a second that a cold backend of a service bears.
     cold_rates: BTreeMap<Arc<str>, f64>,
@@ -103,6 +107,7 @@
             provinces: provinces.clone(),
             evacuated: BTreeSet::new(),
             stations: Vec::new(),
+            listed: 1,
             chance: oorandom::Rand64::new(u128::from(seed)),
             cold_rates: BTreeMap::new(),
         }
@@ -111,6 +116,7 @@
     /// The stations of live gateways, in order.
     pub fn live(&mut self, stations: Vec<String>) {
         self.stations = stations;
+        self.listed += 1;
     }
 
     pub fn cold_rates(&mut self, rates: impl Iterator<Item = (Arc<str>, f64)>) {
@@ -169,6 +175,7 @@
             fails: 0,
             barred: Moment::default(),
             last_cold: None,
+            before: (0, 0),
         };
         self.backends.insert(item.name.clone(), backend);
     }
@@ -222,6 +229,7 @@
 
     /// Draws a backend for a leg, which is out there from now on.
     pub fn pick(&mut self, now: Moment, need: &Need) -> Option<Arc<str>> {
+        self.rank_cold(now, need.line);
         let draws: [u64; 5] = std::array::from_fn(|_| self.chance.rand_u64());
         let mut draws = draws.into_iter();
         let known = self.lines.get(need.line)?;
@@ -267,18 +275,29 @@
     fn takes_cold(&self, now: Moment, backend: &Backend) -> bool {
         let rate = self.cold_rates.get(&backend.line).copied().unwrap_or(0.0) * COLD_USED;
         let few = (rate.floor() as usize).min(3);
-        if few == 0 || self.stations.is_empty() {
+        if few == 0 || self.stations.is_empty() || backend.before.0 != self.listed {
             return false;
         }
-        let score = |station: &str| {
-            let text = [station.as_bytes(), backend.call_sign.as_bytes()].concat();
-            text.iter()
-                .fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
-        };
-        let own = score(&self.station);
-        let before = self.stations.iter().filter(|s| ***s != *self.station && score(s) < own).count();
         let gap = few as f64 / rate; // seconds between two of one gateway
-        before < few && backend.last_cold.is_none_or(|last| (now - last).secs() >= gap)
+        backend.before.1 < few && backend.last_cold.is_none_or(|last| (now - last).secs() >= gap)
+    }
+
+    /// Ranks this gateway among all for the cold backends of a service, once for each list of stations.
+    fn rank_cold(&mut self, now: Moment, line: &Arc<str>) {
+        let Some(known) = self.lines.get(line) else { return };
+        for call_sign in known {
+            let Some(backend) = self.backends.get_mut(call_sign) else { continue };
+            if backend.cold_until <= now || backend.before.0 == self.listed {
+                continue;
+            }
+            let score = |station: &str| {
+                let text = station.bytes().chain(backend.call_sign.bytes());
+                text.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+            };
+            let own = score(&self.station);
+            let before = self.stations.iter().filter(|s| ***s != *self.station && score(s) < own).count();
+            backend.before = (self.listed, before);
+        }
     }
 
     /// A leg has ended.
--- a/crates/course/src/quota.rs
+++ b/crates/course/src/quota.rs
@@ -26,7 +26,7 @@
 /// A tenant without use is forgotten after so long.
 const KEPT: Span = Span::from_micros(30_000_000);
 /// Periods in a row, after its last use, in which a tenant's count is still read.
-const AFTERWARDS: u32 = 3;
+const AFTERWARDS: u32 = 1;
 /// The piece of a part's store that a gateway begins with: an earlier life may have spent the rest.
 const FIRST: f64 = 0.25;
 /// Weight of the newest period in what is expected of the next, and how much more than that is held in advance.
