Log lines and exit codes an operator expects; a lone gateway's clients get a second address

Cause: a new user's trial of the small system: event=settings at each start, not-current at warn, ends with 1 on usage errors, evacuations nowhere to be seen, a single address for a region's clients.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -769,9 +769,10 @@
             return here;
         }
         let there = near(&|m| districts.get(&m.district).is_some_and(|p| p == province));
-        if !there.is_empty() {
+        if there.len() > 1 {
             return there;
         }
+        // Danger: a client with a single address has nowhere to turn once that one is lost.
         near(&|_| true)
     }
 
@@ -780,6 +781,12 @@
         self.table.members().into_values().cloned().collect()
     }
 
+    /// Zones that are evacuated.
+    pub fn evacuated(&self) -> Vec<String> {
+        let stands = self.ledger.each(Kind::Evacuation).filter(|item| item.value.is_some());
+        stands.map(|item| item.name.to_string()).collect()
+    }
+
     /// Seats of the cast, and whether each is heard of now.
     pub fn seats(&self) -> Vec<(Seat, bool)> {
         let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -132,6 +132,9 @@
         let poll = Poll::new().context(SystemSnafu { what: "epoll" })?;
         let clock = Clock::new();
         let mut listeners = Vec::new();
+        if settings.counters.control_desk.is_none() {
+            warn!("event=no-control-desk"); // no operator reaches this one
+        }
         let siding = SocketAddr::new(IpAddr::V4(settings.ip), settings.sidings.0);
         let asked = [
             (DESK, settings.counters.control_desk),
@@ -233,6 +236,7 @@
 
     fn reload(&mut self) {
         match self.watch.changed() {
+            Some(Ok(settings)) if settings == self.settings => {}
             Some(Ok(settings)) => {
                 info!("event=settings");
                 self.settings = settings;
@@ -440,7 +444,8 @@
             .collect();
         let standing = format!("{:?}", self.core.standing()).to_lowercase();
         let body = json!({"asked": self.settings.station, "standing": standing,
-            "duty": {DUTY: self.core.holds(now).is_some()}, "core": seats, "gateways": gateways});
+            "duty": {DUTY: self.core.holds(now).is_some()}, "core": seats, "gateways": gateways,
+            "evacuated": self.core.evacuated()});
         self.answer(id, 200, "application/json", body.to_string().as_bytes(), None);
     }
 
--- a/crates/course/src/command.rs
+++ b/crates/course/src/command.rs
@@ -13,23 +13,37 @@
   course --help | --version
 
 KITEPASS_LOG sets how much is logged to standard error: error, warn, info (the default), debug.
+It ends with 0 after SIGTERM, with 1 if it cannot start or go on, with 2 if the command line cannot be taken.
 SIGTERM has it finish what it took and end; SIGHUP has it read the settings file again.
 ";
 
 pub fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("course: {why}");
-            ExitCode::FAILURE
-        }
+    let (why, code) = match run() {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Fault::Usage(why)) => (why, 2),
+        Err(Fault::Ended(why)) => (why, 1),
+    };
+    eprintln!("course: {why}");
+    ExitCode::from(code)
+}
+
+enum Fault {
+    /// The command line cannot be taken.
+    Usage(String),
+    /// The gateway could not start, or ended.
+    Ended(String),
+}
+
+impl From<lexopt::Error> for Fault {
+    fn from(error: lexopt::Error) -> Fault {
+        Fault::Usage(error.to_string())
     }
 }
 
-fn run() -> Result<(), String> {
+fn run() -> Result<(), Fault> {
     let mut parser = lexopt::Parser::from_env();
     let (mut settings, mut verb) = (None, None);
-    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
+    while let Some(arg) = parser.next()? {
         match arg {
             Long("help") | Short('h') => {
                 print!("{HELP}");
@@ -39,18 +53,20 @@
                 println!("course {}", env!("CARGO_PKG_VERSION"));
                 return Ok(());
             }
-            Long("settings") => settings = Some(PathBuf::from(parser.value().map_err(|e| e.to_string())?)),
-            Value(word) if verb.is_none() => verb = Some(word.string().map_err(|e| e.to_string())?),
-            other => return Err(other.unexpected().to_string()),
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Value(word) if verb.is_none() => verb = Some(word.string()?),
+            other => return Err(other.unexpected().into()),
         }
     }
     match verb.as_deref().unwrap_or("serve") {
         "serve" => {
             kitepass_intent::log_to_stderr(kitepass_intent::level_from_env());
             let path = settings.or_else(|| std::env::var_os(kitepass_intent::VARIABLE).map(PathBuf::from));
-            let path = path.ok_or("no settings file: name one with --settings or KITEPASS_NODE_FILE")?;
-            Server::open(path).and_then(Server::run).map_err(|e| e.to_string())
+            let none =
+                || Fault::Usage("no settings file: name one with --settings or KITEPASS_NODE_FILE".into());
+            let path = path.ok_or_else(none)?;
+            Server::open(path).and_then(Server::run).map_err(|e| Fault::Ended(e.to_string()))
         }
-        other => Err(format!("no such command: {other}; see course --help")),
+        other => Err(Fault::Usage(format!("no such command: {other}; see course --help"))),
     }
 }
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -4,7 +4,7 @@
 use kitepass_bond::cast::{Cast, NOW};
 use kitepass_bond::words::*;
 use kitepass_tenet::{Item, Kind, Ledger};
-use log::{info, warn};
+use log::{debug, info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 
 const BEAT: Span = Span::from_micros(500_000);
@@ -95,7 +95,12 @@
 
     fn shift(&mut self, to: State) {
         if self.state != to {
-            info!("event=link state={to:?} control={}", self.at);
+            let name = match to {
+                State::Away => "away",
+                State::Coming(_) => "coming",
+                State::Synced => "synced",
+            };
+            debug!("event=link state={name} control={}", self.at);
             self.state = to;
         }
     }
@@ -148,8 +153,13 @@
     }
 
     pub fn lost(&mut self, why: &str) {
-        if self.state != State::Away {
-            warn!("event=link-lost control={} why={why}", self.at);
+        match self.state {
+            State::Away => {}
+            // Ordinary: one that has not caught up yet, or a nearer one that is gone over to.
+            _ if matches!(why, "not-current" | "left") => {
+                debug!("event=link-lost control={} why={why}", self.at)
+            }
+            _ => warn!("event=link-lost control={} why={why}", self.at),
         }
         self.out.clear();
         self.out_items.clear();
@@ -208,6 +218,9 @@
                 let back: Vec<Item> = self.ledger.differing(&buckets.hashes).cloned().collect();
                 self.out_items.extend(back);
                 if buckets.back {
+                    if self.state != State::Synced {
+                        info!("event=synced control={} items={}", self.at, self.ledger.len());
+                    }
                     self.caught = true;
                     self.shift(State::Synced);
                     if !self.apart {
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -277,6 +277,7 @@
 
     fn reload(&mut self) {
         match self.watch.changed() {
+            Some(Ok(settings)) if settings == self.settings => {}
             Some(Ok(settings)) => {
                 info!("event=settings");
                 self.link.stops(settings.first_stops.iter().map(|stop| stop.ip().to_string()).collect());
