Tests: changes in force everywhere in time, nobody goes back, no ghosts; discovery's absence is in the log

Need: the control plane and gateways' true links on one in-memory network, with kills, lost power right after an acknowledgement, cuts and processes that stand still. A gateway whose discovery is away bounced all while its log said nothing of it.

--- /dev/null
+++ b/crates/accord/tests/world/mod.rs
@@ -0,0 +1,334 @@
+//! Six control processes, and gateways' true links, on a network and disks in memory, all by seed: words are late or
+//! lost, sides are cut off, processes are killed or stand still, power goes with what was not synced.
+#![allow(dead_code)] // each test file uses its part
+
+use kitepass::Moment;
+use kitepass_accord::core::{Act, Core, Standing, Start};
+use kitepass_accord::order::{Order, Reply};
+use kitepass_bond::cast::Seat;
+use kitepass_bond::count::Slack;
+use kitepass_bond::words::{Hello, ItemWord, Items, Word};
+use kitepass_course::link::{Brought, Link};
+use kitepass_tenet::{Item, Kind};
+use std::collections::BTreeMap;
+
+type Records = Vec<(Vec<u8>, Vec<u8>)>;
+
+pub const SLACK: Slack = Slack { window: 5.0, excess: 0.1, margin: 20.0 };
+
+pub struct Node {
+    pub seat: Seat,
+    pub core: Option<Core>,
+    pub life: u64,
+    pub disk: BTreeMap<Vec<u8>, Vec<u8>>,
+    /// Records on the way to the disk, with the moment at which they are synced.
+    pub syncing: Vec<(i64, u64, Records)>,
+    pub back: i64,
+}
+
+pub struct World {
+    pub now: i64,
+    pub nodes: Vec<Node>,
+    pub wire: Vec<(i64, usize, usize, u64, Word)>,
+    /// Pairs that hear nothing of each other, until a moment.
+    pub cuts: BTreeMap<(usize, usize), i64>,
+    pub chance: oorandom::Rand64,
+    pub answers: BTreeMap<u64, (usize, Reply)>,
+    pub calls: u64,
+    pub loss: u64,
+    pub gates: Vec<Gate>,
+    session_wire: Vec<(i64, u64, bool, Word)>,
+    /// Processes that stand still, until a moment.
+    pub frozen: [i64; 6],
+    conns: u64,
+}
+
+/// A gateway: its true link, and the connection that it has to a control process.
+pub struct Gate {
+    pub link: Link,
+    pub at: Option<(usize, u64)>,
+}
+
+pub fn at(millis: i64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let places = ["a1", "a2", "b1", "b2", "c1", "c2"];
+        let nodes = places.iter().enumerate().map(|(n, district)| Node {
+            seat: Seat {
+                station: format!("s{n}"),
+                ip: format!("10.0.0.{n}"),
+                district: district.to_string(),
+                province: district[..1].to_owned(),
+            },
+            core: None,
+            life: 0,
+            disk: BTreeMap::new(),
+            syncing: Vec::new(),
+            back: 0,
+        });
+        let mut world = World {
+            now: 0,
+            nodes: nodes.collect(),
+            wire: Vec::new(),
+            cuts: BTreeMap::new(),
+            chance: oorandom::Rand64::new(u128::from(seed)),
+            answers: BTreeMap::new(),
+            calls: 0,
+            loss: 0,
+            gates: Vec::new(),
+            session_wire: Vec::new(),
+            frozen: [0; 6],
+            conns: 0,
+        };
+        (0..6).for_each(|n| world.start(n, true));
+        world
+    }
+
+    /// Adds gateways, spread over the districts.
+    pub fn gateways(&mut self, number: usize) {
+        let provinces: BTreeMap<String, String> =
+            self.nodes.iter().map(|n| (n.seat.district.clone(), n.seat.province.clone())).collect();
+        let first: Vec<String> = [0, 2, 4].map(|n| format!("10.0.0.{n}")).into();
+        for gate in 0..number {
+            let seat = &self.nodes[gate % 6].seat;
+            let hello = Hello {
+                station: format!("g{gate}"),
+                district: seat.district.clone(),
+                province: seat.province.clone(),
+                life: gate as u64 + 1,
+                front: format!("10.1.0.{gate}:80"),
+                ..Hello::default()
+            };
+            let link = Link::new(hello, first.clone(), provinces.clone());
+            self.gates.push(Gate { link, at: None });
+        }
+    }
+
+    fn stands(&self, n: usize) -> bool {
+        self.nodes[n].core.is_some() && self.frozen[n] <= self.now
+    }
+
+    fn drop_session(&mut self, gate: usize, why: &str) {
+        if let Some((node, conn)) = self.gates[gate].at.take() {
+            let now = at(self.now);
+            if let Some(core) = self.nodes[node].core.as_mut() {
+                core.session_lost(now, conn, why);
+            }
+        }
+        self.gates[gate].link.lost(why);
+    }
+
+    /// Gateways' turn, ten times a second, and the words between them and control processes.
+    fn sessions(&mut self) {
+        let now = at(self.now);
+        for gate in 0..self.gates.len() {
+            if self.now % 100 == gate as i64 % 10 * 10 {
+                if self.gates[gate].link.tick(now) {
+                    self.drop_session(gate, "left");
+                }
+                let draw = self.chance.rand_u64();
+                if let Some(ip) = self.gates[gate].link.next(now, draw) {
+                    let node: usize = ip[7..].parse().unwrap();
+                    self.conns += 1;
+                    self.gates[gate].at = Some((node, self.conns));
+                }
+                self.gates[gate].link.ready = self.gates[gate].link.is_caught_up();
+            }
+            let Some((node, conn)) = self.gates[gate].at else { continue };
+            if self.nodes[node].core.is_none() {
+                self.drop_session(gate, "refused");
+                continue;
+            }
+            let words = std::mem::take(&mut self.gates[gate].link.out);
+            let items = std::mem::take(&mut self.gates[gate].link.out_items);
+            let items = (!items.is_empty())
+                .then(|| Word::Items(Items { items: items.iter().map(ItemWord::from).collect() }));
+            for word in words.into_iter().chain(items) {
+                self.session_send(conn, true, word);
+            }
+        }
+        let due: Vec<_> = self.session_wire.extract_if(.., |word| word.0 <= self.now).collect();
+        for (due, conn, up, word) in due {
+            let Some(gate) = self.gates.iter().position(|g| g.at.is_some_and(|(_, c)| c == conn)) else {
+                continue;
+            };
+            let (node, _) = self.gates[gate].at.unwrap();
+            if !up {
+                let mut brought = Brought::default();
+                self.gates[gate].link.said(now, word, &mut brought);
+                if brought.close {
+                    self.drop_session(gate, "not-current");
+                }
+            } else if !self.stands(node) {
+                self.session_wire.push((due + 50, conn, up, word)); // it waits in the socket
+            } else if let Some(core) = self.nodes[node].core.as_mut() {
+                match word {
+                    Word::Hello(hello) => core.session_came(now, conn, hello),
+                    word => core.session_said(now, conn, word),
+                }
+            }
+        }
+    }
+
+    fn session_send(&mut self, conn: u64, up: bool, word: Word) {
+        let late = self.now + self.chance.rand_range(1..60) as i64;
+        let last = self.session_wire.iter().filter(|w| (w.1, w.2) == (conn, up)).map(|w| w.0).max();
+        self.session_wire.push((late.max(last.unwrap_or(0)), conn, up, word));
+    }
+
+    pub fn start(&mut self, n: usize, maiden: bool) {
+        let node = &mut self.nodes[n];
+        node.life = self.chance.rand_u64();
+        let records = node.disk.clone().into_iter().collect();
+        let (me, life) = (node.seat.clone(), node.life);
+        node.core =
+            Some(Core::new(at(self.now), Start { me, life, maiden, founder: n == 0, records, slack: SLACK }));
+    }
+
+    /// A process is killed; with power lost, also what was not synced. It comes back `after` so long.
+    pub fn kill(&mut self, n: usize, power: bool, wipe: bool, after: i64) {
+        let syncing = std::mem::take(&mut self.nodes[n].syncing);
+        for (_, _, records) in syncing {
+            // Of what was written and not synced anything may be there after a loss of power, in any part.
+            if !power || self.chance.rand_range(0..2) == 0 {
+                self.nodes[n].disk.extend(records);
+            }
+        }
+        let node = &mut self.nodes[n];
+        node.core = None;
+        node.back = self.now + after;
+        if wipe {
+            node.disk.clear();
+        }
+    }
+
+    pub fn cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.get(&(a.min(b), a.max(b))).is_some_and(|until| *until > self.now)
+    }
+
+    pub fn step(&mut self) {
+        self.now += 10;
+        for n in 0..6 {
+            if self.nodes[n].core.is_none() && self.now >= self.nodes[n].back {
+                self.start(n, false);
+            }
+        }
+        // Who has not been heard for long says hello again.
+        if self.now % 400 == 0 {
+            for a in 0..6 {
+                for b in 0..6 {
+                    let Some(hello) = self.nodes[a].core.as_ref().map(Core::hello) else { continue };
+                    let cut = self.cut(a, b);
+                    let Some(core) = self.nodes[b].core.as_mut().filter(|_| a != b && !cut) else { continue };
+                    if !core.knows(&hello.station) {
+                        core.peer_came(at(self.now), &hello);
+                    }
+                }
+            }
+        }
+        let due: Vec<_> = self.wire.extract_if(.., |word| word.0 <= self.now).collect();
+        for (due, from, to, life, word) in due {
+            if self.frozen[to] > self.now {
+                self.wire.push((due + 50, from, to, life, word));
+                continue;
+            }
+            if self.cut(from, to) || self.nodes[from].life != life {
+                continue;
+            }
+            let station = self.nodes[from].seat.station.clone();
+            if let Some(core) = &mut self.nodes[to].core {
+                core.peer_said(at(self.now), &station, word);
+            }
+        }
+        for n in 0..6 {
+            let now = self.now;
+            let synced: Vec<_> = self.nodes[n].syncing.extract_if(.., |s| s.0 <= now).collect();
+            for (_, ticket, records) in synced {
+                self.nodes[n].disk.extend(records);
+                if let Some(core) = &mut self.nodes[n].core {
+                    core.kept(at(now), ticket);
+                }
+            }
+            if self.frozen[n] > now {
+                continue;
+            }
+            if let Some(core) = self.nodes[n].core.as_mut().filter(|_| now % 100 == 0) {
+                core.tick(at(now));
+            }
+            self.act(n);
+        }
+        self.sessions();
+        let holders = self.nodes.iter().filter_map(|n| n.core.as_ref()?.holds(at(self.now))).count();
+        assert!(holders <= 1, "{holders} do the duty at {}", self.now);
+    }
+
+    pub fn act(&mut self, n: usize) {
+        let Some(core) = &mut self.nodes[n].core else { return };
+        for act in std::mem::take(&mut core.acts) {
+            match act {
+                Act::Peer(station, word) => {
+                    let to = station[1..].parse().unwrap();
+                    if self.chance.rand_range(0..100) >= self.loss {
+                        let late = self.now + self.chance.rand_range(1..120) as i64;
+                        // One connection: words do not overtake each other.
+                        let last = self.wire.iter().filter(|w| (w.1, w.2) == (n, to)).map(|w| w.0).max();
+                        let due = late.max(last.unwrap_or(0));
+                        self.wire.push((due, n, to, self.nodes[n].life, word));
+                    }
+                }
+                Act::Keep(ticket, records) => {
+                    let late = self.now + self.chance.rand_range(1..20) as i64;
+                    let last = self.nodes[n].syncing.last().map_or(0, |s| s.0);
+                    self.nodes[n].syncing.push((late.max(last), ticket, records));
+                }
+                Act::Answer(call, reply) => {
+                    self.answers.insert(call, (n, reply));
+                }
+                Act::Session(conn, word) => self.session_send(conn, false, word),
+                Act::Items(conn, items) => {
+                    let items = items.iter().map(ItemWord::from).collect();
+                    self.session_send(conn, false, Word::Items(Items { items }));
+                }
+                Act::Close(conn) => {
+                    let gate = self.gates.iter().position(|g| g.at.is_some_and(|(_, c)| c == conn));
+                    if let Some(gate) = gate {
+                        self.gates[gate].at = None;
+                        self.gates[gate].link.lost("closed");
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn run(&mut self, millis: i64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn ask(&mut self, n: usize, order: Order) -> u64 {
+        self.calls += 1;
+        if let Some(core) = &mut self.nodes[n].core {
+            core.order(at(self.now), self.calls, order);
+            self.act(n);
+        }
+        self.calls
+    }
+
+    pub fn patch(&mut self, n: usize, name: &str, edition: u64, value: Option<&str>) -> u64 {
+        let value = value.map(|text| bytes::Bytes::copy_from_slice(text.as_bytes()));
+        self.ask(n, Order::Patch(vec![Item { kind: Kind::Line, name: name.into(), edition, value }]))
+    }
+
+    /// All that stand by and current.
+    pub fn current(&self) -> usize {
+        self.nodes
+            .iter()
+            .filter(|n| n.core.as_ref().is_some_and(|c| c.standing() == Standing::Current))
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/course/tests/sockets/stand.rs
@@ -0,0 +1,522 @@
+//! Stand-ins for what a gateway talks to. Clients and backends are led by the test step by step: each says only what
+//! the test has it say. The control process answers by itself. Nothing waits for longer than `PATIENCE`.
+
+use kitepass_bond::words::*;
+use kitepass_tenet::{read_call, Checker, Item, Kind, Ledger};
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An address that nobody else uses: of this process, and of one place in it.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(2);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high | 128, low, NEXT.fetch_add(1, Ordering::Relaxed)).into()
+}
+
+/// The address that listeners share which take any port that is free.
+fn shared_address() -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high | 128, low, 1).into()
+}
+
+/// Addresses where connections are refused, and where a gateway can listen.
+pub fn nobody<const N: usize>() -> [SocketAddr; N] {
+    let ip = own_address();
+    // They never listen. Danger: a program that another test starts just now holds a copy of every descriptor until
+    // it runs; a listener would go on in it, take connections in and keep the address from the gateway.
+    let sockets: [OwnedFd; N] = std::array::from_fn(|_| {
+        let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC, None);
+        let socket = socket.expect("a socket");
+        net::sockopt::set_socket_reuseaddr(&socket, true).expect("an option");
+        net::bind(&socket, &SocketAddr::new(ip, 0)).expect("an address");
+        socket
+    });
+    sockets.each_ref().map(|socket| net::getsockname(socket).expect("bound").try_into().expect("IPv4"))
+}
+
+/// A message as it came, the head with its empty line, the body without its framing.
+#[derive(Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+
+    /// The field's value; it may be there once at most.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let fields = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = fields.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value);
+        let value = values.next();
+        assert_eq!(values.next(), None, "{name} is there twice: {}", self.head);
+        value
+    }
+
+    /// Takes a whole message off the input's front, if it is there.
+    fn take(input: &mut Vec<u8>) -> Option<Message> {
+        let end = 4 + input.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
+        let head = String::from_utf8(input[..end].to_vec()).expect("a head that is text");
+        let mut message = Message { head, body: Vec::new() };
+        let mut at = end;
+        if message.field("transfer-encoding").is_some() {
+            loop {
+                let line = input[at..].windows(2).position(|bytes| bytes == b"\r\n")?;
+                let size = std::str::from_utf8(&input[at..at + line]).expect("a chunk's size");
+                let size = usize::from_str_radix(size, 16).expect("a chunk's size");
+                at += line + 2;
+                message.body.extend_from_slice(input.get(at..at + size)?);
+                assert_eq!(input.get(at + size..at + size + 2)?, b"\r\n");
+                at += size + 2;
+                if size == 0 {
+                    break;
+                }
+            }
+        } else {
+            let length =
+                message.field("content-length").map_or(0, |length| length.parse().expect("a length"));
+            message.body.extend_from_slice(input.get(at..at + length)?);
+            at += length;
+        }
+        input.drain(..at);
+        Some(message)
+    }
+}
+
+/// One side of a connection.
+pub struct Line {
+    stream: TcpStream,
+    input: Vec<u8>,
+    /// The number of the backend at this side.
+    pub backend: usize,
+}
+
+impl Line {
+    fn new(stream: TcpStream, backend: usize) -> Line {
+        stream.set_read_timeout(Some(PATIENCE)).expect("an option");
+        stream.set_write_timeout(Some(PATIENCE)).expect("an option");
+        stream.set_nodelay(true).expect("an option");
+        Line { stream, input: Vec::new(), backend }
+    }
+
+    pub fn to(address: SocketAddr) -> Line {
+        Line::new(TcpStream::connect_timeout(&address, PATIENCE).expect("a connection"), 0)
+    }
+
+    pub fn say(&mut self, text: impl AsRef<[u8]>) -> &mut Line {
+        self.stream.write_all(text.as_ref()).expect("written");
+        self
+    }
+
+    /// Says it, unless the other side has left.
+    pub fn try_say(&mut self, text: impl AsRef<[u8]>) {
+        let _ = self.stream.write_all(text.as_ref());
+    }
+
+    /// Another hand on the same connection, to say something while this one hears.
+    pub fn hand(&self) -> Line {
+        Line::new(self.stream.try_clone().expect("a descriptor"), self.backend)
+    }
+
+    pub fn reset(self) {
+        net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).expect("an option");
+    }
+
+    /// The next whole message.
+    pub fn hear(&mut self) -> Message {
+        self.hear_or_end().expect("a message")
+    }
+
+    /// The next whole message, or nothing if the other side has ended the connection without one.
+    pub fn hear_or_end(&mut self) -> Option<Message> {
+        loop {
+            if let Some(message) = Message::take(&mut self.input) {
+                return Some(message);
+            }
+            if !self.more() {
+                return None;
+            }
+        }
+    }
+
+    /// Waits until so many bytes have come that are not used yet.
+    pub fn until(&mut self, bytes: usize) {
+        while self.input.len() < bytes {
+            assert!(self.more(), "it ended after {} bytes", self.input.len());
+        }
+    }
+
+    /// What has come and is no whole message.
+    pub fn rest(&self) -> &[u8] {
+        &self.input
+    }
+
+    fn more(&mut self) -> bool {
+        let mut piece = [0; 64 * 1024];
+        loop {
+            return match self.stream.read(&mut piece) {
+                Ok(length) => {
+                    self.input.extend_from_slice(&piece[..length]);
+                    length > 0
+                }
+                // A machine or program that is stopped and goes on cuts a read short that has a time.
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
+                Err(error) => panic!("nothing came: {error}"),
+            };
+        }
+    }
+
+    /// Whether the other side ends the connection, saying nothing more.
+    pub fn ends(&mut self) -> bool {
+        !self.more() && self.input.is_empty()
+    }
+}
+
+/// Backends: each connection that comes in to any of them is handed to the test.
+pub struct Stand {
+    pub addresses: Vec<SocketAddr>,
+    lines: Receiver<Line>,
+}
+
+impl Stand {
+    fn open(backends: usize) -> Stand {
+        let (taken, lines) = channel();
+        let open = |backend| {
+            let listener = TcpListener::bind((shared_address(), 0)).expect("an address");
+            let (address, taken) = (listener.local_addr().expect("bound"), taken.clone());
+            std::thread::spawn(move || {
+                let mut streams = listener.incoming().flatten();
+                streams.try_for_each(|stream| taken.send(Line::new(stream, backend)))
+            });
+            address
+        };
+        Stand { addresses: (0..backends).map(open).collect(), lines }
+    }
+
+    pub fn line(&self) -> Line {
+        self.lines.recv_timeout(PATIENCE).expect("a connection")
+    }
+
+    /// Whether nobody has connected beside those whose connection was taken.
+    pub fn is_untouched(&self) -> bool {
+        self.lines.try_recv().is_err()
+    }
+}
+
+/// What a control process holds.
+struct Desk {
+    address: SocketAddr,
+    ledger: Ledger,
+    /// It tells what it holds.
+    open: bool,
+    session: Option<TcpStream>,
+    /// Requests that it still grants to tenants with a limit.
+    grants: u32,
+}
+
+impl Desk {
+    fn say(&mut self, words: impl IntoIterator<Item = Word>) {
+        let mut bytes = Vec::new();
+        words.into_iter().for_each(|word| pack(word, &mut bytes));
+        self.say_bytes(&bytes);
+    }
+
+    fn say_bytes(&mut self, bytes: &[u8]) {
+        if let Some(session) = &mut self.session {
+            let _ = session.write_all(bytes); // a session that is lost comes again
+        }
+    }
+
+    fn say_all(&mut self) {
+        let mut bytes = Vec::new();
+        pack_items(self.ledger.all(), &mut bytes);
+        self.say_bytes(&bytes);
+        let hashes = self.ledger.buckets().to_vec();
+        let live = Live {
+            gateways: 1,
+            stations: vec!["gateway".into()],
+            controls: vec![self.address.ip().to_string()],
+            control_districts: vec!["near".into()],
+        };
+        self.say([Word::Buckets(Buckets { hashes, back: true }), Word::Live(live)]);
+    }
+
+    fn hear(&mut self, word: Word) {
+        match word {
+            Word::Hello(_) => {
+                let hello = Hello {
+                    station: "control".into(),
+                    ip: self.address.ip().to_string(),
+                    district: "near".into(),
+                    province: "home".into(),
+                    life: 1,
+                    control: true,
+                    current: true,
+                    full: true,
+                    ..Hello::default()
+                };
+                self.say([Word::Hello(hello)]);
+            }
+            Word::Buckets(_) if self.open => self.say_all(),
+            Word::Beat(_) => {
+                let beat =
+                    Beat { digest: self.ledger.digest(), current: true, full: true, ..Beat::default() };
+                self.say([Word::Beat(beat)]);
+            }
+            Word::Adds(Adds { ticket, station, adds, life, asks }) => {
+                let mut grant = |add: Add| {
+                    let granted = add.wants.min(self.grants);
+                    self.grants -= granted;
+                    Total { tenant: add.tenant, granted, ..Total::default() }
+                };
+                let totals = adds.into_iter().map(&mut grant).collect();
+                self.say([Word::Totals(Totals { ticket, station, totals, life, asks })]);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A control process, with what a gateway beats to it.
+pub struct Control {
+    desk: Arc<Mutex<Desk>>,
+    beats: Receiver<Beat>,
+}
+
+impl Control {
+    fn start() -> Control {
+        let listener = TcpListener::bind((shared_address(), 0)).expect("an address");
+        let address = listener.local_addr().expect("bound");
+        let desk = Desk { address, ledger: Ledger::new(), open: false, session: None, grants: 0 };
+        let (desk, (say, beats)) = (Arc::new(Mutex::new(desk)), channel());
+        let shared = desk.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                shared.lock().expect("whole").session = stream.try_clone().ok();
+                serve(stream, &shared, &say);
+            }
+        });
+        Control { desk, beats }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.desk.lock().expect("whole").address
+    }
+
+    /// From now on it tells all that it holds.
+    pub fn open(&self) {
+        let mut desk = self.desk.lock().expect("whole");
+        desk.open = true;
+        desk.say_all();
+    }
+
+    pub fn grant(&self, requests: u32) {
+        self.desk.lock().expect("whole").grants = requests;
+    }
+
+    /// Tells these items, the newest version or not.
+    pub fn tell(&self, items: &[Item]) {
+        let mut desk = self.desk.lock().expect("whole");
+        items.iter().for_each(|item| drop(desk.ledger.merge(item.clone())));
+        let items = items.iter().map(ItemWord::from).collect();
+        if desk.open {
+            desk.say([Word::Items(Items { items })]);
+        }
+    }
+
+    /// Waits until the gateway is ready and holds what is held here.
+    pub fn agrees(&self) {
+        loop {
+            let beat = self.beats.recv_timeout(PATIENCE).expect("a beat");
+            if beat.ready && beat.digest == self.desk.lock().expect("whole").ledger.digest() {
+                return;
+            }
+        }
+    }
+}
+
+fn serve(mut stream: TcpStream, desk: &Mutex<Desk>, beats: &Sender<Beat>) {
+    let (mut input, mut piece) = (Vec::new(), [0; 16 * 1024]);
+    while let Ok(length @ 1..) = stream.read(&mut piece) {
+        input.extend_from_slice(&piece[..length]);
+        let mut at = 0;
+        while let Some(word) = unpack(&input, &mut at).expect("a gateway's words") {
+            if let Word::Beat(beat) = &word {
+                let _ = beats.send(*beat);
+            }
+            desk.lock().expect("whole").hear(word);
+        }
+        input.drain(..at);
+    }
+}
+
+/// A call of the operator's, as items.
+pub fn call(text: &str) -> Vec<Item> {
+    read_call(&Checker::new(), text.as_bytes()).expect("a call")
+}
+
+pub fn backend(name: &str, service: &str, address: SocketAddr, district: &str) -> Item {
+    let value = format!(
+        r#"{{"line":"{service}","address":"{address}","district":"{district}","berths":4,"closing":false,"cold-ms":0}}"#
+    );
+    Item { kind: Kind::Backend, name: name.into(), edition: 1, value: Some(value.into_bytes().into()) }
+}
+
+pub const CONFIGURATION: &str = r#"{"deliver":{
+ "itineraries":{"headings":["name","depot","lane-prefix","mail-kind","deadline-ms","line","tries","unstamped","edition"],
+  "entries":[["safe","h.example","/safe/","safe",60000,"books",2,false,"r5"],
+   ["once","h.example","/once/","unsafe",60000,"books",2,false,"r5"],
+   ["free","h.example","/free/","unsafe",60000,"books",2,true,"r5"],
+   ["void","h.example","/void/","safe",60000,"empty",2,false,"r5"]]},
+ "customers":{"headings":["name","permits","rate-per-s","surge","edition"],
+  "entries":[["town",["key-of-town"],0,0,"r5"],["tiny",["key-of-tiny"],1,0,"r5"]]},
+ "carrier-lines":{"headings":["name","checkpoint","berth-cap","edition"],
+  "entries":[["books","/well",100,"r5"],["loans","/well",100,"r5"],["empty","/well",100,"r5"]]},
+ "weight-limits":{"envelope-bytes":4096,"body-bytes":67108864,"envelope-ms":20000,"idle-ms":20000,"edition":"r5"}}}"#;
+
+/// A gateway that runs.
+pub struct Gateway {
+    front: SocketAddr,
+    readiness: SocketAddr,
+    child: Child,
+    path: PathBuf,
+    text: String,
+    log: Receiver<String>,
+}
+
+impl Gateway {
+    pub fn start(control: &Control) -> Gateway {
+        let [front, readiness] = nobody();
+        let (stop, ip) = (control.address(), front.ip());
+        let port = stop.port();
+        let text = format!(
+            r#"station = "gateway"
+ip = "{ip}"
+district = "near"
+province = "home"
+sidings = [{port},{port}]
+first-stops = ["{}:1"]
+[districts]
+near = "home"
+far = "abroad"
+[counters]
+front-counter = "{front}"
+readiness = "{readiness}"
+[schedule-bounds]
+retry-margin = 60
+courtesy-s = 4
+"#,
+            stop.ip()
+        );
+        let path = std::env::temp_dir().join(format!("course-{ip}.toml"));
+        std::fs::write(&path, &text).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_course"));
+        command.arg("--settings").arg(&path).env("KITEPASS_LOG", "info").stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let (lines, (say, log)) = (BufReader::new(child.stderr.take().expect("piped")).lines(), channel());
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
+        let gateway = Gateway { front, readiness, child, path, text, log };
+        gateway.logs("event=serving");
+        gateway
+    }
+
+    /// Changes its settings, put in place whole.
+    pub fn change(&self, from: &str, to: &str) {
+        assert!(self.text.contains(from), "{from}");
+        let next = self.path.with_extension("next");
+        std::fs::write(&next, self.text.replace(from, to)).expect("a file");
+        std::fs::rename(next, &self.path).expect("a file");
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
+    }
+
+    /// Waits for a line of its log that holds this.
+    pub fn logs(&self, text: &str) {
+        while !self.log.recv_timeout(PATIENCE).expect("a line").contains(text) {}
+    }
+
+    /// Waits until it ends by itself; its exit code.
+    pub fn end(&mut self) -> Option<i32> {
+        while self.log.recv_timeout(PATIENCE) != Err(std::sync::mpsc::RecvTimeoutError::Disconnected) {}
+        self.child.wait().expect("ended").code()
+    }
+
+    pub fn line(&self) -> Line {
+        Line::to(self.front)
+    }
+
+    /// What the readiness check says.
+    pub fn readiness(&self) -> u16 {
+        Line::to(self.readiness).say("GET /v1/ready HTTP/1.1\r\nHost: g\r\n\r\n").hear().status()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// A gateway that is ready. Its first backend is near, each other one far: the first leg goes to the near one.
+pub fn serving(backends: usize) -> (Gateway, Control, Stand) {
+    let (control, stand) = (Control::start(), Stand::open(backends));
+    let addresses = stand.addresses.clone();
+    let gateway = Gateway::start(&control);
+    tell_all(&control, &addresses);
+    control.agrees();
+    (gateway, control, stand)
+}
+
+/// A gateway whose control process keeps silent so far.
+pub fn waiting() -> (Gateway, Control, Stand) {
+    let (control, stand) = (Control::start(), Stand::open(1));
+    (Gateway::start(&control), control, stand)
+}
+
+/// Tells the configuration and these backends, the first one near.
+pub fn tell_all(control: &Control, addresses: &[SocketAddr]) {
+    control.tell(&call(CONFIGURATION));
+    for (n, address) in addresses.iter().enumerate() {
+        control.tell(&[backend(&format!("b{n}"), "books", *address, if n == 0 { "near" } else { "far" })]);
+    }
+    control.open();
+}
+
+/// A request's head without its empty line, of a tenant without a limit.
+pub fn request(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: {id}\r\nX-Time-Left-Ms: 20000\r\n\
+         Authorization: Bearer key-of-town\r\n"
+    )
+}
+
+pub fn get(path: &str, id: &str) -> String {
+    request("GET", path, id) + "\r\n"
+}
+
+/// A backend's answer.
+pub fn answer(status: &str, id: &str, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nX-Try-Id: {id}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+pub fn ok(id: &str, body: &str) -> String {
+    answer("200 OK", id, &format!("X-Postmark: stamp.{id}\r\n"), body)
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,13 +5,15 @@
 use crate::http::Reader;
 use crate::poll::{self, Came, Ready, Source};
 use kitepass::{Gateway, Listed, Moment, Span, Standing};
-use log::{debug, warn};
+use log::{debug, info, warn};
 use rustix::fd::OwnedFd;
 use serde_json::Value;
 use std::net::SocketAddr;
 
 /// An empty line comes at least this often while nothing changes.
 const BEAT: Span = Span::from_secs(2);
+/// While discovery is away the log says so this often.
+const AGAIN: Span = Span::from_secs(30);
 /// The longest line of a watch.
 const MOST_LINE: usize = 16 << 20;
 
@@ -33,12 +35,16 @@
     /// The newest is last. One at an address that was given up stays before it until the newest has spoken.
     links: Vec<Link>,
     begun: u32,
+    /// When a watch stood last, and when it was last said in the log that none does.
+    stood: Moment,
+    told: Option<Moment>,
 }
 
 impl Watch {
     /// Takes the list that the gateway had last; what discovery has comes on top.
     pub fn new(address: SocketAddr, known: &Value, module: &mut Gateway, floor: &mut Floor) -> Watch {
-        let mut watch = Watch { address, index: 0, links: Vec::new(), begun: 0 };
+        let (stood, told) = (floor.now(), None);
+        let mut watch = Watch { address, index: 0, links: Vec::new(), begun: 0, stood, told };
         if !known.is_null() {
             watch.change(known, true, module, floor);
         }
@@ -87,9 +93,26 @@
         if self.links.last().is_none_or(|link| link.number != self.begun) {
             self.open(floor);
         }
+        self.tell(now);
         floor.wake_at(now + BEAT / 4, Timer::Watch);
     }
 
+    /// Says in the log that discovery is away, now and then, and that it is back. Danger: a gateway that came up
+    /// without a list bounces all, and nothing would say why.
+    fn tell(&mut self, now: Moment) {
+        let address = self.address;
+        if self.links.iter().any(|link| link.connected) {
+            self.stood = now;
+            if self.told.take().is_some() {
+                info!("discovery at {address} answers again");
+            }
+        } else if now - self.stood >= BEAT && self.told.is_none_or(|told| now - told >= AGAIN) {
+            self.told = Some(now);
+            let past = (now - self.stood).secs();
+            warn!("discovery at {address} has not answered for {past:.0} s; the list of backends stays as it was");
+        }
+    }
+
     pub fn ready(&mut self, ready: Ready, number: u32, module: &mut Gateway, floor: &mut Floor) {
         let Some(place) = self.links.iter().position(|link| link.number == number) else { return };
         let mut link = self.links.remove(place);
