Backends that are gone are forgotten; a reading of the list goes above whatever term wrote last

Cause: terms begin anew when the whole core restarts while backends are kept on disk: a lower term's readings would never have taken effect. Tombstones of backends grew without bound, in memory and on disk. Change: editions of backends go on above the highest known; a dropped backend has no hash, at most 4,096 are remembered, and its record is taken away.

--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -26,6 +26,8 @@
 /// For so long the founder waits for others after the last that came, and at the most.
 const GATHER: Span = Span::from_micros(900_000);
 const GATHER_MOST: Span = Span::from_micros(4_000_000);
+/// Backends that are gone and still remembered. An older copy that brings one back is put right by the next reading.
+const MOST_DROPPED: usize = 4_096;
 /// The one duty: reading the platform's list, holding the counts, changing the cast.
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
@@ -329,7 +331,7 @@
             self.shift(Standing::Behind);
             if self.maiden && self.cast().is_some_and(|cast| cast.has(&self.me.station) && cast.edition == 1)
             {
-                self.keep_records(vec![(FULL.to_vec(), Vec::new())], Kept::Full);
+                self.keep_records(vec![(FULL.to_vec(), vec![1])], Kept::Full);
             }
         }
         self.maiden &= self.cast().is_none();
@@ -461,7 +463,7 @@
         } else if !self.keeping.values().any(|kept| matches!(kept, Kept::Full)) {
             // Danger: one with an empty folder would pass for a copy of what it never held. It is full only once
             // all that others hold is on its disk, in order before this record.
-            self.keep_records(vec![(FULL.to_vec(), Vec::new())], Kept::Full);
+            self.keep_records(vec![(FULL.to_vec(), vec![1])], Kept::Full);
         }
     }
 
@@ -709,7 +711,7 @@
         if self.claimant.heard(now, from, grant, majority) {
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term}");
-            self.roster.begin(term, &self.ledger);
+            self.roster.begin(term);
             self.counts = Some((term, Counts::new(self.slack)));
             self.beat(now);
         }
@@ -729,8 +731,10 @@
 
     /// A whole reading of the platform's list.
     pub fn list_read(&mut self, now: Moment, entries: Vec<crate::roster::Entry>) {
-        let Some(term) = self.holds(now) else { return };
-        let news = self.roster.read(now, term, entries, &self.ledger);
+        if self.holds(now).is_none() {
+            return;
+        }
+        let news = self.roster.read(now, entries, &self.ledger);
         if !news.is_empty() {
             debug!("event=list news={}", news.len());
             let items = news.iter().map(ItemWord::from).collect();
@@ -856,6 +860,7 @@
             self.session_lost(now, id, "silent");
         }
         self.tell(now);
+        self.ledger.forget_dropped(Kind::Backend, MOST_DROPPED);
         self.table.sweep(now);
         if let Some((_, counts)) = &mut self.counts {
             counts.sweep(now);
@@ -970,12 +975,20 @@
 }
 
 fn record(item: &Item) -> (Vec<u8>, Vec<u8>) {
-    let mut key = vec![item.kind as u8];
-    key.extend_from_slice(item.name.as_bytes());
+    // Of a backend that is gone nothing is kept: an empty value takes its record away.
+    if item.kind == Kind::Backend && item.value.is_none() {
+        return (key(item), Vec::new());
+    }
     let mut value = item.edition.to_be_bytes().to_vec();
     value.push(u8::from(item.value.is_some()));
     value.extend_from_slice(item.value.as_deref().unwrap_or_default());
-    (key, value)
+    (key(item), value)
+}
+
+fn key(item: &Item) -> Vec<u8> {
+    let mut key = vec![item.kind as u8];
+    key.extend_from_slice(item.name.as_bytes());
+    key
 }
 
 fn unrecord(key: &[u8], value: &[u8]) -> Option<Item> {
--- a/crates/accord/src/roster.rs
+++ b/crates/accord/src/roster.rs
@@ -65,14 +65,15 @@
 }
 
 impl Roster {
-    pub fn begin(&mut self, _term: u64, ledger: &Ledger) {
-        *self = Roster::default();
-        // Whatever term wrote last, this one's editions are above it.
-        self.number = ledger.highest(Kind::Backend) & 0xffff_ffff;
+    pub fn begin(&mut self, term: u64) {
+        *self = Roster { number: term << 32, ..Roster::default() };
     }
 
-    /// The news of a whole reading, as items of editions that no earlier term has used.
-    pub fn read(&mut self, now: Moment, term: u64, entries: Vec<Entry>, ledger: &Ledger) -> Vec<Item> {
+    /// The news of a whole reading, as items of editions above all that are known.
+    pub fn read(&mut self, now: Moment, entries: Vec<Entry>, ledger: &Ledger) -> Vec<Item> {
+        // Danger: terms begin anew when the whole core restarts, while backends are kept on disk: what an earlier
+        // term wrote would stay for ever. Editions go on above whatever is known.
+        self.number = self.number.max(ledger.highest(Kind::Backend));
         let known = ledger.each(Kind::Backend).filter(|item| item.value.is_some()).count();
         // Danger: a platform that has just come up may list nothing; that is no word that all backends are gone.
         if entries.is_empty() && known > 1 {
@@ -116,8 +117,7 @@
             .map(|(name, value)| {
                 self.number += 1;
                 let value = value.map(|value| Bytes::from(value.to_string()));
-                let edition = term << 32 | self.number;
-                Item { kind: Kind::Backend, name: name.into(), edition, value }
+                Item { kind: Kind::Backend, name: name.into(), edition: self.number, value }
             })
             .collect()
     }
@@ -149,7 +149,7 @@
         let at = |millis: i64| Moment::from_micros(millis * 1000);
         let (mut roster, mut ledger) = (Roster::default(), Ledger::new());
         let mut read = |now, entries: &[Entry], ledger: &mut Ledger| {
-            let news = roster.read(at(now), 3, entries.to_vec(), ledger);
+            let news = roster.read(at(now), entries.to_vec(), ledger);
             for item in &news {
                 assert!(ledger.merge(item.clone()));
             }
@@ -174,6 +174,10 @@
             value: Some(Bytes::from("{}")),
         });
         assert_eq!(read(8000, &[], &mut ledger), 0);
+        // What a higher term wrote in an earlier life of the core is overwritten all the same.
+        let old = Some(Bytes::from("{}"));
+        ledger.merge(Item { kind: Kind::Backend, name: "b".into(), edition: 99 << 32, value: old });
+        assert_eq!(read(8700, &[entry("b", 0)], &mut ledger), 1);
     }
 
     #[test]
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -10,6 +10,8 @@
 const BEAT: Span = Span::from_micros(500_000);
 /// A control process that says nothing for so long is left for another.
 const SILENT: Span = Span::from_micros(1_600_000);
+/// Backends that are gone and still remembered.
+const MOST_DROPPED: usize = 4_096;
 /// A session that is not up by then is given up.
 const COMING: Span = Span::from_micros(1_200_000);
 /// One that was tried in vain is left alone for so long, times how often that was.
@@ -168,6 +170,7 @@
 
     /// To be called about ten times a second; true if the session is to be closed.
     pub fn tick(&mut self, now: Moment) -> bool {
+        self.ledger.forget_dropped(Kind::Backend, MOST_DROPPED);
         match self.state {
             State::Away => return false,
             State::Coming(since) if now - since > COMING => return true,
--- a/crates/recall/src/journal.rs
+++ b/crates/recall/src/journal.rs
@@ -7,7 +7,7 @@
 
 use crate::disk::Disk;
 use crate::format::{self, Map, Snapshot};
-use crate::{DiskSnafu, Error, SpoiltSnafu};
+use crate::{DiskSnafu, Error, Record, SpoiltSnafu};
 
 const SNAPSHOT: &str = "snapshot";
 const SNAPSHOT_NEW: &str = "snapshot.new";
@@ -84,7 +84,7 @@
             let cause = || format!("entry {sequence} where {} is next", found.next);
             ensure!(sequence == found.next, SpoiltSnafu { path, cause: cause() });
             found.next += 1;
-            found.map.extend(records);
+            take(&mut found.map, records);
         }
     }
     let entries = found.next > covered;
@@ -125,10 +125,10 @@
         }
         let kept = if fits {
             let entry = format::entry(self.number, self.next, &records);
-            self.map.extend(records);
+            take(&mut self.map, records);
             self.append(&entry)
         } else {
-            self.map.extend(records);
+            take(&mut self.map, records);
             self.rewrite()
         };
         if kept.is_err() {
@@ -204,3 +204,14 @@
         }
     }
 }
+
+/// A later value replaces an earlier one; an empty one takes the key away.
+pub(crate) fn take(map: &mut Map, records: impl IntoIterator<Item = Record>) {
+    for (key, value) in records {
+        if value.is_empty() {
+            map.remove(&key);
+        } else {
+            map.insert(key, value);
+        }
+    }
+}
--- a/crates/recall/src/memory.rs
+++ b/crates/recall/src/memory.rs
@@ -37,7 +37,7 @@
 
 impl Shelf for Memory {
     fn put(&self, ticket: u64, records: Vec<Record>) {
-        lock(&self.kept.0).extend(records);
+        crate::journal::take(&mut lock(&self.kept.0), records);
         lock(&self.done).push(ticket);
         self.wake.set();
     }
--- a/crates/recall/src/store.rs
+++ b/crates/recall/src/store.rs
@@ -24,7 +24,7 @@
 /// Waiting for the disk so long is worth a line.
 const SLOW: Duration = Duration::from_secs(1);
 
-/// A map of records on disk, served by a thread of its own. Keys are never removed, only given new values.
+/// A map of records on disk, served by a thread of its own. A key that is given an empty value is taken away.
 ///
 /// One process at a time may have a folder open; that is not checked. Dropping the store writes what was
 /// handed over and then ends the thread; it waits for the disk, but where the disk refuses it tries only once more.
--- a/crates/tenet/src/ledger.rs
+++ b/crates/tenet/src/ledger.rs
@@ -9,8 +9,9 @@
 /// How many buckets the items are spread over for comparing copies.
 pub const BUCKETS: usize = 256;
 
-/// All items known, dropped ones as tombstones. An item is never taken out: without its tombstone a late
-/// copy of an old version would bring a dropped item back.
+/// All items known, dropped ones as tombstones. An item of the configuration is never taken out: without its tombstone
+/// a late copy of an old version would bring a dropped item back. Backends are: whoever reads the platform's list puts
+/// that right.
 ///
 /// Merge is by item: the higher edition prevails; of equal editions that differ, the greater by (is set,
 /// bytes), so that all copies come to agree in whatever order they hear of them.
@@ -36,6 +37,10 @@
 
 /// The same in every process and on every machine, as copies compare by it.
 fn hash(item: &Item) -> u64 {
+    // Backends that are gone are forgotten one day: whether a copy has done so must not show.
+    if item.kind == Kind::Backend && !item.stands() {
+        return 0;
+    }
     let mut hasher = Xxh3::new();
     hasher.update(&[item.kind as u8, u8::from(item.stands())]);
     hasher.update(&item.edition.to_le_bytes());
@@ -150,8 +155,59 @@
             .map(|kept| &kept.item)
     }
 
+    /// Forgets the oldest dropped items of a kind, beyond so many. For kinds alone that somebody tells anew.
+    pub fn forget_dropped(&mut self, kind: Kind, most: usize) {
+        let items = &mut self.items[place(kind)];
+        if items.len() <= most {
+            return;
+        }
+        let mut dropped: Vec<(u64, Arc<str>)> = items
+            .values()
+            .filter(|kept| !kept.item.stands())
+            .map(|kept| (kept.item.edition, kept.item.name.clone()))
+            .collect();
+        // By a quarter at a time, so that this is rare.
+        if dropped.len() > most {
+            dropped.sort();
+            dropped.truncate(dropped.len() - most * 3 / 4);
+            for (_, name) in dropped {
+                if let Some(kept) = items.remove(&name) {
+                    self.buckets[kept.bucket] ^= kept.hash;
+                }
+            }
+        }
+    }
+
     /// The highest edition known of a kind; 0 where there is none.
     pub fn highest(&self, kind: Kind) -> u64 {
         self.highest[place(kind)]
     }
 }
+
+#[cfg(test)]
+mod forgetting {
+    use super::*;
+
+    /// Whether a copy has forgotten a backend that is gone does not show in its hashes, and what is kept is bounded.
+    #[test]
+    fn backends_that_are_gone_are_forgotten_without_a_trace() {
+        let item = |n: u64, value: Option<&'static str>| Item {
+            kind: Kind::Backend,
+            name: format!("b{n}").into(),
+            edition: n + 1,
+            value: value.map(bytes::Bytes::from),
+        };
+        let (mut one, mut two) = (Ledger::new(), Ledger::new());
+        for n in 0..100 {
+            one.merge(item(n, Some("{}")));
+            one.merge(Item { edition: 1_000 + n, ..item(n, None) });
+        }
+        for ledger in [&mut one, &mut two] {
+            ledger.merge(item(200, Some("{}")));
+        }
+        assert_eq!(one.digest(), two.digest());
+        one.forget_dropped(Kind::Backend, 40);
+        assert_eq!((one.digest(), one.len()), (two.digest(), 31));
+        assert!(one.get(Kind::Backend, "b99").is_some() && one.get(Kind::Backend, "b0").is_none());
+    }
+}
