--- a/crates/recall/src/tests.rs
+++ b/crates/recall/src/tests.rs
@@ -66,22 +66,26 @@
     let (shelf, records) = place.open();
     assert_eq!((records, readable(&*shelf, false)), (vec![], false));
     for ticket in 0..100 {
-        shelf.put(ticket, vec![record("last", &ticket.to_string()), record(&format!("k{ticket:02}"), "")]);
+        shelf.put(ticket, vec![record("last", &ticket.to_string()), record(&format!("k{ticket:02}"), "v")]);
     }
     assert_eq!(wait_for(&*shelf, 100).unwrap(), (0..100).collect::<Vec<_>>());
     assert!(!readable(&*shelf, false) && shelf.done().unwrap().is_empty());
     drop(shelf);
 
     let (shelf, records) = place.open();
-    let mut expected: Vec<Record> = (0..100).map(|n| record(&format!("k{n:02}"), "")).collect();
+    let mut expected: Vec<Record> = (0..100).map(|n| record(&format!("k{n:02}"), "v")).collect();
     expected.push(record("last", "99"));
     assert_eq!(records, expected);
     // The last of two values in one put counts; and a put of nothing comes back too.
     shelf.put(7, vec![record("last", "x"), record("last", "y")]);
     shelf.put(8, vec![]);
-    assert_eq!(wait_for(&*shelf, 2).unwrap(), [7, 8]);
+    // An empty value takes a key away, for good; a value after it brings it back.
+    shelf.put(9, vec![record("k00", ""), record("k01", ""), record("k01", "again")]);
+    assert_eq!(wait_for(&*shelf, 3).unwrap(), [7, 8, 9]);
     drop(shelf);
-    assert_eq!(place.open().1.pop(), Some(record("last", "y")));
+    let (_, records) = place.open();
+    assert_eq!((records.len(), &records[0]), (100, &record("k01", "again")));
+    assert_eq!(records.last(), Some(&record("last", "y")));
 }
 
 #[test]
