--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -32,6 +32,8 @@
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
 const FULL: &[u8] = b"full";
+/// The record of whom this voter granted the duty last.
+const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
 const LIVE: &[u8] = b"live";
@@ -109,6 +111,11 @@
         peer: String,
         ticket: u64,
     },
+    /// A vote that may be told.
+    Vote {
+        who: String,
+        grant: Grant,
+    },
     /// The record that makes this folder full.
     Full,
     Nothing,
@@ -135,6 +142,10 @@
     /// Gateways that count as live, reckoned once a beat.
     live: Vec<String>,
     voter: Voter,
+    /// Whom the record on disk names.
+    recorded: String,
+    /// It did the duty when that was looked at last.
+    held: bool,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
@@ -166,9 +177,12 @@
 impl Core {
     pub fn new(now: Moment, start: Start) -> Core {
         let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
+        let mut recorded = String::new();
         for (key, value) in &start.records {
             if key == FULL {
                 full = true;
+            } else if key == VOTE {
+                recorded = String::from_utf8_lossy(value).into_owned();
             } else if key == LIVE {
                 let stations = String::from_utf8_lossy(value);
                 stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
@@ -182,7 +196,9 @@
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
         Core {
-            voter: Voter::new(now, start.maiden && empty),
+            voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
+            recorded,
+            held: false,
             chance: oorandom::Rand64::new(u128::from(start.life)),
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
@@ -401,10 +417,7 @@
                 self.send(station, Word::Held(held));
             }
             Word::Held(held) => self.held(now, station, held),
-            Word::Claim(claim) => {
-                let grant = self.vote(now, station, &claim);
-                self.send(station, Word::Grant(grant));
-            }
+            Word::Claim(claim) => self.vote(now, station, &claim),
             Word::Grant(grant) => self.granted(now, station, &grant),
             Word::Sessions(sessions) => {
                 self.table.hear(now, station, life, &sessions);
@@ -598,6 +611,10 @@
                 let stored = Stored { ticket, full: self.full };
                 self.send(&peer, Word::Stored(stored));
             }
+            Some(Kept::Vote { who, grant }) => {
+                self.recorded.clone_from(&who);
+                self.voted(now, &who, grant);
+            }
             Some(Kept::Full) => {
                 self.full = true;
                 info!("event=full");
@@ -698,11 +715,24 @@
 
     // Duties.
 
-    fn vote(&mut self, now: Moment, who: &str, claim: &Claim) -> Grant {
+    fn vote(&mut self, now: Moment, who: &str, claim: &Claim) {
         let mut grant = self.voter.vote(now, who, claim);
         // Danger: a seat that lost its disk may have been replaced; only those of the cast count, and only full.
         grant.granted &= self.full && self.cast().is_some_and(|cast| cast.has(&self.me.station));
-        grant
+        if grant.granted && self.recorded != who {
+            // Danger: a voter that came back would grant to another what it had granted.
+            let record = (VOTE.to_vec(), who.as_bytes().to_vec());
+            return self.keep_records(vec![record], Kept::Vote { who: who.to_owned(), grant });
+        }
+        self.voted(now, who, grant);
+    }
+
+    fn voted(&mut self, now: Moment, who: &str, grant: Grant) {
+        if who == self.me.station {
+            self.granted(now, who, &grant);
+        } else {
+            self.send(who, Word::Grant(grant));
+        }
     }
 
     fn granted(&mut self, now: Moment, from: &str, grant: &Grant) {
@@ -913,10 +943,13 @@
         let wait = Span::from_micros(self.chance.rand_range(0..400_000) as i64);
         if let Some(claim) = self.claimant.tick(now, free, wait) {
             self.send_all(&Word::Claim(claim.clone()));
-            let grant = self.vote(now, &self.me.station.clone(), &claim);
-            self.granted(now, &self.me.station.clone(), &grant);
+            self.vote(now, &self.me.station.clone(), &claim);
+        }
+        let holds = self.holds(now);
+        if std::mem::replace(&mut self.held, holds.is_some()) && holds.is_none() {
+            warn!("event=duty-lost");
         }
-        let Some(term) = self.holds(now) else {
+        let Some(term) = holds else {
             self.counts = None;
             return;
         };
--- a/crates/bond/src/lease.rs
+++ b/crates/bond/src/lease.rs
@@ -19,14 +19,16 @@
     granted: BTreeMap<String, (String, u64, Moment)>,
     highest: BTreeMap<String, u64>,
     abstains: Moment,
+    /// Whom it granted each duty in an earlier life, as far as that is on disk.
+    recalled: BTreeMap<String, String>,
 }
 
 impl Voter {
-    /// A voter keeps nothing on disk. Danger: in an earlier life it may have granted what still holds, so it
-    /// grants nothing for a span, except at the first start of all.
-    pub fn new(now: Moment, maiden: bool) -> Voter {
+    /// Danger: in an earlier life it may have granted what still holds, so for a span it grants to nobody else than it
+    /// did then, except at the first start of all. Whoever uses it keeps on disk whom it grants before it says so.
+    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>) -> Voter {
         let abstains = if maiden { now } else { now + SPAN };
-        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains }
+        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains, recalled }
     }
 
     pub fn vote(&mut self, now: Moment, who: &str, claim: &Claim) -> Grant {
@@ -34,9 +36,12 @@
         let held = self.granted.get(&claim.duty).filter(|(_, _, until)| *until > now);
         let free = match held {
             Some((holder, term, _)) => holder == who && *term <= claim.term,
-            None => claim.term > highest || claim.term == highest && self.was(who, claim),
+            // A holder's renewal is good whatever rivals claimed meanwhile: votes exclude each other, terms only order
+            // them. Without it a voter that once voted for a rival would never be the holder's again.
+            None => claim.holds || claim.term > highest || claim.term == highest && self.was(who, claim),
         };
-        let granted = free && now >= self.abstains && !claim.release;
+        let may = now >= self.abstains || self.recalled.get(&claim.duty).is_some_and(|holder| holder == who);
+        let granted = free && may && !claim.release;
         let highest = highest.max(claim.term);
         self.highest.insert(claim.duty.clone(), highest);
         if granted {
@@ -133,11 +138,11 @@
         }
         self.again = now + RENEW;
         self.ticket += 1;
-        Some(self.word(false))
+        Some(Claim { holds: self.holds(now).is_some(), ..self.word(false) })
     }
 
     fn word(&self, release: bool) -> Claim {
-        Claim { duty: self.duty.clone(), term: self.term, ticket: self.ticket, release }
+        Claim { duty: self.duty.clone(), term: self.term, ticket: self.ticket, release, holds: false }
     }
 
     /// A voter's word; true if the duty is held from now on and was not before.
@@ -186,7 +191,8 @@
         for seed in 0..200 {
             let mut chance = oorandom::Rand64::new(seed);
             let at = |millis: i64| Moment::from_micros(millis * 1000);
-            let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true)).collect();
+            let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
+            let mut recorded: Vec<BTreeMap<String, String>> = vec![BTreeMap::new(); 6];
             let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty")).collect();
             let mut paused = [0i64; 6];
             let mut claims: VecDeque<(i64, usize, usize, Claim)> = VecDeque::new();
@@ -196,7 +202,7 @@
                 for who in 0..6 {
                     match chance.rand_range(0..12_000) {
                         0 => paused[who] = now + chance.rand_range(0..4_000) as i64,
-                        1 => voters[who] = Voter::new(at(now), false),
+                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone()),
                         2 => claimants[who] = Claimant::new("duty"),
                         _ => {}
                     }
@@ -222,6 +228,9 @@
                         continue;
                     }
                     let grant = voters[to].vote(at(now), &from.to_string(), &claim);
+                    if grant.granted {
+                        recorded[to].insert("duty".into(), from.to_string());
+                    }
                     grants.push_back((now + chance.rand_range(0..300) as i64, to, from, grant));
                 }
                 for _ in 0..grants.len() {
@@ -244,10 +253,36 @@
         assert!(held > 60_000, "held in {held} of 200,000 looks only: the test shows little");
     }
 
+    /// A rival that voters voted for at first does not cost the holder their renewals; and a voter that comes back
+    /// grants at once to whom it had granted, and to nobody else.
+    #[test]
+    fn a_holder_is_granted_by_all_in_the_end_and_at_once_after_a_restart() {
+        let at = |millis: i64| Moment::from_micros(millis * 1000);
+        let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
+        let (mut one, mut two) = (Claimant::new("d"), Claimant::new("d"));
+        let (_, _) = (one.tick(at(0), true, Span::ZERO), two.tick(at(0), true, Span::ZERO));
+        let (a, b) = (one.tick(at(0), true, Span::ZERO).unwrap(), two.tick(at(0), true, Span::ZERO).unwrap());
+        for (n, voter) in voters.iter_mut().enumerate() {
+            let (who, claim, claimant) = if n < 4 { ("one", &a, &mut one) } else { ("two", &b, &mut two) };
+            claimant.heard(at(1), &n.to_string(), &voter.vote(at(1), who, claim), 4);
+        }
+        assert!(one.holds(at(1)).is_some());
+        let back = two.tick(at(600), true, Span::ZERO).unwrap();
+        let renewal = one.tick(at(600), true, Span::ZERO).unwrap();
+        assert!(back.release && renewal.holds);
+        for voter in &mut voters {
+            voter.vote(at(600), "two", &back);
+            assert!(voter.vote(at(601), "one", &renewal).granted);
+        }
+        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into());
+        assert!(!back.vote(at(701), "two", &Claim { term: 9, ..renewal.clone() }).granted);
+        assert!(back.vote(at(702), "one", &renewal).granted);
+    }
+
     #[test]
     fn a_duty_that_is_given_back_is_free_at_once() {
         let now = Moment::from_micros(1);
-        let mut voter = Voter::new(now, true);
+        let mut voter = Voter::new(now, true, BTreeMap::new());
         let (mut one, mut two) = (Claimant::new("d"), Claimant::new("d"));
         assert_eq!(one.tick(now, true, Span::ZERO), None);
         let claim = one.tick(now, true, Span::ZERO).unwrap();
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -196,6 +196,9 @@
     pub ticket: u64,
     #[prost(bool, tag = "4")]
     pub release: bool,
+    /// The claimant holds the duty under this term, and renews.
+    #[prost(bool, tag = "5")]
+    pub holds: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -13,7 +13,7 @@
 /// Backends that are gone and still remembered.
 const MOST_DROPPED: usize = 4_096;
 /// A session that is not up by then is given up.
-const COMING: Span = Span::from_micros(1_200_000);
+const COMING: Span = Span::from_micros(1_400_000);
 /// One that was tried in vain is left alone for so long, times how often that was.
 const AGAIN: Span = Span::from_micros(350_000);
 /// So long one that is cut off from the core is stayed with, if no other is better.
