--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -218,7 +218,7 @@
             table,
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
-            claimant: Claimant::new(DUTY),
+            claimant: Claimant::new(DUTY, start.life),
             counts: None,
             terms,
             slack: start.slack,
--- a/crates/bond/src/lease.rs
+++ b/crates/bond/src/lease.rs
@@ -35,7 +35,8 @@
         let highest = self.highest.get(&claim.duty).copied().unwrap_or_default();
         let held = self.granted.get(&claim.duty).filter(|(_, _, until)| *until > now);
         let free = match held {
-            Some((holder, term, _)) => holder == who && *term <= claim.term,
+            // A station that was started anew claims under a low term: its earlier life is over, nobody else's vote is.
+            Some((holder, ..)) => holder == who,
             // A holder's renewal is good whatever rivals claimed meanwhile: votes exclude each other, terms only order
             // them. Without it a voter that once voted for a rival would never be the holder's again.
             None => claim.holds || claim.term > highest || claim.term == highest && self.was(who, claim),
@@ -90,9 +91,10 @@
 }
 
 impl Claimant {
-    pub fn new(duty: &str) -> Claimant {
+    /// `ticket` is drawn: words to an earlier life must not be taken for answers to this one.
+    pub fn new(duty: &str, ticket: u64) -> Claimant {
         let state = State::Idle;
-        Claimant { duty: duty.to_owned(), term: 0, ticket: 0, state, again: Moment::default() }
+        Claimant { duty: duty.to_owned(), term: 0, ticket, state, again: Moment::default() }
     }
 
     fn shift(&mut self, to: State) {
@@ -137,7 +139,7 @@
             }
         }
         self.again = now + RENEW;
-        self.ticket += 1;
+        self.ticket = self.ticket.wrapping_add(1);
         Some(Claim { holds: self.holds(now).is_some(), ..self.word(false) })
     }
 
@@ -162,6 +164,8 @@
             _ => return false,
         };
         votes.insert(from.to_owned());
+        // An earlier life may have got further: terms do not fall.
+        self.term = self.term.max(grant.term);
         if votes.len() < majority {
             return false;
         }
@@ -193,7 +197,7 @@
             let at = |millis: i64| Moment::from_micros(millis * 1000);
             let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
             let mut recorded: Vec<BTreeMap<String, String>> = vec![BTreeMap::new(); 6];
-            let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty")).collect();
+            let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty", 0)).collect();
             let mut paused = [0i64; 6];
             let mut claims: VecDeque<(i64, usize, usize, Claim)> = VecDeque::new();
             let mut grants: VecDeque<(i64, usize, usize, Grant)> = VecDeque::new();
@@ -203,7 +207,7 @@
                     match chance.rand_range(0..12_000) {
                         0 => paused[who] = now + chance.rand_range(0..4_000) as i64,
                         1 => voters[who] = Voter::new(at(now), false, recorded[who].clone()),
-                        2 => claimants[who] = Claimant::new("duty"),
+                        2 => claimants[who] = Claimant::new("duty", chance.rand_u64()),
                         _ => {}
                     }
                     if paused[who] > now {
@@ -259,7 +263,7 @@
     fn a_holder_is_granted_by_all_in_the_end_and_at_once_after_a_restart() {
         let at = |millis: i64| Moment::from_micros(millis * 1000);
         let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
-        let (mut one, mut two) = (Claimant::new("d"), Claimant::new("d"));
+        let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         let (_, _) = (one.tick(at(0), true, Span::ZERO), two.tick(at(0), true, Span::ZERO));
         let (a, b) = (one.tick(at(0), true, Span::ZERO).unwrap(), two.tick(at(0), true, Span::ZERO).unwrap());
         for (n, voter) in voters.iter_mut().enumerate() {
@@ -283,7 +287,7 @@
     fn a_duty_that_is_given_back_is_free_at_once() {
         let now = Moment::from_micros(1);
         let mut voter = Voter::new(now, true, BTreeMap::new());
-        let (mut one, mut two) = (Claimant::new("d"), Claimant::new("d"));
+        let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         assert_eq!(one.tick(now, true, Span::ZERO), None);
         let claim = one.tick(now, true, Span::ZERO).unwrap();
         assert!(one.heard(now, "v", &voter.vote(now, "one", &claim), 1));
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -143,6 +143,8 @@
     asked: BTreeMap<u64, Moment>,
     chance: oorandom::Rand64,
     piece: Vec<u8>,
+    /// Connections to backends with more to read for which there is room.
+    again: Vec<u64>,
     leaves: Option<Moment>,
     term: Arc<AtomicBool>,
     hup: Arc<AtomicBool>,
@@ -221,6 +223,7 @@
             asked: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(life ^ 2)),
             piece: vec![0; 64 * 1024],
+            again: Vec::new(),
             leaves: None,
             term: Arc::default(),
             hup: Arc::default(),
@@ -249,6 +252,9 @@
             for ready in ready.drain(..) {
                 self.ready(&ready);
             }
+            while let Some(line) = self.again.pop() {
+                self.serve_line(line, None);
+            }
             let now = self.clock.now();
             self.timers.due(now, &mut due);
             for due in due.drain(..) {
@@ -417,7 +423,10 @@
                 if !passes {
                     self.give_up(now, id, 429);
                 } else if job.is_due() {
+                    let client = job.client;
                     self.advance(now, id);
+                    // What waited in the client's socket is told of by no further edge.
+                    self.serve_client(client, None);
                 }
             }
         }
@@ -1221,7 +1230,7 @@
         self.flush_client(client);
         let room = self.clients.get(&client).is_some_and(|c| c.wire.unsent() < MOST_UNSENT);
         if room && self.lines.contains_key(&id) {
-            self.serve_line(id, None);
+            self.again.push(id); // not from here: the stack would grow with the answer
         }
     }
 
--- a/crates/course/tests/sockets/bodies.rs
+++ b/crates/course/tests/sockets/bodies.rs
@@ -135,3 +135,25 @@
     assert_eq!((answer.field("Connection"), &answer.body[..]), (Some("close"), &b"enough"[..]));
     assert!(client.ends());
 }
+
+/// The grant comes when all of the body that there was room for has been read, and no more comes from the client.
+#[test]
+fn a_long_body_goes_on_when_its_grant_comes() {
+    let (gateway, control, stand) = serving(1);
+    let mut client = gateway.line();
+    client.say(get("/once/", "t1"));
+    let mut line = stand.line();
+    line.hear();
+    line.say(ok("t1", "")); // a connection that rests is there at once
+    assert_eq!(client.hear().status(), 200);
+    control.counts();
+    control.grant(1);
+    let held = control.hold();
+    let body = bytes(3 * MIB / 2);
+    let (framing, all) = framed(&body, false);
+    client.say(request("POST", "/once/", "t2").replace("key-of-town", "key-of-tiny") + &framing).say(&all);
+    let grant = held.recv_timeout(PATIENCE).expect("a grant");
+    (0..2).for_each(|_| assert_eq!(gateway.readiness(), 200)); // it has read what it can by now
+    control.say(grant);
+    assert!(line.hear().body == body);
+}
--- a/crates/course/tests/sockets/stand.rs
+++ b/crates/course/tests/sockets/stand.rs
@@ -251,6 +251,8 @@
     grants: u32,
     /// Periods that it has answered.
     counted: u32,
+    /// Where answers between two periods go, while they are held back.
+    held: Option<Sender<Word>>,
 }
 
 impl Desk {
@@ -310,7 +312,11 @@
                     Total { tenant: add.tenant, granted, ..Total::default() }
                 };
                 let totals = adds.into_iter().map(&mut grant).collect();
-                self.say([Word::Totals(Totals { ticket, station, totals, life, asks })]);
+                let word = Word::Totals(Totals { ticket, station, totals, life, asks });
+                match &self.held {
+                    Some(held) if asks => held.send(word).expect("the test goes on"),
+                    _ => self.say([word]),
+                }
             }
             _ => {}
         }
@@ -327,7 +333,15 @@
     fn start() -> Control {
         let listener = TcpListener::bind((shared_address(), 0)).expect("an address");
         let address = listener.local_addr().expect("bound");
-        let desk = Desk { address, ledger: Ledger::new(), open: false, session: None, grants: 0, counted: 0 };
+        let desk = Desk {
+            address,
+            ledger: Ledger::new(),
+            open: false,
+            session: None,
+            grants: 0,
+            counted: 0,
+            held: None,
+        };
         let (desk, (say, beats)) = (Arc::new(Mutex::new(desk)), channel());
         let shared = desk.clone();
         std::thread::spawn(move || {
@@ -350,6 +364,17 @@
         desk.say_all();
     }
 
+    /// From now on it holds back what is granted between two periods.
+    pub fn hold(&self) -> Receiver<Word> {
+        let (held, words) = channel();
+        self.desk.lock().expect("whole").held = Some(held);
+        words
+    }
+
+    pub fn say(&self, word: Word) {
+        self.desk.lock().expect("whole").say([word]);
+    }
+
     pub fn grant(&self, requests: u32) {
         self.desk.lock().expect("whole").grants = requests;
     }
