--- a/crates/bond/src/count.rs
+++ b/crates/bond/src/count.rs
@@ -7,8 +7,8 @@
 //! The allowance: a quota binds over all gateways in every window, however suddenly a demand begins and wherever it
 //! moves. So a store a tenant fills at its rate, and a gateway passes on only what it was granted from there: a few
 //! requests in advance where it is offered many, one by one where it is offered few. What gateways hold counts as
-//! being in the store. A gateway that the holder does not hear goes by its part, rate over gateways, and the holder
-//! leaves that part to it.
+//! being in the store. A gateway that hears nothing of the holder goes by its part: half by what it was offered of the
+//! tenant lately, half alike; and the holder leaves that part to whom it does not hear.
 
 use crate::words::{Add, Adds, Total, Totals};
 use kitepass::{Moment, Span};
@@ -67,6 +67,8 @@
     sent: f64,
     held: f64,
     asked: Moment,
+    /// What it was told to go by if it hears nothing more.
+    part: f64,
 }
 
 #[derive(Debug)]
@@ -82,8 +84,9 @@
     tenants: BTreeMap<String, Pool>,
     heard: BTreeMap<String, Moment>,
     slack: Slack,
-    /// The part of the live gateways that is heard, of how many, and when that was reckoned.
-    part: (usize, f64),
+    /// Live gateways that are not heard, of how many, and when that was reckoned.
+    unheard: Vec<String>,
+    live: usize,
     reckoned: Moment,
 }
 
@@ -92,7 +95,7 @@
     /// an earlier holder may have granted all there was a moment ago; so the stores begin with next to nothing.
     pub fn new(slack: Slack) -> Counts {
         let (tenants, heard) = (BTreeMap::new(), BTreeMap::new());
-        Counts { tenants, heard, slack, part: (0, 1.0), reckoned: Moment::default() }
+        Counts { tenants, heard, slack, unheard: Vec::new(), live: 0, reckoned: Moment::default() }
     }
 
     /// Adds a gateway's period and reads the totals, or grants what it asks for between two periods. `live` are
@@ -106,18 +109,15 @@
     ) -> Totals {
         let known = self.heard.insert(adds.station.clone(), now).is_some_and(|at| now - at < HEARD);
         // Reckoned now and then: for each word it would grow with the square of the gateways.
-        if !known || now - self.reckoned >= RECKON || self.part.0 != live.len() {
-            let heard =
-                live.iter().filter(|s| self.heard.get(*s).is_some_and(|at| now - *at < HEARD)).count();
-            // One that is heard counts, listed or not.
-            let part = heard.max(1) as f64 / live.len().max(heard).max(1) as f64;
-            (self.reckoned, self.part) = (now, (live.len(), part));
+        if !known || now - self.reckoned >= RECKON || self.live != live.len() {
+            let silent = |s: &&String| self.heard.get(*s).is_none_or(|at| now - *at >= HEARD);
+            (self.unheard, self.live) = (live.iter().filter(silent).cloned().collect(), live.len());
+            self.reckoned = now;
         }
-        let part = self.part.1;
         let mut totals = Vec::with_capacity(adds.adds.len());
         for add in &adds.adds {
             if let Some(terms) = terms(&add.tenant).filter(|terms| terms.rate > 0.0) {
-                totals.push(self.one(now, adds, add, part, terms));
+                totals.push(self.one(now, adds, add, terms));
             }
         }
         Totals {
@@ -129,7 +129,7 @@
         }
     }
 
-    fn one(&mut self, now: Moment, adds: &Adds, add: &Add, part: f64, terms: Terms) -> Total {
+    fn one(&mut self, now: Moment, adds: &Adds, add: &Add, terms: Terms) -> Total {
         if self.tenants.len() >= MOST_TENANTS && !self.tenants.contains_key(&add.tenant) {
             self.sweep(now);
         }
@@ -146,6 +146,9 @@
         let held: f64 = pool.reports.values().map(|report| report.held).sum();
         let past = (now - pool.as_of).secs();
         pool.as_of = now;
+        let alike = 1.0 / self.live.max(1) as f64;
+        let theirs = |s: &String| pool.reports.get(s).map_or(alike, |report| report.part);
+        let part = (1.0 - self.unheard.iter().map(theirs).sum::<f64>()).max(0.0);
         let most = terms.surge + self.slack.of(terms) - held;
         pool.store = (pool.store + terms.rate * part * past + f64::from(add.back)).min(most.max(0.0));
         let wanted = f64::from(add.wants).min(pool.store.floor()).max(0.0);
@@ -160,8 +163,13 @@
         let fresh = |report: &&Report| report.at != Moment::default() && now - report.at < FRESH;
         let offered: f64 = pool.reports.values().filter(fresh).map(|report| report.offered).sum();
         let sent: f64 = pool.reports.values().filter(fresh).map(|report| report.sent).sum();
-        let (offered, sent, granted) = (offered as f32, sent as f32, granted as u32);
-        Total { tenant: add.tenant.clone(), offered, sent, granted }
+        let report = pool.reports.get_mut(&adds.station).expect("put in above");
+        if !adds.asks || report.part == 0.0 {
+            report.part = (report.offered / offered.max(1.0) + alike) / 2.0;
+        }
+        let (offered, sent, granted, part) =
+            (offered as f32, sent as f32, granted as u32, report.part as f32);
+        Total { tenant: add.tenant.clone(), offered, sent, granted, part }
     }
 
     /// Forgets tenants that nobody adds to, and gateways that are gone.
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -290,6 +290,9 @@
     /// Requests of the allowance that the gateway holds from now on, beside those that it held.
     #[prost(uint32, tag = "4")]
     pub granted: u32,
+    /// The gateway's part of the limit for as long as it hears nothing more.
+    #[prost(float, tag = "5")]
+    pub part: f32,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/course/examples/tables.rs
+++ b/crates/course/examples/tables.rs
@@ -170,7 +170,8 @@
 
 /// What answers a period's adds.
 fn answer(adds: &[Add]) -> Word {
-    let total = |add: &Add| Total { tenant: add.tenant.clone(), offered: 4.0, sent: 4.0, granted: 0 };
+    let total =
+        |add: &Add| Total { tenant: add.tenant.clone(), offered: 4.0, sent: 4.0, granted: 0, part: 0.1 };
     let totals = adds.iter().map(total).collect();
     Word::Totals(Totals { ticket: 1, station: "counter-a1-0".into(), totals, life: 7, asks: false })
 }
--- a/crates/course/src/quota.rs
+++ b/crates/course/src/quota.rs
@@ -7,8 +7,8 @@
 //! Departures, behind the draw. What passes it takes one request of the tenant's allowance, of which this gateway
 //! holds some that the count's holder granted: in advance where it is offered many, one by one where it is offered
 //! few. It acts where the ratio cannot know yet: a demand many times the usual that begins between two periods.
-//! While the count is silent the last ratio lives for a while, and behind it stands this gateway's part of the limit:
-//! rate over gateways, which the holder leaves to it.
+//! While the count is silent the last ratio lives for a while, and behind it stands this gateway's part of the limit,
+//! as the holder told it last, which the holder leaves to it; without one, rate over gateways.
 
 use kitepass::{excess, Moment, Span};
 use kitepass_bond::count::{Slack, Terms, ALONE};
@@ -23,6 +23,8 @@
 const PATIENCE: Span = Span::from_micros(400_000);
 /// After a grant that fell short nothing is asked for so long: what goes beyond the allowance is refused at once.
 const DRY: Span = Span::from_micros(250_000);
+/// The part that was told last is gone by for so long, less than the holder leaves it; then rate over gateways.
+const PART_LIFE: Span = Span::from_micros(8_000_000);
 /// A tenant without use is forgotten after so long.
 const KEPT: Span = Span::from_micros(30_000_000);
 /// Periods in a row, after its last use, in which a tenant's count is still read.
@@ -62,6 +64,7 @@
     expected: f64,
     /// This gateway's part, while it hears nothing of the count.
     store: f64,
+    part: Option<(f64, Moment)>,
     as_of: Moment,
     used: Moment,
     idle: u32,
@@ -133,6 +136,7 @@
                 expected: 0.0,
                 // Unseen: it may pass its limit over the gateways.
                 store: (FIRST * depth).max(1.0),
+                part: None,
                 as_of: now,
                 used: now,
                 idle: 0,
@@ -150,7 +154,7 @@
         }
         let passes = match alone {
             _ if customer.held > 0 => customer.take_held(),
-            Some(since) => customer.take_part(now, since, n, depth),
+            Some(since) => customer.take_part(now, since, n, self.slack),
             None if now < customer.dry => false,
             None => {
                 customer.waiting.push_back(request);
@@ -213,6 +217,7 @@
             let tenant = tenant.clone();
             let customer = self.customers.get_mut(&tenant).expect("found above");
             customer.held = customer.held.saturating_add(total.granted);
+            customer.part = Some((f64::from(total.part), now));
             if totals.asks {
                 let wanted = customer.asked.take().map_or(0, |(_, wanted)| wanted);
                 let short = total.granted < wanted;
@@ -245,9 +250,8 @@
                 continue;
             }
             customer.asked = None;
-            let depth = ((customer.terms.surge + self.slack.of(customer.terms)) / n).max(1.0);
             while let Some(request) = customer.waiting.pop_front() {
-                let passes = alone.is_some_and(|since| customer.take_part(now, since, n, depth));
+                let passes = alone.is_some_and(|since| customer.take_part(now, since, n, self.slack));
                 self.decided.push((request, passes));
             }
         }
@@ -270,14 +274,17 @@
     }
 
     /// Takes one request of this gateway's own part, which fills from when it has been alone.
-    fn take_part(&mut self, now: Moment, since: Moment, gateways: f64, depth: f64) -> bool {
+    fn take_part(&mut self, now: Moment, since: Moment, gateways: f64, slack: Slack) -> bool {
+        let part =
+            self.part.filter(|(_, told)| now - *told < PART_LIFE).map_or(1.0 / gateways, |(part, _)| part);
+        let depth = ((self.terms.surge + slack.of(self.terms)) * part).max(1.0);
         if self.as_of < since {
             // Danger: what filled while others used it would be given twice.
             (self.store, self.as_of) = (0.0, since);
         }
         let past = (now - self.as_of).secs();
         self.as_of = now;
-        self.store = (self.store + self.terms.rate / gateways * past).min(depth);
+        self.store = (self.store + self.terms.rate * part * past).min(depth);
         let passes = self.store >= 1.0;
         self.store -= f64::from(u8::from(passes));
         self.sent = self.sent.saturating_add(u32::from(passes));
@@ -432,7 +439,7 @@
         let at = |millis: i64| Moment::from_micros(millis * 1000);
         let mut quota = Quota::new(at(0), 1, SLACK);
         let (tenant, terms) = ("t".into(), Terms { rate: 100.0, surge: 0.0 });
-        let total = Total { tenant: "t".into(), offered: 400.0, sent: 100.0, granted: 1_000_000 };
+        let total = Total { tenant: "t".into(), offered: 400.0, sent: 100.0, granted: 1_000_000, part: 1.0 };
         quota.draw(at(0), &tenant, terms, 0);
         quota.totals(at(1), at(0), &Totals { totals: vec![total], ..Totals::default() });
         let customer = &quota.customers["t"];
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -248,6 +248,7 @@
             let now = self.clock.now();
             let next = self.timers.next().map_or(TICK, |at| (at - now).max(Span::ZERO));
             let wait = (TICK - (now - ticked)).max(Span::ZERO).min(next);
+            let wait = if self.again.is_empty() { wait } else { Span::ZERO };
             self.poll.wait(Some(wait), &mut ready).context(SystemSnafu { what: "waiting" })?;
             for ready in ready.drain(..) {
                 self.ready(&ready);
