A long repeatable request that failed gets no other leg; signals and lives in one place

Cause: in a last reading: a second way to a further leg stood beside the first and lacked its check that the body is still kept; a repeatable body over 256 KiB whose leg failed or was overdue would have ended the gateway. Signals and lives were written in both servers; the design note told of an earlier state of voters and parts. Change: one way to a leg, its budget booked or not; strand::process; unused functions are gone; docs follow the code.

--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -12,6 +12,7 @@
 use kitepass_strand::flow::{Body, HeadReader};
 use kitepass_strand::http::Kind as Which;
 use kitepass_strand::poll::{self, Clock, Poll, Ready};
+use kitepass_strand::process::{life, Signals};
 use kitepass_strand::wire::{cause, Wire};
 use kitepass_strand::{Errno, OwnedFd};
 use log::{debug, error, info, warn};
@@ -20,8 +21,6 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 
 /// Bytes of an operator's call. Danger: a caller that never ends.
 const MOST_CALL: usize = 16 * 1024 * 1024;
@@ -122,8 +121,7 @@
     reading: Option<Reading>,
     read: Moment,
     piece: Vec<u8>,
-    term: Arc<AtomicBool>,
-    hup: Arc<AtomicBool>,
+    signals: Signals,
     watch: Watch,
 }
 
@@ -187,20 +185,13 @@
             reading: None,
             read: Moment::default(),
             piece: vec![0; 64 * 1024],
-            term: Arc::default(),
-            hup: Arc::default(),
+            signals: Signals::default(),
             watch,
         })
     }
 
     pub fn run(mut self) -> Result<(), Error> {
-        for (signal, flag) in [
-            (signal_hook::consts::SIGTERM, &self.term),
-            (signal_hook::consts::SIGINT, &self.term),
-            (signal_hook::consts::SIGHUP, &self.hup),
-        ] {
-            signal_hook::flag::register(signal, flag.clone()).context(SignalsSnafu)?;
-        }
+        self.signals.heed().context(SignalsSnafu)?;
         info!("event=serving station={} ip={}", self.settings.station, self.settings.ip);
         let (mut ready, mut ticked, mut watched) = (Vec::new(), Moment::default(), self.clock.now());
         let mut leaves: Option<Moment> = None;
@@ -218,11 +209,11 @@
                 self.fetch(now);
                 self.sweep(now);
             }
-            if self.hup.swap(false, Ordering::Relaxed) || now - watched >= TICK * 10 {
+            if self.signals.reloads() || now - watched >= TICK * 10 {
                 watched = now;
                 self.reload();
             }
-            if leaves.is_none() && self.term.load(Ordering::Relaxed) {
+            if leaves.is_none() && self.signals.ends() {
                 info!("event=leaving");
                 self.core.leave(now);
                 leaves = Some(now);
@@ -695,12 +686,3 @@
         touched.into_iter().for_each(|id| self.flush(id));
     }
 }
-
-/// Tells one life of a process from another: no clock alone, as clocks may be set back.
-fn life(station: &str) -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-    hasher.write(station.as_bytes());
-    hasher.write_u32(std::process::id());
-    hasher.finish()
-}
--- a/crates/bond/src/cast.rs
+++ b/crates/bond/src/cast.rs
@@ -75,8 +75,8 @@
         self.seats.iter().filter(|seat| heard.contains(&seat.station)).count() >= self.reading()
     }
 
-    /// The cast that follows when somebody full stands at the door: one more seat; or, where there are more
-    /// seats than `usual` and some have been silent for long, one seat of those fewer.
+    /// The cast that follows when somebody full stands at the door: one more seat; else, where some have been silent for
+    /// long and another stands in the same district, one seat of those fewer.
     pub fn follow(&self, edition: u64, comes: Option<&Seat>, silent: &BTreeSet<String>) -> Option<Cast> {
         let mut seats = self.seats.clone();
         if let Some(comes) = comes.filter(|seat| !self.has(&seat.station)) {
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -12,16 +12,16 @@
 use kitepass_strand::flow::{Body, Framing, Head, HeadReader};
 use kitepass_strand::http::{digits, Kind as Which};
 use kitepass_strand::poll::{self, Clock, Poll, Ready};
+use kitepass_strand::process::{life, Signals};
 use kitepass_strand::timers::{TimerKey, Timers};
 use kitepass_strand::wire::{cause, Wire};
 use kitepass_strand::{Errno, OwnedFd};
 use kitepass_tenet::{Kind, Mail, View};
 use log::{debug, error, info, warn};
 use snafu::{ResultExt, Snafu};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 /// Heads of answers are taken up to this length.
@@ -146,8 +146,7 @@
     /// Connections to backends with more to read for which there is room.
     again: Vec<u64>,
     leaves: Option<Moment>,
-    term: Arc<AtomicBool>,
-    hup: Arc<AtomicBool>,
+    signals: Signals,
     watch: Watch,
 }
 
@@ -225,20 +224,13 @@
             piece: vec![0; 64 * 1024],
             again: Vec::new(),
             leaves: None,
-            term: Arc::default(),
-            hup: Arc::default(),
+            signals: Signals::default(),
             watch,
         })
     }
 
     pub fn run(mut self) -> Result<(), Error> {
-        for (signal, flag) in [
-            (signal_hook::consts::SIGTERM, &self.term),
-            (signal_hook::consts::SIGINT, &self.term),
-            (signal_hook::consts::SIGHUP, &self.hup),
-        ] {
-            signal_hook::flag::register(signal, flag.clone()).context(SignalsSnafu)?;
-        }
+        self.signals.heed().context(SignalsSnafu)?;
         info!("event=serving station={} ip={}", self.settings.station, self.settings.ip);
         let (mut ready, mut due) = (Vec::new(), Vec::new());
         let mut ticked = Moment::default();
@@ -269,7 +261,7 @@
                 period = if now - period > PERIOD * 2 { now } else { period + PERIOD };
                 self.close_period(now);
             }
-            if self.hup.swap(false, Ordering::Relaxed) || now - watched >= TICK * 10 {
+            if self.signals.reloads() || now - watched >= TICK * 10 {
                 watched = now;
                 self.reload();
             }
@@ -299,7 +291,7 @@
 
     /// SIGTERM: clients are told to go, legs at work go on to their end; true once it is over.
     fn leave(&mut self, now: Moment) -> bool {
-        if self.leaves.is_none() && self.term.load(Ordering::Relaxed) {
+        if self.leaves.is_none() && self.signals.ends() {
             info!("event=leaving requests={}", self.jobs.len());
             self.leaves = Some(now);
             self.link.ready = false;
@@ -795,6 +787,11 @@
 
     /// Sends a request's next leg, or gives it up.
     fn advance(&mut self, now: Moment, id: u64) {
+        self.go(now, id, false);
+    }
+
+    /// The same; of a further leg the budget may be booked already.
+    fn go(&mut self, now: Moment, id: u64, mut booked: bool) {
         loop {
             let Some(job) = self.jobs.get(&id) else { return };
             let further = job.sent > 0;
@@ -808,7 +805,7 @@
             let idle = &self.idle;
             let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
             let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
-            if further && !self.further.allows(now, &job.line, self.live) {
+            if further && !std::mem::take(&mut booked) && !self.further.allows(now, &job.line, self.live) {
                 return self.settle_up(now, id);
             }
             let Some(call_sign) = self.pick.pick(now, &need) else { return self.settle_up(now, id) };
@@ -1143,9 +1140,11 @@
             Verdict::Failed => {
                 // Its own failure goes to the client where no further leg may go.
                 job.shift(State::Held);
-                let more = job.sent < job.route.tries && job.until - now > self.pick.pace(&job.line);
+                let more = job.sent < job.route.tries
+                    && job.is_kept()
+                    && job.until - now > self.pick.pace(&job.line);
                 if more && self.further.allows(now, &job.line.clone(), self.live) {
-                    self.again(now, leg.job);
+                    self.go(now, leg.job, true);
                 } else {
                     self.deliver(leg.job, &head, &leg.got);
                 }
@@ -1157,21 +1156,6 @@
         }
     }
 
-    /// A further leg whose budget is booked already.
-    fn again(&mut self, now: Moment, id: u64) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let homes: [&[Arc<str>]; 2] = [&job.route.homes, job.tenant.as_ref().map_or(&[], |t| &t.homes)];
-        let idle = &self.idle;
-        let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
-        let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
-        let Some(call_sign) = self.pick.pick(now, &need) else { return self.settle_up(now, id) };
-        self.jobs.get_mut(&id).expect("found above").had.push(call_sign.clone());
-        if !self.send(now, id, &call_sign) {
-            self.pick.ended(now, &call_sign, End::Unreached, Span::ZERO);
-            self.advance(now, id);
-        }
-    }
-
     /// A whole answer goes to the client as the backend gave it.
     fn deliver(&mut self, id: u64, head: &Head, body: &[u8]) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -1267,7 +1251,7 @@
         let work = self.jobs.get_mut(&job).expect("found above");
         (work.leg, work.ran) = (None, true);
         work.shift(State::Held);
-        self.again(now, job);
+        self.go(now, job, true);
     }
 
     /// A connection to a backend is lost, with the leg on it.
@@ -1303,11 +1287,6 @@
             }
         }
     }
-
-    /// Districts whose backends are known, for a look from outside.
-    pub fn districts(&self) -> BTreeSet<&str> {
-        self.settings.districts.keys().map(String::as_str).collect()
-    }
 }
 
 /// Hands on to a connection what it has room for of a request's body; how much of the body is kept no longer.
@@ -1368,12 +1347,3 @@
         into.extend_from_slice(b"\r\n");
     }
 }
-
-/// Tells one life of a process from another.
-fn life(station: &str) -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
-    hasher.write(station.as_bytes());
-    hasher.write_u32(std::process::id());
-    hasher.finish()
-}
--- a/crates/course/tests/sockets/bodies.rs
+++ b/crates/course/tests/sockets/bodies.rs
@@ -122,6 +122,28 @@
     assert!(stand.is_untouched());
 }
 
+/// Of a body that has passed through nothing is left for another leg: the failure goes to the client, and the gateway
+/// serves on.
+#[test]
+fn a_long_repeatable_request_that_failed_gets_no_other_leg() {
+    let (gateway, _control, stand) = serving(2);
+    let mut client = gateway.line();
+    let (framing, all) = framed(&bytes(MIB), false);
+    let mut hand = client.hand();
+    let failed = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            hand.say(request("POST", "/safe/", "t1") + &framing).say(&all);
+        });
+        let mut line = stand.line();
+        assert_eq!(line.hear().body.len(), MIB);
+        line.say(answer("500 Internal Server Error", "t1", "", "its own"));
+        client.hear()
+    });
+    assert_eq!((failed.status(), failed.body.as_slice()), (500, &b"its own"[..]));
+    assert!(stand.is_untouched());
+    gateway.line().say(get("/nowhere/", "t2")).hear();
+}
+
 /// The rest of the body is not taken for a request.
 #[test]
 fn an_answer_before_the_body_is_whole_ends_the_clients_connection() {
--- a/crates/strand/src/lib.rs
+++ b/crates/strand/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flow;
 pub mod http;
 pub mod poll;
+pub mod process;
 pub mod timers;
 pub mod wire;
 
--- a/crates/strand/src/wire.rs
+++ b/crates/strand/src/wire.rs
@@ -104,11 +104,6 @@
         self.output.len() - self.written
     }
 
-    /// Whether anything at all has gone out that was handed over.
-    pub fn has_sent(&self) -> bool {
-        self.written > 0
-    }
-
     /// Whether the other side has sent nothing unread and has not ended.
     pub fn is_quiet(&self) -> bool {
         self.made && self.input.is_empty() && !self.ended && poll::is_quiet(&self.socket)
