--- /dev/null
+++ b/crates/accord/src/core/mod.rs
@@ -0,0 +1,386 @@
+//! All that a control process decides, without input or output: it is told what happens, with the time, and leaves
+//! what is to be done as [`Act`]s.
+
+mod catching;
+mod contact;
+mod duty;
+mod orders;
+mod record;
+mod sessions;
+
+use crate::order::{Order, Reply};
+use crate::roster::Roster;
+use bytes::Bytes;
+use kitepass::{Moment, Span};
+use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::count::{Counts, Slack, Terms};
+use kitepass_bond::lease::{Claimant, Voter};
+use kitepass_bond::session::Table;
+use kitepass_bond::words::*;
+use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
+use log::{debug, info, warn};
+use record::{learn, record, unrecord};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Time between two signs of life to each other control process and each session.
+const BEAT: Span = Span::from_micros(500_000);
+/// A peer or session that has said nothing for so long is given up.
+const SILENT: Span = Span::from_micros(1_500_000);
+/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
+const PATIENCE: Span = Span::from_micros(2_500_000);
+/// A seat that has been silent for so long may go, if another stands in its district.
+const GONE: Span = Span::from_micros(8_000_000);
+/// For so long the founder waits for others after the last that came, and at the most.
+const GATHER: Span = Span::from_micros(900_000);
+const GATHER_MOST: Span = Span::from_micros(4_000_000);
+/// Backends that are gone and still remembered. An older copy that brings one back is put right by the next reading.
+const MOST_DROPPED: usize = 4_096;
+/// The one duty: reading the platform's list, holding the counts, changing the cast.
+pub const DUTY: &str = "steward";
+/// The record that says that this folder holds all that was acknowledged here.
+const FULL: &[u8] = b"full";
+/// The record of whom this voter granted the duty last.
+const VOTE: &[u8] = b"vote";
+/// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
+/// that come back for all, and give each too large a part of every quota.
+const LIVE: &[u8] = b"live";
+
+/// What a control process wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// To a control process, by its station.
+    Peer(String, Word),
+    /// To a gateway, by its session's number.
+    Session(u64, Word),
+    /// Items to a gateway's session, in as many words as they need.
+    Items(u64, Vec<Item>),
+    /// To a caller, by the number that it asked under.
+    Answer(u64, Reply),
+    /// To be kept on disk, and told as [`Core::kept`] with the ticket.
+    Keep(u64, Vec<(Vec<u8>, Vec<u8>)>),
+    /// A session is to be closed.
+    Close(u64),
+}
+
+/// How far a process may be relied on. [`Core::shift`] alone changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It knows of no core.
+    Blank,
+    /// It knows of a core, and has yet to hear what was acknowledged while it was away.
+    Behind,
+    /// It has caught up: it takes orders and sessions.
+    Current,
+    /// It had caught up, and hears too few of the core now to know of all that is acknowledged. Gateways are told,
+    /// and go to another if there is a better one.
+    Apart,
+    /// It ends: nothing new is taken.
+    Leaving,
+}
+
+struct Peer {
+    hello: Hello,
+    heard: Moment,
+    digest: u64,
+    differs: u32,
+    duty: u64,
+}
+
+struct Session {
+    hello: Hello,
+    ready: bool,
+    heard: Moment,
+    differs: u32,
+}
+
+/// How far an order has come. [`Core::step`] alone changes it.
+#[derive(Debug)]
+enum Step {
+    /// Hearing what the others hold.
+    Reading(BTreeSet<String>),
+    /// Waiting for copies on disk.
+    Storing(BTreeSet<String>),
+}
+
+struct Work {
+    /// Who waits for the answer, if anybody.
+    caller: Option<u64>,
+    order: Order,
+    step: Step,
+    since: Moment,
+}
+
+enum Kept {
+    /// This process' own copy for an order.
+    Order(u64),
+    /// A copy for another process' order.
+    Copy {
+        peer: String,
+        ticket: u64,
+    },
+    /// A vote that may be told.
+    Vote {
+        who: String,
+        grant: Grant,
+    },
+    /// The record that makes this folder full.
+    Full,
+    Nothing,
+}
+
+pub struct Core {
+    me: Seat,
+    life: u64,
+    maiden: bool,
+    founder: bool,
+    ledger: Ledger,
+    checker: Checker,
+    standing: Standing,
+    full: bool,
+    begun: Moment,
+    newest: Moment,
+    caught: BTreeSet<String>,
+    inquiry: u64,
+    peers: BTreeMap<String, Peer>,
+    lost: BTreeMap<String, Moment>,
+    sessions: BTreeMap<u64, Session>,
+    table: Table,
+    told: (u64, Moment, Vec<Member>),
+    /// Gateways that count as live, reckoned once a beat.
+    live: Vec<String>,
+    voter: Voter,
+    /// Whom the record on disk names.
+    recorded: String,
+    /// It did the duty when that was looked at last.
+    held: bool,
+    claimant: Claimant,
+    counts: Option<(u64, Counts)>,
+    /// Limits of the tenants that stand.
+    terms: BTreeMap<String, Terms>,
+    slack: Slack,
+    roster: Roster,
+    work: BTreeMap<u64, Work>,
+    keeping: BTreeMap<u64, Kept>,
+    ticket: u64,
+    beat: Moment,
+    inquired: Moment,
+    chance: oorandom::Rand64,
+    pub acts: Vec<Act>,
+}
+
+/// What a process is at its start.
+pub struct Start {
+    pub me: Seat,
+    pub life: u64,
+    /// The first start of the whole system, with an empty folder.
+    pub maiden: bool,
+    /// The one that gathers the first cast.
+    pub founder: bool,
+    pub records: Vec<(Vec<u8>, Vec<u8>)>,
+    /// What is borne beyond a quota.
+    pub slack: Slack,
+}
+
+impl Core {
+    pub fn new(now: Moment, start: Start) -> Core {
+        let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
+        let mut recorded = String::new();
+        for (key, value) in &start.records {
+            if key == FULL {
+                full = true;
+            } else if key == VOTE {
+                recorded = String::from_utf8_lossy(value).into_owned();
+            } else if key == LIVE {
+                let stations = String::from_utf8_lossy(value);
+                stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
+            } else if let Some(item) = unrecord(key, value) {
+                ledger.merge(item);
+            }
+        }
+        let mut terms = BTreeMap::new();
+        ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
+        let empty = start.records.is_empty();
+        let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
+        info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
+        Core {
+            voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
+            recorded,
+            held: false,
+            chance: oorandom::Rand64::new(u128::from(start.life)),
+            maiden: start.maiden && empty,
+            founder: start.founder && start.maiden && empty,
+            me: start.me,
+            life: start.life,
+            ledger,
+            checker: Checker::new(),
+            standing,
+            full,
+            begun: now,
+            newest: now,
+            caught: BTreeSet::new(),
+            inquiry: 0,
+            peers: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            table,
+            told: (0, Moment::default(), Vec::new()),
+            live: Vec::new(),
+            claimant: Claimant::new(DUTY, start.life),
+            counts: None,
+            terms,
+            slack: start.slack,
+            roster: Roster::default(),
+            work: BTreeMap::new(),
+            keeping: BTreeMap::new(),
+            ticket: 0,
+            beat: now,
+            inquired: Moment::default(),
+            acts: Vec::new(),
+        }
+    }
+
+    pub fn hello(&self) -> Hello {
+        Hello {
+            station: self.me.station.clone(),
+            ip: self.me.ip.clone(),
+            district: self.me.district.clone(),
+            province: self.me.province.clone(),
+            life: self.life,
+            control: true,
+            front: String::new(),
+            current: self.standing == Standing::Current,
+            full: self.full,
+        }
+    }
+
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    fn shift(&mut self, to: Standing) {
+        if self.standing != to {
+            info!(
+                "event=standing from={:?} to={to:?} items={} full={}",
+                self.standing,
+                self.ledger.len(),
+                self.full
+            );
+            self.standing = to;
+        }
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.ticket += 1;
+        self.ticket
+    }
+
+    fn keep(&mut self, items: &[Item], why: Kept) {
+        let records = items.iter().map(record).collect();
+        self.keep_records(records, why);
+    }
+
+    fn keep_records(&mut self, records: Vec<(Vec<u8>, Vec<u8>)>, why: Kept) {
+        let ticket = self.ticket();
+        self.keeping.insert(ticket, why);
+        self.acts.push(Act::Keep(ticket, records));
+    }
+
+    fn send(&mut self, station: &str, word: Word) {
+        self.acts.push(Act::Peer(station.to_owned(), word));
+    }
+
+    fn send_all(&mut self, word: &Word) {
+        for station in self.peers.keys() {
+            self.acts.push(Act::Peer(station.clone(), word.clone()));
+        }
+    }
+
+    /// What another control process says. Addresses that it tells of come back.
+    pub fn peer_said(&mut self, now: Moment, station: &str, word: Word) -> Vec<String> {
+        let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
+        peer.heard = now;
+        let life = peer.hello.life;
+        match word {
+            Word::Beat(beat) => {
+                (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
+                peer.duty = beat.duty;
+                peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
+                let asks = peer.differs >= 2;
+                self.table.alive(now, station, life);
+                if asks {
+                    self.peers.get_mut(station).expect("found above").differs = 0;
+                    self.send(station, Word::Buckets(self.buckets(true)));
+                }
+            }
+            Word::Live(live) => return live.controls,
+            Word::Items(items) => {
+                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+            }
+            Word::Buckets(buckets) => {
+                let items: Vec<ItemWord> =
+                    self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
+                self.send(station, Word::Items(Items { items }));
+            }
+            Word::Store(store) => self.copy(station, store),
+            Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, station),
+            Word::Inquire(inquire) => {
+                let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
+                let founded = self.cast().is_some();
+                let held = Held { ticket: inquire.ticket, items, full: self.full, founded };
+                self.send(station, Word::Held(held));
+            }
+            Word::Held(held) => self.held(now, station, held),
+            Word::Claim(claim) => self.vote(now, station, &claim),
+            Word::Grant(grant) => self.granted(now, station, &grant),
+            Word::Sessions(sessions) => {
+                self.table.hear(now, station, life, &sessions);
+            }
+            Word::Adds(adds) => {
+                if let Some(totals) = self.add(now, &adds) {
+                    self.send(station, Word::Totals(totals));
+                }
+            }
+            Word::Totals(totals) => self.totals(totals),
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    /// To be called about ten times a second.
+    pub fn tick(&mut self, now: Moment) {
+        if now - self.beat >= BEAT {
+            self.beat = now;
+            self.beat(now);
+        }
+        match self.standing {
+            Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
+                self.inquired = now;
+                self.inquire();
+                self.found(now);
+            }
+            // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
+            Standing::Current if !self.hears_enough() => {
+                self.caught.clear();
+                self.shift(Standing::Apart);
+                self.beat(now);
+            }
+            _ => {}
+        }
+        self.claim(now);
+        let late: Vec<u64> =
+            self.work.iter().filter(|(_, work)| now - work.since > PATIENCE).map(|(id, _)| *id).collect();
+        for id in late {
+            warn!("event=order-late order={}", self.work[&id].order.name());
+            self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
+        }
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.work.is_empty() && self.keeping.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/accord/src/core/sessions.rs
@@ -0,0 +1,103 @@
+//! Gateways' sessions, and what is told of them to clients and operators.
+
+use super::*;
+
+impl Core {
+    /// A gateway asks for a session. Danger: one that has not caught up would tell it an old configuration.
+    pub fn session_came(&mut self, now: Moment, id: u64, hello: Hello) {
+        self.acts.push(Act::Session(id, Word::Hello(self.hello())));
+        if !matches!(self.standing, Standing::Current | Standing::Apart) {
+            return self.acts.push(Act::Close(id));
+        }
+        info!("event=session station={} life={:x}", hello.station, hello.life);
+        self.sessions.insert(id, Session { hello, ready: false, heard: now, differs: 0 });
+        let word = Word::Live(self.live_word());
+        self.acts.push(Act::Session(id, word));
+    }
+
+    pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
+        if let Some(session) = self.sessions.remove(&id) {
+            info!("event=session-lost station={} why={why}", session.hello.station);
+            self.tell(now);
+        }
+    }
+
+    pub fn session_said(&mut self, now: Moment, id: u64, word: Word) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.heard = now;
+        match word {
+            Word::Beat(beat) => {
+                let was = std::mem::replace(&mut session.ready, beat.ready);
+                session.differs = if beat.digest == self.ledger.digest() { 0 } else { session.differs + 1 };
+                // One beat may have crossed with news.
+                if session.differs >= 2 {
+                    session.differs = 0;
+                    self.acts.push(Act::Session(id, Word::Buckets(self.buckets(false))));
+                }
+                if was != beat.ready {
+                    self.tell(now);
+                }
+            }
+            Word::Buckets(buckets) => {
+                let items: Vec<Item> = self.ledger.differing(&buckets.hashes).cloned().collect();
+                self.acts.push(Act::Items(id, items));
+                if !buckets.back {
+                    self.acts.push(Act::Session(id, Word::Buckets(self.buckets(true))));
+                }
+            }
+            // Repair: what a gateway was told by one that is lost.
+            Word::Items(items) => {
+                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+            }
+            Word::Adds(adds) => match self.add(now, &adds) {
+                Some(totals) => self.totals(totals),
+                None => {
+                    if let Some(holder) = self.holder() {
+                        self.send(&holder, Word::Adds(adds));
+                    }
+                }
+            },
+            _ => {}
+        }
+    }
+
+    /// Gateways that a client may be sent to.
+    pub fn lookup(
+        &self,
+        province: &str,
+        district: &str,
+        districts: &BTreeMap<String, String>,
+    ) -> Vec<String> {
+        let ready: Vec<&Member> = self.table.members().into_values().filter(|m| m.ready).collect();
+        let near = |of: &dyn Fn(&Member) -> bool| -> Vec<String> {
+            ready.iter().filter(|m| of(m)).map(|m| m.front.clone()).take(64).collect()
+        };
+        let here = near(&|m| m.district == district);
+        if here.len() > 1 {
+            return here;
+        }
+        let there = near(&|m| districts.get(&m.district).is_some_and(|p| p == province));
+        if there.len() > 1 {
+            return there;
+        }
+        // Danger: a client with a single address has nowhere to turn once that one is lost.
+        near(&|_| true)
+    }
+
+    /// All members, for the operator.
+    pub fn members(&self) -> Vec<Member> {
+        self.table.members().into_values().cloned().collect()
+    }
+
+    /// Zones that are evacuated.
+    pub fn evacuated(&self) -> Vec<String> {
+        let stands = self.ledger.each(Kind::Evacuation).filter(|item| item.value.is_some());
+        stands.map(|item| item.name.to_string()).collect()
+    }
+
+    /// Seats of the cast, and whether each is heard of now.
+    pub fn seats(&self) -> Vec<(Seat, bool)> {
+        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
+        self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
+    }
+}
