A request's way from leg to leg is one state machine without input or output

Cause: what may follow a leg was decided in a dozen places among the sockets, and some of them were wrong. An overdue leg was broken off, with its backend at work, before it was known whether the budget's leg could go anywhere: of a body no longer kept, or where no other backend stood, the client got 502. A backend's own failure was replaced by our 502 for the same reason. An answer that stood before a reset, or before a failed write of the rest of a body, was thrown away: a request that was turned away so got 502. A once-only request whose connection died before any byte of it was written got 502 as well. A connection that had ended could be put to rest. A surplus answer could be framed by another request's method (HEAD). A long answer, or surplus one, that stood whole in the socket could wait for an edge that does not come. A client was closed as idle while its whole request was at work for over four times the idle time, and at once after a long answer or a late refusal.

Change: leg.rs: Way (states, one function for every change, what follows as a value) and Answer (what a backend says, byte by byte, with the connection's tail open, ended or broken). The server keeps sockets. At the process' end what never left is answered 503.

--- a/crates/course/src/job.rs
+++ b/crates/course/src/job.rs
@@ -1,5 +1,6 @@
 //! A request, from its intake to its final answer.
 
+use crate::leg::Way;
 use kitepass::Moment;
 use kitepass_strand::flow::Head;
 use kitepass_tenet::{Mail, Route, Tenant, View};
@@ -9,17 +10,6 @@
 /// So much of a body is kept for a further leg. A longer one passes through as it comes, and has one leg.
 pub const WINDOW: usize = 256 * 1024;
 
-/// A request's states. [`Job::shift`] alone changes them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Its body is on the way, or it waits for a leg.
-    Held,
-    /// A leg is out.
-    Out,
-    /// The head of its answer has gone to the client; the rest follows as it comes.
-    Answering,
-}
-
 #[derive(Debug)]
 pub struct Job {
     pub client: u64,
@@ -40,13 +30,10 @@
     pub had: SmallVec<[Arc<str>; 2]>,
     /// The connection that its leg is on.
     pub leg: Option<u64>,
-    /// Legs whose first byte may have reached a backend.
-    pub sent: u32,
-    /// A leg ended that may have run.
-    pub ran: bool,
+    /// Where it stands, and what may follow.
+    pub way: Way,
     /// It waits for a grant of its tenant's quota.
     pub waits: bool,
-    state: State,
 }
 
 impl Job {
@@ -62,6 +49,7 @@
         until: Moment,
         length: Option<u64>,
     ) -> Job {
+        let way = Way::new(route.mail == Mail::Safe, route.tries);
         Job {
             client,
             head,
@@ -77,49 +65,28 @@
             until,
             had: SmallVec::new(),
             leg: None,
-            sent: 0,
-            ran: false,
+            way,
             waits: false,
-            state: State::Held,
         }
     }
 
-    pub fn state(&self) -> State {
-        self.state
-    }
-
-    pub fn shift(&mut self, to: State) {
-        debug_assert!(self.state != State::Answering, "an answer has begun: nothing else may follow");
-        self.state = to;
-    }
-
     pub fn id(&self) -> &[u8] {
         self.head.field("x-try-id").unwrap_or_default()
     }
 
-    /// Whether another leg may go as far as running twice is concerned.
-    pub fn may_go(&self) -> bool {
-        !self.ran || self.route.mail == Mail::Safe
-    }
-
-    /// Whether all of the body is still here.
-    pub fn is_kept(&self) -> bool {
-        self.base == 0
-    }
-
     /// Whether a leg may begin: it is in its quota, and the body is whole, or too long to be kept.
     pub fn is_due(&self) -> bool {
         !self.waits && (self.whole || self.body.len() >= WINDOW)
     }
 
     /// What a leg begins with.
-    pub fn leg_head(&self, call_sign: &str, left_ms: i64) -> Vec<u8> {
+    pub fn leg_head(&self, call_sign: &str, left_ms: i64, bytes: &mut Vec<u8>) {
         const LESS: [&str; 4] = ["authorization", "x-sender", "x-deliver-to", "x-time-left-ms"];
-        let mut bytes = Vec::with_capacity(self.head.len() + 128);
+        bytes.reserve(self.head.len() + 128);
         for part in [self.head.start(0), b" ", self.head.start(1), b" HTTP/1.1\r\n"] {
             bytes.extend_from_slice(part);
         }
-        self.head.pass_on(&LESS, &mut bytes);
+        self.head.pass_on(&LESS, bytes);
         let framing = match self.length {
             Some(0) if !matches!(self.head.start(0), b"POST" | b"PUT" | b"PATCH") => String::new(),
             Some(length) => format!("Content-Length: {length}\r\n"),
@@ -129,7 +96,14 @@
         let sender = self.tenant.as_ref().map(|t| format!("X-Sender: {}\r\n", t.name)).unwrap_or_default();
         let rest = format!("{framing}{sender}X-Time-Left-Ms: {left_ms}\r\nX-Deliver-To: {call_sign}\r\n\r\n");
         bytes.extend_from_slice(rest.as_bytes());
-        bytes
+    }
+
+    pub fn is_to_head(&self) -> bool {
+        self.head.start(0) == b"HEAD"
+    }
+
+    pub fn is_safe(&self) -> bool {
+        self.route.mail == Mail::Safe
     }
 
     /// Whether a leg sends its body in chunks.
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -1,7 +1,8 @@
 //! Sockets and clock around the decisions: one thread, one loop.
 
 use crate::further::{Budget, Further};
-use crate::job::{Job, State, WINDOW};
+use crate::job::{Job, WINDOW};
+use crate::leg::{self, Answer, Asked, Came, Next, State, Tail, Verdict};
 use crate::link::{Brought, Link};
 use crate::pick::{End, Need, Pick};
 use crate::quota::{Quota, Verdict as Draw, PERIOD};
@@ -24,12 +25,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-/// Heads of answers are taken up to this length.
-const MOST_HEAD: usize = 32 * 1024;
 /// Bytes held for one peer that does not read; beyond that nothing more is read for it.
 const MOST_UNSENT: usize = 256 * 1024;
-/// Bytes of an answer that are looked at before any go to the client; a longer one passes through as it comes.
-const ANSWER: usize = 256 * 1024;
 const TICK: Span = Span::from_micros(100_000);
 const PATIENCE: Span = Span::from_micros(1_500_000);
 /// A connection to a backend that is not made by then is left: near, and in another region.
@@ -83,8 +80,9 @@
 struct Line {
     wire: Wire,
     call_sign: Arc<str>,
-    reader: HeadReader,
     leg: Option<Leg>,
+    /// A HEAD went over it.
+    headed: bool,
     rests_until: Moment,
 }
 
@@ -96,12 +94,7 @@
     handed: u64,
     chunked: bool,
     finished: bool,
-    head: Option<Head>,
-    body: Option<Body>,
-    got: Vec<u8>,
-    /// Bytes of a surplus answer are read off and dropped.
-    surplus: bool,
-    committed: bool,
+    answer: Answer,
     timer: Option<TimerKey>,
 }
 
@@ -313,6 +306,13 @@
         let flushed = self.clients.values().all(|c| c.wire.unsent() == 0);
         let over = self.listeners.is_empty() && self.jobs.is_empty() && flushed;
         let late = now - since > courtesy - Span::from_micros(300_000);
+        if late {
+            let ids: Vec<u64> = self.jobs.keys().copied().collect();
+            for id in ids {
+                let next = self.jobs.get_mut(&id).map_or(Next::Wait, |job| job.way.end());
+                self.follow(now, id, next);
+            }
+        }
         if over || late {
             info!("event=end requests={}", self.jobs.len());
         }
@@ -363,7 +363,10 @@
         let mut late = Vec::new();
         for (id, client) in &self.clients {
             let slow = client.begun.is_some_and(|begun| now - begun > head);
-            if slow || client.job.is_none() && now - client.at > idle || now - client.at > idle * 4 {
+            // A request that has come whole has a deadline of its own, however long that is.
+            let owes = client.job.is_none() || client.body.is_some();
+            let silent = if client.job.is_none() { idle } else { idle * 4 };
+            if slow || owes && now - client.at > silent {
                 late.push((*id, slow));
             }
         }
@@ -787,63 +790,78 @@
 
     /// Sends a request's next leg, or gives it up.
     fn advance(&mut self, now: Moment, id: u64) {
-        self.go(now, id, false);
+        let next = self.choose(now, id);
+        self.go(now, id, next);
     }
 
-    /// The same; of a further leg the budget may be booked already.
-    fn go(&mut self, now: Moment, id: u64, mut booked: bool) {
-        loop {
-            let Some(job) = self.jobs.get(&id) else { return };
-            let further = job.sent > 0;
-            let spent = job.sent >= job.route.tries || job.had.len() >= 6;
-            let late = job.until <= now;
-            if late || spent || !job.may_go() || !job.is_kept() {
-                return self.settle_up(now, id);
-            }
-            let homes: [&[Arc<str>]; 2] =
-                [&job.route.homes, job.tenant.as_ref().map_or(&[], |tenant| &tenant.homes)];
-            let idle = &self.idle;
-            let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
-            let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
-            if further && !std::mem::take(&mut booked) && !self.further.allows(now, &job.line, self.live) {
-                return self.settle_up(now, id);
-            }
-            let Some(call_sign) = self.pick.pick(now, &need) else { return self.settle_up(now, id) };
-            let job = self.jobs.get_mut(&id).expect("found above");
+    /// The backend that a request's next leg goes to, if another leg may go and somebody can take it. The budget of
+    /// further legs is booked.
+    fn choose(&mut self, now: Moment, id: u64) -> Option<Arc<str>> {
+        let job = self.jobs.get(&id)?;
+        if job.until <= now || job.had.len() >= 6 || !job.way.may_follow() {
+            return None;
+        }
+        if job.way.sent() > 0 && !self.further.allows(now, &job.line, self.live) {
+            return None;
+        }
+        let homes: [&[Arc<str>]; 2] =
+            [&job.route.homes, job.tenant.as_ref().map_or(&[], |tenant| &tenant.homes)];
+        let idle = &self.idle;
+        let rests = |call_sign: &Arc<str>| idle.contains_key(call_sign);
+        let need = Need { line: &job.line, homes, had: &job.had, rests: &rests };
+        self.pick.pick(now, &need)
+    }
+
+    /// Sends a request's next leg to the backend that was chosen, or gives it up where none was.
+    fn go(&mut self, now: Moment, id: u64, mut next: Option<Arc<str>>) {
+        while let Some(call_sign) = next {
+            let Some(job) = self.jobs.get_mut(&id) else { return };
             job.had.push(call_sign.clone());
             if self.send(now, id, &call_sign) {
                 return;
             }
             self.pick.ended(now, &call_sign, End::Unreached, Span::ZERO);
+            next = self.choose(now, id);
         }
-    }
-
-    /// The final answer of a request that gets no further leg.
-    fn settle_up(&mut self, now: Moment, id: u64) {
         let Some(job) = self.jobs.get(&id) else { return };
-        // What may have run is never promised away.
-        let status = if job.ran { 502 } else { 503 };
+        let status = job.way.refusal();
         self.give_up(now, id, status);
     }
 
-    fn give_up(&mut self, _now: Moment, id: u64, status: u16) {
+    fn give_up(&mut self, now: Moment, id: u64, status: u16) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let next = job.way.refuse(status);
+        self.follow(now, id, next);
+    }
+
+    /// A request ends without a backend's answer.
+    fn follow(&mut self, now: Moment, id: u64, next: Next) {
         let Some(job) = self.jobs.get(&id) else { return };
         let client = job.client;
+        let status = match next {
+            Next::Refuse(status) => status,
+            Next::BreakOff => return self.lose_client(client, "broken-off"),
+            _ => return,
+        };
         let retry = match status {
             429 => Some(1000),
             503 => Some(200 + self.chance.rand_range(0..300)),
             _ => None,
         };
         self.end_job(id, End::Left);
-        if let Some(c) = self.clients.get_mut(&client) {
-            c.job = None;
-            c.skips = c.body.is_some();
-        }
+        self.free(now, client);
         self.refuse_client(client, status, retry);
         self.flush_client(client);
         self.more(client);
     }
 
+    /// A client's request has had its answer: the next one may come.
+    fn free(&mut self, now: Moment, client: u64) {
+        let Some(c) = self.clients.get_mut(&client) else { return };
+        (c.job, c.at) = (None, now);
+        c.skips = c.body.is_some();
+    }
+
     /// The next request may stand in a client's input already.
     fn more(&mut self, client: u64) {
         if self.clients.get(&client).is_some_and(|c| !c.wire.input.is_empty() || c.half) {
@@ -854,7 +872,8 @@
     /// Forgets a request; a leg that is still out is broken off.
     fn end_job(&mut self, id: u64, end: End) {
         let now = self.clock.now();
-        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(mut job) = self.jobs.remove(&id) else { return };
+        job.way.gone();
         self.bodies -= job.body.len().min(self.bodies);
         if let Some(line) = job.leg {
             if let Some(l) = self.lines.get_mut(&line) {
@@ -870,13 +889,9 @@
     }
 
     fn expire(&mut self, now: Moment, id: u64) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        if job.state() == State::Answering {
-            let client = job.client;
-            return self.lose_client(client, "deadline");
-        }
-        let never = job.sent == 0 && !job.ran;
-        self.give_up(now, id, if never { 503 } else { 504 });
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let next = job.way.deadline();
+        self.follow(now, id, next);
     }
 
     // Backends.
@@ -907,8 +922,8 @@
                 let fresh = Line {
                     wire,
                     call_sign: call_sign.clone(),
-                    reader: HeadReader::default(),
                     leg: None,
+                    headed: false,
                     rests_until: now + REST,
                 };
                 self.lines.insert(line, fresh);
@@ -916,29 +931,27 @@
                 line
             }
         };
+        let l = self.lines.get_mut(&line).expect("made or found above");
         let Some(job) = self.jobs.get_mut(&id) else { return false };
+        if !job.way.begin(l.wire.is_made()) {
+            self.drop_line(line);
+            return false;
+        }
         let left = (job.until - now).micros() / 1000;
-        let head = job.leg_head(call_sign, left.max(1));
+        job.leg_head(call_sign, left.max(1), &mut l.wire.output);
         job.leg = Some(line);
-        job.shift(State::Out);
-        let chunked = job.is_chunked();
-        let l = self.lines.get_mut(&line).expect("made or found above");
-        l.wire.output.extend_from_slice(&head);
+        l.headed |= job.is_to_head();
         l.leg = Some(Leg {
             job: id,
             began: now,
             handed: 0,
-            chunked,
+            chunked: job.is_chunked(),
             finished: false,
-            head: None,
-            body: None,
-            got: Vec::new(),
-            surplus: false,
-            committed: false,
+            answer: Answer::default(),
             timer: None,
         });
         // Another leg is worth its while only where there is time and somebody to take it.
-        if job.route.mail == Mail::Safe && job.sent + 1 < job.route.tries {
+        if job.route.mail == Mail::Safe && job.way.sent() + 1 < job.route.tries {
             let usual = self.pick.pace(&job.line) + if far { FAR / 4 } else { Span::ZERO };
             let overdue = (usual * 5).max(Span::from_micros(500_000));
             if job.until - now > overdue + usual {
@@ -946,9 +959,6 @@
                 l.leg.as_mut().expect("set above").timer = Some(key);
             }
         }
-        if l.wire.is_made() {
-            job.sent += 1;
-        }
         self.hand(line);
         true
     }
@@ -957,11 +967,18 @@
     fn hand(&mut self, line: u64) {
         loop {
             let Some(l) = self.lines.get_mut(&line) else { return };
+            let mut work = None;
             if let Some(leg) = &mut l.leg {
                 let Some(job) = self.jobs.get_mut(&leg.job) else { return };
                 self.bodies -= hand_on(leg, job, &mut l.wire).min(self.bodies);
+                work = Some(job);
+            }
+            let unsent = l.wire.unsent();
+            let flushed = l.wire.flush();
+            if let Some(job) = work.filter(|_| l.wire.unsent() < unsent) {
+                job.way.wrote();
             }
-            match l.wire.flush() {
+            match flushed {
                 // All is out: what was held back for want of room may follow.
                 Ok(true) => {
                     let leg = l.leg.as_ref().filter(|leg| !leg.finished);
@@ -971,7 +988,8 @@
                     }
                 }
                 Ok(false) => return,
-                Err(error) => return self.lose_line(self.clock.now(), line, End::Broken, cause(error)),
+                // An answer may have come before the connection broke.
+                Err(error) => return self.read_line(self.clock.now(), line, Some(cause(error))),
             }
         }
     }
@@ -987,7 +1005,7 @@
         }
         if !was_made && line.wire.is_made() {
             if let Some(job) = line.leg.as_ref().and_then(|leg| self.jobs.get_mut(&leg.job)) {
-                job.sent += 1;
+                job.way.made();
             }
         }
         // Room for a body that passes through, in both directions.
@@ -995,11 +1013,10 @@
         let Some(line) = self.lines.get(&id) else { return };
         let waiting = line.leg.as_ref().and_then(|leg| self.jobs.get(&leg.job));
         let full = waiting.is_some_and(|job| {
-            job.state() == State::Answering
+            job.way.state() == State::Answering
                 && self.clients.get(&job.client).is_some_and(|c| c.wire.unsent() >= MOST_UNSENT)
         });
-        if let Some(job) = waiting.filter(|job| !job.whole && job.state() == State::Out).map(|job| job.client)
-        {
+        if let Some(job) = waiting.filter(|job| !job.whole && job.way.is_out()).map(|job| job.client) {
             let waits = |c: &Client| !c.wire.input.is_empty() || c.wire.is_readable();
             if self.clients.get(&job).is_some_and(waits) && line.wire.unsent() < MOST_UNSENT {
                 self.serve_client(job, None);
@@ -1008,168 +1025,108 @@
         if full {
             return;
         }
+        self.read_line(now, id, None);
+    }
+
+    /// Reads what a backend says; a connection that is broken gives what came before.
+    fn read_line(&mut self, now: Moment, id: u64, broken: Option<&'static str>) {
         let Some(line) = self.lines.get_mut(&id) else { return };
-        let ended = match line.wire.fill(&mut self.piece, MOST_UNSENT) {
-            Ok(ended) => ended,
-            Err(error) => return self.lose_line(now, id, End::Broken, cause(error)),
+        let (tail, why) = match (line.wire.fill(&mut self.piece, MOST_UNSENT), broken) {
+            (Ok(_), Some(why)) => (Tail::Broken, why),
+            (Ok(true), None) => (Tail::Ended, "closed"),
+            (Ok(false), None) => (Tail::Open, ""),
+            (Err(error), _) => (Tail::Broken, cause(error)),
         };
-        if line.leg.is_none() {
+        let Line { wire, leg: Some(leg), headed, .. } = line else {
             // Nothing is due here: whatever came belongs to no request.
-            if ended || !line.wire.input.is_empty() {
+            if tail != Tail::Open || !line.wire.input.is_empty() {
                 self.drop_line(id);
             }
             return;
-        }
-        self.read_answer(now, id, ended);
-    }
-
-    fn read_answer(&mut self, now: Moment, id: u64, ended: bool) {
-        loop {
-            let Some(Line { wire, reader, leg: Some(leg), .. }) = self.lines.get_mut(&id) else { return };
-            let Some(job) = self.jobs.get(&leg.job) else { return };
-            if leg.head.is_none() {
-                let to_head = job.head.start(0) == b"HEAD";
-                match reader.next(Which::Answer { to_head }, &mut wire.input, MOST_HEAD) {
-                    Ok(None) if ended => return self.lose_line(now, id, End::Broken, "closed"),
-                    Ok(None) => return,
-                    Err(_) => return self.lose_line(now, id, End::Broken, "garbled"),
-                    Ok(Some((head, framing))) => {
-                        // A surplus answer to an earlier request may stand in this one's place.
-                        let theirs = head.field("x-try-id");
-                        if theirs.is_none() {
-                            return self.lose_line(now, id, End::Broken, "nameless");
-                        }
-                        leg.surplus = theirs != Some(job.id());
-                        leg.body = Some(Body::new(framing));
-                        leg.head = Some(head);
-                        leg.got.clear();
-                    }
-                }
-            }
-            let body = leg.body.as_mut().expect("set with the head");
-            let room = (2 * ANSWER).saturating_sub(leg.got.len());
-            let whole = match body.read(&mut wire.input, &mut leg.got, room) {
-                Ok(whole) => whole || ended && body.ended().is_ok(),
-                Err(_) => return self.lose_line(now, id, End::Broken, "garbled"),
-            };
-            if leg.surplus {
-                leg.got.clear();
-                if whole {
-                    leg.head = None;
-                    continue;
-                }
-            }
-            if !whole && ended {
-                return self.lose_line(now, id, End::Broken, "cut-short");
-            }
-            if whole {
-                return self.answered(now, id);
-            }
-            if !leg.surplus && leg.got.len() >= ANSWER {
-                return self.pass_through(now, id);
+        };
+        let Some(job) = self.jobs.get(&leg.job) else { return };
+        let asked = Asked { id: job.id(), to_head: job.is_to_head(), headed: *headed };
+        match leg.answer.read(asked, &mut wire.input, tail) {
+            Came::Part => {}
+            Came::Whole => return self.answered(now, id, tail),
+            Came::Long => self.pass_through(now, id),
+            Came::Nothing("closed" | "cut-short") if tail == Tail::Broken => {
+                return self.lose_line(now, id, End::Broken, why);
             }
-            return;
+            Came::Nothing(why) => return self.lose_line(now, id, End::Broken, why),
+        }
+        // What was left in the socket for want of room is told of by no further edge.
+        let Some(line) = self.lines.get(&id) else { return };
+        let job = line.leg.as_ref().and_then(|leg| self.jobs.get(&leg.job));
+        let room = job.is_some_and(|job| {
+            job.way.state() != State::Answering
+                || self.clients.get(&job.client).is_some_and(|c| c.wire.unsent() < MOST_UNSENT)
+        });
+        if room && line.wire.is_readable() {
+            self.again.push(id); // not from here: the stack would grow with the answer
         }
     }
 
-    /// What an answer is worth, by its head alone.
-    fn judge(&self, id: u64) -> Option<Verdict> {
-        let leg = self.lines.get(&id)?.leg.as_ref()?;
-        let job = self.jobs.get(&leg.job)?;
-        let head = leg.head.as_ref()?;
-        let status = head.status();
-        Some(match status {
-            421 => Verdict::NotRun(End::Elsewhere),
-            _ if head.field("x-not-delivered").is_some() => Verdict::NotRun(End::TurnedAway),
-            200..=299 if head.field("x-postmark").is_none() || head.field("content-encoding").is_some() => {
-                Verdict::Spoilt
-            }
-            200..=299 => Verdict::Good,
-            // The system's own promises, which this answer does not give: it may have run.
-            408 | 429 | 503 => Verdict::Spoilt,
-            500..=599 if job.route.mail == Mail::Safe => Verdict::Failed,
-            _ => Verdict::PassOn,
-        })
-    }
-
-    /// An answer is whole, or so long that it passes through.
-    fn answered(&mut self, now: Moment, id: u64) {
-        let Some(verdict) = self.judge(id) else { return };
-        let line = self.lines.get_mut(&id).expect("judged just now");
-        let mut leg = line.leg.take().expect("judged just now");
-        let head = leg.head.take().expect("judged just now");
+    /// An answer is whole.
+    fn answered(&mut self, now: Moment, id: u64, tail: Tail) {
+        let Some(line) = self.lines.get_mut(&id) else { return };
+        let Some(mut leg) = line.leg.take() else { return };
         if let Some(timer) = leg.timer {
             self.timers.take_back(timer);
         }
-        let took = now - leg.began;
-        let end = match verdict {
-            Verdict::Good | Verdict::PassOn => End::Settled,
-            Verdict::Failed => End::Failed,
-            Verdict::NotRun(end) => end,
-            Verdict::Spoilt => End::Broken,
-        };
-        self.pick.ended(now, &line.call_sign, end, took);
+        let Some(job) = self.jobs.get_mut(&leg.job) else { return };
+        let head = leg.answer.head.take().expect("whole with its body");
+        let asked = matches!(job.way.state(), State::Written | State::Answering);
+        let verdict = if asked { Verdict::of(&head, job.is_safe()) } else { Verdict::Spoilt };
+        let next = job.way.answered(verdict);
+        job.leg = None;
+        self.pick.ended(now, &line.call_sign, verdict.end(), now - leg.began);
         if head.ends_here(b"close") {
             self.pick.closes(now, &line.call_sign);
         }
-        // Bytes behind an answer belong to no request, and an unsent rest of a body would be taken for one.
-        let clean = line.wire.input.is_empty() && line.wire.unsent() == 0 && leg.finished;
+        let clean = leg::may_rest(verdict, tail, line.wire.input.len(), line.wire.unsent(), leg.finished);
         let rest = head.keep_alive_secs().map_or(REST, |secs| {
             REST.min(Span::from_micros(secs as i64 * 1_000_000) - Span::from_micros(1_000_000))
         });
         let pool = self.idle.entry(line.call_sign.clone()).or_default();
-        if clean
-            && head.keeps_open()
-            && rest > Span::ZERO
-            && pool.len() < MOST_IDLE
-            && verdict != Verdict::Spoilt
-        {
+        if clean && head.keeps_open() && rest > Span::ZERO && pool.len() < MOST_IDLE {
             line.rests_until = now + rest;
             pool.push(id);
         } else {
             self.drop_line(id);
         }
-        let Some(job) = self.jobs.get_mut(&leg.job) else { return };
-        job.leg = None;
-        if job.state() == State::Answering {
-            return self.pass_end(leg.job, &leg.got);
-        }
-        job.ran |= !matches!(verdict, Verdict::NotRun(_));
-        match verdict {
-            Verdict::Good | Verdict::PassOn => self.deliver(leg.job, &head, &leg.got),
-            Verdict::Failed => {
+        let (id, got) = (leg.job, leg.answer.got);
+        match next {
+            Next::PassEnd => self.pass_end(now, id, &got),
+            Next::Deliver => self.deliver(now, id, &head, &got),
+            Next::AgainOrDeliver => {
                 // Its own failure goes to the client where no further leg may go.
-                job.shift(State::Held);
-                let more = job.sent < job.route.tries
-                    && job.is_kept()
-                    && job.until - now > self.pick.pace(&job.line);
-                if more && self.further.allows(now, &job.line.clone(), self.live) {
-                    self.go(now, leg.job, true);
-                } else {
-                    self.deliver(leg.job, &head, &leg.got);
+                let Some(job) = self.jobs.get(&id) else { return };
+                let worth = job.until - now > self.pick.pace(&job.line);
+                let other = if worth { self.choose(now, id) } else { None };
+                if other.is_some() {
+                    self.go(now, id, other);
+                } else if self.jobs.get_mut(&id).is_some_and(|job| job.way.deliver()) {
+                    self.deliver(now, id, &head, &got);
                 }
             }
-            Verdict::NotRun(_) | Verdict::Spoilt => {
-                job.shift(State::Held);
-                self.advance(now, leg.job);
-            }
+            Next::Again => self.advance(now, id),
+            next => self.follow(now, id, next),
         }
     }
 
     /// A whole answer goes to the client as the backend gave it.
-    fn deliver(&mut self, id: u64, head: &Head, body: &[u8]) {
+    fn deliver(&mut self, now: Moment, id: u64, head: &Head, body: &[u8]) {
         let Some(job) = self.jobs.get(&id) else { return };
         let client = job.client;
-        let to_head = job.head.start(0) == b"HEAD";
+        let to_head = job.is_to_head();
         self.end_job(id, End::Left);
         let bare = to_head || matches!(head.status(), 204 | 304);
         let length = if bare { None } else { Some(body.len()) };
         self.answer_head(client, head, length.map(|n| format!("Content-Length: {n}\r\n")));
+        self.free(now, client);
         let Some(c) = self.clients.get_mut(&client) else { return };
         c.wire.output.extend_from_slice(body);
-        c.job = None;
-        c.skips = c.body.is_some();
-        c.at = self.clock.now();
         self.flush_client(client);
         self.more(client);
     }
@@ -1192,90 +1149,94 @@
 
     /// The head and what there is of a long answer go on; from here on the answer cannot be taken back.
     fn pass_through(&mut self, now: Moment, id: u64) {
-        let Some(verdict) = self.judge(id) else { return };
-        if !matches!(verdict, Verdict::Good | Verdict::PassOn) {
-            // It is not the client's, however long it is.
-            return self.lose_line(now, id, End::Broken, "no-answer");
-        }
-        let line = self.lines.get_mut(&id).expect("judged just now");
-        let leg = line.leg.as_mut().expect("judged just now");
+        let Some(Line { leg: Some(leg), .. }) = self.lines.get_mut(&id) else { return };
         let Some(job) = self.jobs.get_mut(&leg.job) else { return };
-        let (client, got, first) = (job.client, std::mem::take(&mut leg.got), !leg.committed);
-        if first {
-            leg.committed = true;
-            job.shift(State::Answering);
-            let head = leg.head.take().expect("judged just now");
-            self.answer_head(client, &head, Some("Transfer-Encoding: chunked\r\n".to_owned()));
-            let leg = self.lines.get_mut(&id).and_then(|line| line.leg.as_mut());
-            leg.expect("judged just now").head = Some(head);
+        let head = leg.answer.head.as_ref().expect("its body has begun");
+        let next = job.way.is_long(Verdict::of(head, job.is_safe()));
+        let (client, got) = (job.client, std::mem::take(&mut leg.answer.got));
+        match next {
+            Next::PassFirst => {
+                let head = leg.answer.head.take().expect("as above");
+                self.answer_head(client, &head, Some("Transfer-Encoding: chunked\r\n".to_owned()));
+                let leg = self.lines.get_mut(&id).and_then(|line| line.leg.as_mut());
+                leg.expect("as above").answer.head = Some(head);
+            }
+            Next::PassOn => {}
+            next => {
+                self.unleg(now, id, End::Broken, "no-answer");
+                return self.resume(now, id, next);
+            }
         }
         if let Some(c) = self.clients.get_mut(&client) {
             chunk(&got, &mut c.wire.output);
         }
         self.flush_client(client);
-        let room = self.clients.get(&client).is_some_and(|c| c.wire.unsent() < MOST_UNSENT);
-        if room && self.lines.contains_key(&id) {
-            self.again.push(id); // not from here: the stack would grow with the answer
-        }
     }
 
     /// A long answer's end.
-    fn pass_end(&mut self, id: u64, got: &[u8]) {
+    fn pass_end(&mut self, now: Moment, id: u64, got: &[u8]) {
         let Some(job) = self.jobs.get(&id) else { return };
         let client = job.client;
         self.end_job(id, End::Left);
+        self.free(now, client);
         let Some(c) = self.clients.get_mut(&client) else { return };
         chunk(got, &mut c.wire.output);
         c.wire.output.extend_from_slice(b"0\r\n\r\n");
-        c.job = None;
-        c.skips = c.body.is_some();
         self.flush_client(client);
         self.more(client);
     }
 
-    /// A safe request's leg takes too long: another goes in its place.
-    fn overdue(&mut self, now: Moment, job: u64, line: u64) {
-        let Some(work) = self.jobs.get(&job).filter(|j| j.leg == Some(line) && j.state() == State::Out)
+    /// A safe request's leg takes too long: another goes in its place, if somebody can take it.
+    fn overdue(&mut self, now: Moment, id: u64, line: u64) {
+        let Some(leg) = self.lines.get_mut(&line).and_then(|l| l.leg.as_mut()).filter(|leg| leg.job == id)
         else {
             return;
         };
-        let name = work.line.clone();
-        if !self.further.allows(now, &name, self.live) {
-            return;
-        }
-        let Some(l) = self.lines.get_mut(&line) else { return };
-        if let Some(leg) = l.leg.take() {
-            self.pick.ended(now, &l.call_sign, End::Broken, now - leg.began);
+        leg.timer = None;
+        // Danger: a backend at work would be broken off for nothing.
+        let Some(other) = self.choose(now, id) else { return };
+        if self.jobs.get_mut(&id).is_some_and(|job| job.way.overdue()) {
+            self.unleg(now, line, End::Broken, "overdue");
+            self.go(now, id, Some(other));
+        } else {
+            self.pick.ended(now, &other, End::Left, Span::ZERO);
         }
-        self.drop_line(line);
-        let work = self.jobs.get_mut(&job).expect("found above");
-        (work.leg, work.ran) = (None, true);
-        work.shift(State::Held);
-        self.go(now, job, true);
     }
 
     /// A connection to a backend is lost, with the leg on it.
     fn lose_line(&mut self, now: Moment, id: u64, end: End, why: &'static str) {
-        let Some(line) = self.lines.get_mut(&id) else { return };
+        let Some(job) = self.unleg(now, id, end, why) else { return };
+        let Some(next) = self.jobs.get_mut(&job).map(|job| job.way.lost()) else { return };
+        self.resume(now, job, next);
+    }
+
+    /// Drops a connection to a backend; the request whose leg was on it.
+    fn unleg(&mut self, now: Moment, id: u64, end: End, why: &'static str) -> Option<u64> {
+        let line = self.lines.get_mut(&id)?;
         let made = line.wire.is_made();
-        let Some(leg) = line.leg.take() else { return self.drop_line(id) };
-        if let Some(timer) = leg.timer {
-            self.timers.take_back(timer);
+        let leg = line.leg.take();
+        if let Some(leg) = &leg {
+            if let Some(timer) = leg.timer {
+                self.timers.take_back(timer);
+            }
+            let end = if made { end } else { End::Unreached };
+            debug!("event=leg-lost backend={} why={why} made={made}", line.call_sign);
+            self.pick.ended(now, &line.call_sign, end, now - leg.began);
         }
-        let end = if made { end } else { End::Unreached };
-        debug!("event=leg-lost backend={} why={why} made={made}", line.call_sign);
-        self.pick.ended(now, &line.call_sign, end, now - leg.began);
         self.drop_line(id);
-        let Some(job) = self.jobs.get_mut(&leg.job) else { return };
-        job.leg = None;
-        if job.state() == State::Answering {
-            // Danger: half an answer that looks whole. The client's connection breaks off with it.
-            let client = job.client;
-            return self.lose_client(client, "backend-broke-off");
-        }
-        job.ran |= made;
-        job.shift(State::Held);
-        self.advance(now, leg.job);
+        let job = leg?.job;
+        if let Some(work) = self.jobs.get_mut(&job) {
+            work.leg = None;
+        }
+        Some(job)
+    }
+
+    /// A request goes on behind a leg that brought no answer.
+    fn resume(&mut self, now: Moment, id: u64, next: Next) {
+        match next {
+            Next::Again => self.advance(now, id),
+            next => self.follow(now, id, next),
+        }
     }
 
     fn drop_line(&mut self, id: u64) {
@@ -1314,22 +1275,11 @@
     // Too long to be kept for another leg.
     let passed = job.body.len();
     job.base += passed as u64;
+    job.way.passed();
     job.body.clear();
     passed
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Verdict {
-    Good,
-    /// A failure of the backend's own, for a request that may be repeated.
-    Failed,
-    /// Whatever else the backend says of its own.
-    PassOn,
-    NotRun(End),
-    /// No answer of the backend's to this request.
-    Spoilt,
-}
-
 /// The last fields of an answer's head.
 fn finish(client: &mut Client, leaving: bool, idle_s: u32, head: &mut String) {
     client.ends |= client.closes || leaving;
