An answer to an earlier life of a process counts for nothing: life beside every ticket

Cause: tickets begin at 0 in each life, so late Stored and Held answers to an earlier life passed for copies and readings of the new one. Change: Inquire and Store carry the asker's life, Held and Stored repeat it; the core drops what another life asked for. The world in memory lets words of a killed process arrive, and has slow disks.

--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -41,14 +41,16 @@
             items.iter().filter(|item| self.ledger.merge((*item).clone())).cloned().collect();
         let known = items.iter().filter_map(|item| self.ledger.get(item.kind, &item.name)).cloned();
         let known: Vec<Item> = known.collect();
-        self.keep(&known, Kept::Copy { peer: peer.to_owned(), ticket: store.ticket });
+        self.keep(&known, Kept::Copy { peer: peer.to_owned(), ticket: store.ticket, life: store.life });
         self.spread(&news);
         self.founded();
     }
 
     pub(super) fn held(&mut self, now: Moment, station: &str, held: Held) {
         self.take(held.items.into_iter().filter_map(ItemWord::item).collect());
-        if !held.full || !held.founded {
+        // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a reading
+        // that was never made.
+        if !held.full || !held.founded || held.life != self.life {
             return;
         }
         if held.ticket == self.inquiry {
@@ -85,7 +87,7 @@
         // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Apart from
         // the core that is not so: what it heard then may be old by now.
         self.inquiry = self.ticket();
-        let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec() };
+        let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec(), life: self.life };
         self.send_all(&Word::Inquire(word));
     }
 
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -118,6 +118,7 @@
     Copy {
         peer: String,
         ticket: u64,
+        life: u64,
     },
     /// A vote that may be told.
     Vote {
@@ -327,11 +328,15 @@
                 self.send(station, Word::Items(Items { items }));
             }
             Word::Store(store) => self.copy(station, store),
-            Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, station),
+            // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
+            Word::Stored(stored) if stored.full && stored.life == self.life => {
+                self.stored(now, stored.ticket, station)
+            }
             Word::Inquire(inquire) => {
                 let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
                 let founded = self.cast().is_some();
-                let held = Held { ticket: inquire.ticket, items, full: self.full, founded };
+                let (ticket, life) = (inquire.ticket, inquire.life);
+                let held = Held { ticket, items, full: self.full, founded, life };
                 self.send(station, Word::Held(held));
             }
             Word::Held(held) => self.held(now, station, held),
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -22,7 +22,7 @@
         let id = self.ticket();
         let step = Step::Reading(self.full.then(|| self.me.station.clone()).into_iter().collect());
         self.work.insert(id, Work { caller, order, step, since: now });
-        let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec() };
+        let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec(), life: self.life };
         self.send_all(&Word::Inquire(word));
         self.proceed(now, id);
     }
@@ -98,7 +98,7 @@
         self.step(id, Step::Storing(BTreeSet::new()));
         self.keep(&known, Kept::Order(id));
         let items = known.iter().map(ItemWord::from).collect();
-        self.send_all(&Word::Store(Store { ticket: id, items }));
+        self.send_all(&Word::Store(Store { ticket: id, items, life: self.life }));
         self.spread(&news);
         self.proceed(now, id);
     }
@@ -120,8 +120,8 @@
                 let me = self.me.station.clone();
                 self.stored(now, id, &me);
             }
-            Some(Kept::Copy { peer, ticket }) => {
-                let stored = Stored { ticket, full: self.full };
+            Some(Kept::Copy { peer, ticket, life }) => {
+                let stored = Stored { ticket, full: self.full, life };
                 self.send(&peer, Word::Stored(stored));
             }
             Some(Kept::Vote { who, grant }) => {
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -24,6 +24,8 @@
     /// Records on the way to the disk, with the moment at which they are synced.
     pub syncing: Vec<(i64, u64, Records)>,
     pub back: i64,
+    /// Its last end was a loss of power.
+    pub dark: bool,
 }
 
 pub struct World {
@@ -40,6 +42,8 @@
     session_wire: Vec<(i64, u64, bool, Word)>,
     /// Processes that stand still, until a moment.
     pub frozen: [i64; 6],
+    /// Disks that take so long for each sync, milliseconds.
+    pub slow: [i64; 6],
     conns: u64,
 }
 
@@ -68,6 +72,7 @@
             disk: BTreeMap::new(),
             syncing: Vec::new(),
             back: 0,
+            dark: false,
         });
         let mut world = World {
             now: 0,
@@ -81,6 +86,7 @@
             gates: Vec::new(),
             session_wire: Vec::new(),
             frozen: [0; 6],
+            slow: [0; 6],
             conns: 0,
         };
         (0..6).for_each(|n| world.start(n, true));
@@ -199,6 +205,7 @@
         }
         let node = &mut self.nodes[n];
         node.core = None;
+        node.dark = power;
         node.back = self.now + after;
         if wipe {
             node.disk.clear();
@@ -235,7 +242,8 @@
                 self.wire.push((due + 50, from, to, life, word));
                 continue;
             }
-            if self.cut(from, to) || self.nodes[from].life != life {
+            // What a process had sent before it was killed still arrives; with its power such words are gone.
+            if self.cut(from, to) || self.nodes[from].life != life && self.nodes[from].dark {
                 continue;
             }
             let station = self.nodes[from].seat.station.clone();
@@ -280,7 +288,7 @@
                     }
                 }
                 Act::Keep(ticket, records) => {
-                    let late = self.now + self.chance.rand_range(1..20) as i64;
+                    let late = self.now + self.slow[n] + self.chance.rand_range(1..20) as i64;
                     let last = self.nodes[n].syncing.last().map_or(0, |s| s.0);
                     self.nodes[n].syncing.push((late.max(last), ticket, records));
                 }
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -153,6 +153,9 @@
     pub ticket: u64,
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<ItemWord>,
+    /// The asker's life. Tickets begin anew in each: an answer that repeats another life's is not for this one.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -162,6 +165,9 @@
     /// The one that answers counts as a copy: its folder is full.
     #[prost(bool, tag = "2")]
     pub full: bool,
+    /// The asker's life, as it was told.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
 }
 
 /// Asks a control process for all that it holds and the asker does not.
@@ -171,6 +177,9 @@
     pub ticket: u64,
     #[prost(fixed64, repeated, tag = "2")]
     pub hashes: Vec<u64>,
+    /// The asker's life: see [`Store`].
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,6 +193,9 @@
     /// The answerer knows of a core.
     #[prost(bool, tag = "4")]
     pub founded: bool,
+    /// The asker's life, as it was told.
+    #[prost(fixed64, tag = "5")]
+    pub life: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
