A register with ballots for each version of an item, and older versions remembered

Cause: a copy on disk did not say which content it was of, so two contents under one number could both be confirmed; and a call that came again after newer versions could not be told from one with another content.

Change: bond::register (no I/O): ballots, calls known by their marks, an acceptor with a floor reserved ahead on disk, and a pure weighing of what a proposer heard. tenet keeps up to 16 older decided versions an item by content marks (Ledger::merge_with, verdict, past; record and unrecord carry them, old records are read as they were). Gateways go on comparing by newest versions (buckets, digest); control processes compare by whole_buckets and whole_digest. ItemWord carries the older versions. Nothing in accord uses these yet.

--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`words`] | the messages, and how they are framed on a connection |
 //! | [`cast`] | who the core is, and how many copies make a write safe and a reading whole |
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
+//! | [`register`] | one number, one content: the ballots by which a change is decided |
 //! | [`session`] | who is a member: the sessions of each control process, and how long a lost one counts |
 //! | [`count`] | what tenants asked of all gateways, period by period, and how a quota is shared out |
 
 pub mod cast;
 pub mod count;
 pub mod lease;
+pub mod register;
 pub mod session;
 pub mod words;
--- /dev/null
+++ b/crates/bond/src/register.rs
@@ -0,0 +1,606 @@
+//! One number, one content: a register for each version of each item, decided by ballots.
+//!
+//! What is decided is a [`Call`]: an operator's change with all its items, whole or not at all. A proposer first
+//! reads (`Inquire` carries a ballot and the call's keys; who answers promises to take nothing below it on these
+//! keys, and tells what it has accepted on them), weighs what it heard ([`standing`]), then has the call accepted
+//! (`Store`) under the same ballot. A call is chosen, and so decided, once one ballot of it is accepted by copies that
+//! the cast calls safe. Readings and safe copies always have a seat in common, so of two contents for one key at most
+//! one is ever chosen, whoever proposes, however often, and without a leader.
+//!
+//! Nothing here does input or output. What a promise or an acceptance rests on must be on disk before it is told:
+//! [`Promise::reserve`] and [`Accepted::records`] say what that is.
+
+#[cfg(test)]
+mod tests;
+
+use crate::words::ItemWord;
+use kitepass_tenet::{Item, Kind, Ledger, Verdict};
+use prost::Message;
+use snafu::Snafu;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use xxhash_rust::xxh3::{Xxh3, Xxh3Builder};
+
+/// The record of the floor.
+const FLOOR: &[u8] = b"floor";
+/// What the key of an accepted call's record begins with; its mark follows.
+const CALL: &[u8] = b"call:";
+/// The floor on disk lies so many rounds above the ballot that it was written for.
+const AHEAD: u64 = 1024;
+/// Promises that are kept one by one; beyond, the floor takes their place.
+const MOST_PROMISES: usize = 1 << 16;
+/// Accepted calls that are not decided yet, and their bytes. Danger: whoever sends calls that are never decided would
+/// fill memory and disk.
+const MOST_CALLS: usize = 512;
+const MOST_BYTES: usize = 64 << 20;
+/// Beyond these bounds, by so much, calls are taken that another accepted before. Danger: full acceptors that each
+/// hold other calls could resolve none of them.
+const AGAIN: usize = 4;
+
+/// A key and a value for disk. An empty value takes the record away.
+pub type Record = (Vec<u8>, Vec<u8>);
+
+/// The number of an attempt: a higher one prevails. It belongs to one attempt at one call: its proposer never uses it
+/// for another.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct Ballot {
+    /// Danger: after a change of the cast an earlier cast's readings need not meet a later one's copies, so that no
+    /// round of an earlier era may prevail over a later era's.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    #[prost(uint64, tag = "2")]
+    pub round: u64,
+    /// The proposer's life. Never `u64::MAX`, which floors have.
+    #[prost(fixed64, tag = "3")]
+    pub who: u64,
+}
+
+impl Ballot {
+    /// The lowest ballot of a proposer above one that it has met.
+    pub fn above(met: Ballot, era: u64, who: u64) -> Ballot {
+        let round = if met.era < era { 1 } else { met.round.saturating_add(1) };
+        Ballot { era: era.max(met.era), round, who }
+    }
+
+    fn to_bytes(self) -> [u8; 24] {
+        let mut bytes = [0; 24];
+        for (room, part) in bytes.chunks_exact_mut(8).zip([self.era, self.round, self.who]) {
+            room.copy_from_slice(&part.to_be_bytes());
+        }
+        bytes
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Option<(Ballot, &[u8])> {
+        let (era, rest) = bytes.split_first_chunk::<8>()?;
+        let (round, rest) = rest.split_first_chunk::<8>()?;
+        let (who, rest) = rest.split_first_chunk::<8>()?;
+        let [era, round, who] = [era, round, who].map(|part| u64::from_be_bytes(*part));
+        Some((Ballot { era, round, who }, rest))
+    }
+}
+
+/// By what a call is known: the hash of its sorted items, the same on every machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Mark(pub [u8; 16]);
+
+/// An operator's change, with all its items.
+#[derive(Clone, Debug)]
+pub struct Call {
+    items: Arc<[Item]>,
+    mark: Mark,
+    keys: Arc<[u64]>,
+    bytes: usize,
+}
+
+impl PartialEq for Call {
+    fn eq(&self, other: &Call) -> bool {
+        self.mark == other.mark
+    }
+}
+
+impl Eq for Call {}
+
+impl Hash for Call {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.mark.hash(state);
+    }
+}
+
+fn hashed(kind: Kind, name: &str, edition: Option<u64>) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(&[kind as u8]);
+    if let Some(edition) = edition {
+        hasher.update(&edition.to_le_bytes());
+    }
+    hasher.update(name.as_bytes());
+    hasher.digest()
+}
+
+/// The key of an item's version. Two keys that fall together cost a retry, and nothing else.
+pub fn key(item: &Item) -> u64 {
+    hashed(item.kind, &item.name, Some(item.edition))
+}
+
+fn name_key(item: &Item) -> u64 {
+    hashed(item.kind, &item.name, None)
+}
+
+impl Call {
+    /// Of two items with one version, the first in the given order counts: the second would have no effect.
+    pub fn new(mut items: Vec<Item>) -> Call {
+        items.sort_by(|a, b| (a.kind, &a.name, a.edition).cmp(&(b.kind, &b.name, b.edition)));
+        items.dedup_by(|b, a| (a.kind, &a.name, a.edition) == (b.kind, &b.name, b.edition));
+        let (mut hasher, mut bytes) = (Xxh3Builder::new().build(), 0);
+        for item in &items {
+            let value = item.value.as_deref().unwrap_or_default();
+            hasher.update(&[item.kind as u8, u8::from(item.stands())]);
+            hasher.update(&item.edition.to_le_bytes());
+            hasher.update(&(item.name.len() as u64).to_le_bytes());
+            hasher.update(item.name.as_bytes());
+            hasher.update(&(value.len() as u64).to_le_bytes());
+            hasher.update(value);
+            bytes += item.name.len() + value.len() + 64;
+        }
+        let mark = Mark(hasher.digest128().to_be_bytes());
+        Call { keys: items.iter().map(key).collect(), items: items.into(), mark, bytes }
+    }
+
+    /// By kind, name and edition.
+    pub fn items(&self) -> &Arc<[Item]> {
+        &self.items
+    }
+
+    pub fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    /// One for each item, in the items' order.
+    pub fn keys(&self) -> &[u64] {
+        &self.keys
+    }
+
+    /// What it takes in memory, about.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn words(&self) -> Vec<ItemWord> {
+        self.items.iter().map(ItemWord::from).collect()
+    }
+
+    /// None where an item is of a kind that this version does not know: the call could not be kept whole.
+    pub fn of_words(words: Vec<ItemWord>) -> Option<Call> {
+        words.into_iter().map(ItemWord::item).collect::<Option<Vec<Item>>>().map(Call::new)
+    }
+}
+
+/// An accepted call on its way to whoever reads.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallWord {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<ItemWord>,
+}
+
+impl CallWord {
+    pub fn new(ballot: Ballot, call: &Call) -> CallWord {
+        CallWord { ballot, items: call.words() }
+    }
+
+    pub fn call(self) -> Option<(Ballot, Call)> {
+        Some((self.ballot, Call::of_words(self.items)?))
+    }
+}
+
+/// A floor that must be on disk before what it covers is told; then [`Acceptor::on_disk`] is to be called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[must_use]
+pub struct Reserve(Ballot);
+
+impl Reserve {
+    pub fn record(self) -> Record {
+        (FLOOR.to_vec(), self.0.to_bytes().to_vec())
+    }
+}
+
+/// What was promised.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Promise {
+    /// The accepted, undecided calls that touch any of the keys, as they were when the promise was given. Danger: told
+    /// later they could have been settled meanwhile, behind what of the ledger is told already.
+    pub calls: Vec<(Ballot, Call)>,
+    /// If there is one, the answer may leave only once its record is on disk: written for this answer itself, also where
+    /// the same is being written for another.
+    pub reserve: Option<Reserve>,
+}
+
+/// What must be on disk, whole, before an acceptance is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Accepted {
+    /// None are needed where the call is decided already: its items need only be on disk.
+    pub records: Vec<Record>,
+    /// Its record is one of `records`.
+    pub reserve: Option<Reserve>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum Refused {
+    /// To another proposer: the call may be tried again above it.
+    #[snafu(display("a higher ballot was promised, of era {} and round {}", to.era, to.round))]
+    Promised { to: Ballot },
+    #[snafu(display("version {edition} of {kind:?} {name:?} is decided with another content"))]
+    Taken { kind: Kind, name: Arc<str>, edition: u64 },
+    #[snafu(display("too many calls are accepted and not decided"))]
+    Full,
+}
+
+/// Why a call is to be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bid {
+    /// Nobody was heard of who had accepted it.
+    First,
+    /// Another had accepted it: it is being resolved.
+    Again,
+}
+
+/// What a record was to the register.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Restored {
+    /// None of its records.
+    Other,
+    Taken,
+    /// One that cannot be read. Danger: what it stood for may have been chosen by it, so that whoever finds it must not
+    /// go on with this folder.
+    Garbled,
+}
+
+/// The defences, for tests that take one out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[cfg_attr(not(test), allow(dead_code))]
+pub(crate) enum Defence {
+    /// A candidate on one of the keys is resolved first.
+    Candidate,
+    /// Also where it says the same on that key.
+    SameContent,
+    /// What can never be chosen stands in nobody's way.
+    Void,
+    /// After a restart nothing is taken that an earlier life may have promised away.
+    Floor,
+    /// The era is the first part of a ballot.
+    EraFirst,
+    /// Nothing is accepted below a promise.
+    Promise,
+    /// Nothing is accepted that is decided otherwise.
+    Decided,
+}
+
+/// One seat's part: what it promised and accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Acceptor {
+    /// Nothing below it is taken, on any key.
+    floor: Ballot,
+    /// The floor that is on disk, and the one that is to come there.
+    reserved: Ballot,
+    asked: Ballot,
+    /// By key, where above the floor.
+    promised: BTreeMap<u64, Ballot>,
+    calls: BTreeMap<Mark, (Ballot, Call)>,
+    by_key: BTreeMap<u64, BTreeSet<Mark>>,
+    by_name: BTreeMap<u64, BTreeSet<Mark>>,
+    bytes: usize,
+    out: Option<Defence>,
+}
+
+impl Default for Acceptor {
+    fn default() -> Acceptor {
+        Acceptor::new()
+    }
+}
+
+impl Acceptor {
+    /// With an empty folder. What the folder holds is given to [`Acceptor::restore`].
+    pub fn new() -> Acceptor {
+        let least = Ballot::default();
+        Acceptor {
+            floor: least,
+            reserved: least,
+            asked: least,
+            promised: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            by_name: BTreeMap::new(),
+            bytes: 0,
+            out: None,
+        }
+    }
+
+    #[cfg(test)]
+    pub(crate) fn without(defence: Option<Defence>) -> Acceptor {
+        Acceptor { out: defence, ..Acceptor::new() }
+    }
+
+    fn stands(&self, defence: Defence) -> bool {
+        self.out != Some(defence)
+    }
+
+    /// Takes a record of an earlier life. After the last one, [`Acceptor::settle_all`].
+    pub fn restore(&mut self, key: &[u8], value: &[u8]) -> Restored {
+        if key == FLOOR {
+            let Some((floor, [])) = Ballot::from_bytes(value) else { return Restored::Garbled };
+            // Danger: what an earlier life promised between the last floor and its end is forgotten; the floor lies
+            // above all of it.
+            if self.stands(Defence::Floor) {
+                self.floor = self.floor.max(floor);
+            }
+            self.reserved = self.reserved.max(floor);
+            self.asked = self.asked.max(floor);
+            return Restored::Taken;
+        }
+        let Some(mark) = key.strip_prefix(CALL) else { return Restored::Other };
+        let read = || {
+            let (ballot, rest) = Ballot::from_bytes(value)?;
+            let call = Call::of_words(crate::words::Items::decode(rest).ok()?.items)?;
+            (call.mark.0[..] == *mark).then_some((ballot, call))
+        };
+        let Some((ballot, call)) = read() else { return Restored::Garbled };
+        self.insert(ballot, call);
+        Restored::Taken
+    }
+
+    /// A reserve's record is on disk.
+    pub fn on_disk(&mut self, reserve: Reserve) {
+        self.reserved = self.reserved.max(reserve.0);
+    }
+
+    /// What must be on disk before a promise up to a ballot is told, if anything.
+    fn reserve(&mut self, ballot: Ballot) -> Option<Reserve> {
+        if ballot <= self.reserved {
+            return None;
+        }
+        if ballot > self.asked {
+            self.asked = Ballot { round: ballot.round.saturating_add(AHEAD), who: u64::MAX, ..ballot };
+        }
+        Some(Reserve(self.asked))
+    }
+
+    fn promised(&self, key: u64) -> Ballot {
+        self.promised.get(&key).map_or(self.floor, |ballot| self.floor.max(*ballot))
+    }
+
+    /// The highest promise on any of the keys, if it is above a ballot.
+    fn above(&self, ballot: Ballot, keys: &[u64]) -> Option<Ballot> {
+        let highest = keys.iter().map(|key| self.promised(*key)).fold(self.floor, Ballot::max);
+        let is_above = match self.stands(Defence::EraFirst) {
+            true => highest > ballot,
+            false => (highest.round, highest.who) > (ballot.round, ballot.who),
+        };
+        is_above.then_some(highest)
+    }
+
+    fn promise(&mut self, ballot: Ballot, keys: &[u64]) {
+        for key in keys {
+            let promised = self.promised(*key).max(ballot);
+            self.promised.insert(*key, promised);
+        }
+        if self.promised.len() > MOST_PROMISES {
+            // Proposers below the highest of all begin again, once.
+            self.floor = self.promised.values().fold(self.floor, |floor, ballot| floor.max(*ballot));
+            self.promised.clear();
+        }
+    }
+
+    /// From now on no ballot of an earlier era is taken. Danger: a cast that follows reads only what safe copies held
+    /// when it read; who answers such a reading, or accepts a change of the cast, must be fenced by then.
+    /// If there is a reserve, nothing that rests on the fence may be told before it is on disk.
+    pub fn fence(&mut self, era: u64) -> Option<Reserve> {
+        let least = Ballot { era, round: 0, who: 0 };
+        self.floor = self.floor.max(least);
+        self.reserve(least)
+    }
+
+    /// Promises to take nothing below the ballot on any of the keys, or tells the higher promise that stands.
+    ///
+    /// # Errors
+    /// With the higher ballot that was promised.
+    pub fn prepare(&mut self, ballot: Ballot, keys: &[u64]) -> Result<Promise, Ballot> {
+        if let Some(higher) = self.above(ballot, keys) {
+            return Err(higher);
+        }
+        self.promise(ballot, keys);
+        Ok(Promise { calls: self.touching(keys), reserve: self.reserve(ballot) })
+    }
+
+    /// Accepts a call, whole. The answer may leave only once the records are on disk.
+    ///
+    /// # Errors
+    /// Where a higher ballot was promised on a key, a key is decided otherwise, or there is no room.
+    pub fn accept(
+        &mut self,
+        ballot: Ballot,
+        call: Call,
+        bid: Bid,
+        ledger: &Ledger,
+    ) -> Result<Accepted, Refused> {
+        // Danger: whoever has read above this ballot did not hear of this call, and goes by its not being chosen.
+        if let Some(to) = self.above(ballot, &call.keys).filter(|_| self.stands(Defence::Promise)) {
+            return PromisedSnafu { to }.fail();
+        }
+        if let Some(item) = taken(&call, ledger).filter(|_| self.stands(Defence::Decided)) {
+            return TakenSnafu { kind: item.kind, name: item.name.clone(), edition: item.edition }.fail();
+        }
+        let is_done = is_done(&call, ledger);
+        let times = if bid == Bid::Again { AGAIN } else { 1 };
+        let known = self.calls.get(&call.mark).map_or(0, |(_, call)| call.bytes);
+        let many = known == 0 && self.calls.len() >= MOST_CALLS * times;
+        if !is_done && (many || self.bytes - known + call.bytes > MOST_BYTES * times) {
+            return FullSnafu.fail();
+        }
+        self.promise(ballot, &call.keys);
+        let reserve = self.reserve(ballot);
+        let mut records: Vec<Record> = reserve.into_iter().map(Reserve::record).collect();
+        if !is_done {
+            let mut value = ballot.to_bytes().to_vec();
+            crate::words::Items { items: call.words() }.encode_raw(&mut value);
+            records.push((record_key(call.mark), value));
+            self.insert(ballot, call);
+        }
+        Ok(Accepted { records, reserve })
+    }
+
+    fn insert(&mut self, ballot: Ballot, call: Call) {
+        let known = self.calls.insert(call.mark, (ballot, call.clone()));
+        if known.is_some() {
+            return;
+        }
+        self.bytes += call.bytes;
+        for (item, key) in call.items.iter().zip(call.keys.iter()) {
+            self.by_key.entry(*key).or_default().insert(call.mark);
+            self.by_name.entry(name_key(item)).or_default().insert(call.mark);
+        }
+    }
+
+    fn remove(&mut self, mark: Mark) {
+        let Some((_, call)) = self.calls.remove(&mark) else { return };
+        self.bytes -= call.bytes;
+        let unindex = |index: &mut BTreeMap<u64, BTreeSet<Mark>>, key: u64| {
+            if let Some(marks) = index.get_mut(&key) {
+                marks.remove(&mark);
+                if marks.is_empty() {
+                    index.remove(&key);
+                }
+            }
+        };
+        for (item, key) in call.items.iter().zip(call.keys.iter()) {
+            unindex(&mut self.by_key, *key);
+            unindex(&mut self.by_name, name_key(item));
+        }
+    }
+
+    /// The accepted, undecided calls that touch any of the keys, by their marks.
+    pub fn touching(&self, keys: &[u64]) -> Vec<(Ballot, Call)> {
+        let marks: BTreeSet<Mark> =
+            keys.iter().filter_map(|key| self.by_key.get(key)).flatten().copied().collect();
+        marks.iter().map(|mark| self.calls[mark].clone()).collect()
+    }
+
+    /// All accepted, undecided calls.
+    pub fn pending(&self) -> impl Iterator<Item = (Ballot, &Call)> {
+        self.calls.values().map(|(ballot, call)| (*ballot, call))
+    }
+
+    /// An accepted, undecided call.
+    pub fn get(&self, mark: Mark) -> Option<(Ballot, &Call)> {
+        self.calls.get(&mark).map(|(ballot, call)| (*ballot, call))
+    }
+
+    /// Drops calls that are decided, or can never be, now that the ledger has `changed`. Gives the records that take
+    /// theirs away: to be kept with the changed items' records or after them. Danger: the other way round a loss of
+    /// power between the two would forget what was chosen.
+    pub fn settle<'a>(
+        &mut self,
+        ledger: &Ledger,
+        changed: impl IntoIterator<Item = &'a Item>,
+    ) -> Vec<Record> {
+        if self.calls.is_empty() {
+            return Vec::new();
+        }
+        let near = |item: &Item| self.by_name.get(&name_key(item));
+        let marks: BTreeSet<Mark> = changed.into_iter().filter_map(near).flatten().copied().collect();
+        self.settle_these(ledger, marks)
+    }
+
+    /// As [`Acceptor::settle`], whatever has changed.
+    pub fn settle_all(&mut self, ledger: &Ledger) -> Vec<Record> {
+        let marks = self.calls.keys().copied().collect();
+        self.settle_these(ledger, marks)
+    }
+
+    fn settle_these(&mut self, ledger: &Ledger, mut marks: BTreeSet<Mark>) -> Vec<Record> {
+        let is_over = |call: &Call| {
+            is_done(call, ledger) || self.stands(Defence::Void) && taken(call, ledger).is_some()
+        };
+        marks.retain(|mark| is_over(&self.calls[mark].1));
+        marks.iter().for_each(|mark| self.remove(*mark));
+        marks.into_iter().map(|mark| (record_key(mark), Vec::new())).collect()
+    }
+}
+
+fn record_key(mark: Mark) -> Vec<u8> {
+    [CALL, &mark.0].concat()
+}
+
+/// The item of a call that is decided with another content, if there is one: the call can never be chosen.
+pub fn taken<'a>(call: &'a Call, ledger: &Ledger) -> Option<&'a Item> {
+    call.items.iter().find(|item| ledger.verdict(item) == Verdict::Other)
+}
+
+/// Whether all that a call says is decided, or too old to have an effect.
+pub fn is_done(call: &Call, ledger: &Ledger) -> bool {
+    call.items.iter().all(|item| matches!(ledger.verdict(item), Verdict::Alike | Verdict::Past))
+}
+
+/// The accepted calls that a proposer heard of, each with the highest ballot it was told with. What was heard while
+/// others were resolved stays heard: chains of calls go up in ballots, and so have an end.
+pub type Seen = BTreeMap<Mark, (Ballot, Call)>;
+
+/// Takes up what a reading told.
+pub fn hear(seen: &mut Seen, calls: impl IntoIterator<Item = (Ballot, Call)>) {
+    for (ballot, call) in calls {
+        let known = seen.entry(call.mark).or_insert((ballot, call));
+        known.0 = known.0.max(ballot);
+    }
+}
+
+/// How a call stands after a reading.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Standing {
+    /// All it says is decided: it is confirmed.
+    Done,
+    /// An item's version is decided with another content. Final: no part of the call ever takes effect.
+    Taken(Item),
+    /// This call may have been chosen on one of the keys: it is resolved first, then all begins again.
+    Behind(Mark),
+    /// It was accepted somewhere and may be chosen already: it is proposed whatever there is to say against it.
+    Again,
+    /// Nobody was heard of who had accepted it: it is judged, then proposed.
+    Free,
+}
+
+/// How a call stands after a reading over all its keys, with all that was heard merged into the ledger.
+pub fn standing(call: &Call, seen: &Seen, ledger: &Ledger) -> Standing {
+    weigh(call, seen, ledger, None)
+}
+
+pub(crate) fn weigh(call: &Call, seen: &Seen, ledger: &Ledger, out: Option<Defence>) -> Standing {
+    if let Some(item) = taken(call, ledger) {
+        return Standing::Taken(item.clone());
+    }
+    if is_done(call, ledger) {
+        return Standing::Done;
+    }
+    // Danger: a call that can never be chosen would stand in the others' way for ever.
+    let is_void = |call: &Call| out != Some(Defence::Void) && taken(call, ledger).is_some();
+    let mut candidates: BTreeMap<u64, (Ballot, Mark)> = BTreeMap::new();
+    for (ballot, other) in seen.values().filter(|(_, call)| !is_void(call)) {
+        for key in other.keys.iter() {
+            let candidate = candidates.entry(*key).or_insert((*ballot, other.mark));
+            *candidate = (*candidate).max((*ballot, other.mark));
+        }
+    }
+    let open = |(item, _): &(&Item, &u64)| ledger.verdict(item) == Verdict::Open;
+    let keys = call.items.iter().zip(call.keys.iter()).filter(open);
+    let says_same = |item: &Item, mark: &Mark| seen[mark].1.items.contains(item);
+    let before = keys
+        .filter_map(|(item, key)| candidates.get(key).map(|candidate| (item, candidate)))
+        .filter(|(_, (_, mark))| *mark != call.mark)
+        .filter(|(item, (_, mark))| out != Some(Defence::SameContent) || !says_same(item, mark))
+        .map(|(_, candidate)| candidate)
+        .max();
+    match before {
+        Some((_, mark)) if out != Some(Defence::Candidate) => Standing::Behind(*mark),
+        _ if seen.contains_key(&call.mark) => Standing::Again,
+        _ => Standing::Free,
+    }
+}
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,7 +1,7 @@
 //! The messages between the system's own processes, and their frames: four bytes of length, then the message.
 
 use bytes::Bytes;
-use kitepass_tenet::{Item, Kind};
+use kitepass_tenet::{Entry, Item, Kind, Version};
 use prost::Message;
 use snafu::Snafu;
 use std::sync::Arc;
@@ -114,12 +114,43 @@
     /// None where the item is dropped.
     #[prost(bytes = "bytes", optional, tag = "4")]
     pub value: Option<Bytes>,
+    /// Older decided versions, the lowest first. Between control processes alone.
+    #[prost(message, repeated, tag = "5")]
+    pub past: Vec<VersionWord>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct VersionWord {
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The content's mark in two halves.
+    #[prost(fixed64, tag = "2")]
+    pub high: u64,
+    #[prost(fixed64, tag = "3")]
+    pub low: u64,
 }
 
 impl From<&Item> for ItemWord {
     fn from(item: &Item) -> ItemWord {
-        let Item { kind, name, edition, value } = item;
-        ItemWord { kind: *kind as u32, name: name.to_string(), edition: *edition, value: value.clone() }
+        ItemWord::from(Entry { item, past: &[] })
+    }
+}
+
+impl From<Entry<'_>> for ItemWord {
+    fn from(entry: Entry) -> ItemWord {
+        let Item { kind, name, edition, value } = entry.item;
+        let older = |version: &Version| VersionWord {
+            edition: version.edition,
+            high: (version.mark >> 64) as u64,
+            low: version.mark as u64,
+        };
+        ItemWord {
+            kind: *kind as u32,
+            name: name.to_string(),
+            edition: *edition,
+            value: value.clone(),
+            past: entry.past.iter().map(older).collect(),
+        }
     }
 }
 
@@ -129,6 +160,17 @@
         let kind = Kind::from_u8(u8::try_from(self.kind).ok()?)?;
         Some(Item { kind, name: Arc::from(self.name), edition: self.edition, value: self.value })
     }
+
+    /// The item with its older versions.
+    pub fn entry(self) -> Option<(Item, Vec<Version>)> {
+        let older = |word: &VersionWord| Version {
+            edition: word.edition,
+            mark: u128::from(word.high) << 64 | u128::from(word.low),
+        };
+        // Danger: a list without end would make us keep memory for it.
+        let past = self.past.iter().take(kitepass_tenet::REMEMBERED).map(older).collect();
+        Some((self.item()?, past))
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/tenet/src/ledger.rs
+++ b/crates/tenet/src/ledger.rs
@@ -1,7 +1,8 @@
 //! All items known, with hashes that tell where two copies of a ledger differ.
 
 use crate::item::{Item, Kind};
-use std::collections::btree_map::Entry;
+use crate::past::{unite, Entry, Merged, Verdict, Version, REMEMBERED};
+use std::collections::btree_map;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
@@ -14,7 +15,12 @@
 /// that right.
 ///
 /// Merge is by item: the higher edition prevails; of equal editions that differ, the greater by (is set,
-/// bytes), so that all copies come to agree in whatever order they hear of them.
+/// bytes), so that all copies come to agree in whatever order they hear of them. For durable kinds the register
+/// lets one content alone be decided for an edition, so that only backends ever need the second rule.
+///
+/// Of durable kinds up to [`REMEMBERED`] older decided versions are remembered by their marks: a call that comes
+/// again is known by them. Gateways compare copies by the newest versions alone ([`Ledger::buckets`]), control
+/// processes by the older ones too ([`Ledger::whole_buckets`]).
 #[derive(Clone, Debug)]
 pub struct Ledger {
     /// By kind, at `place(kind)`.
@@ -22,15 +28,25 @@
     highest: [u64; Kind::ALL.len()],
     /// The xor of the hashes of a bucket's items; 0 for an empty one.
     buckets: Box<[u64; BUCKETS]>,
+    /// The same over items with their older versions.
+    whole: Box<[u64; BUCKETS]>,
 }
 
 #[derive(Clone, Debug)]
 struct Kept {
     item: Item,
+    past: Vec<Version>,
     hash: u64,
+    whole: u64,
     bucket: usize,
 }
 
+impl Kept {
+    fn entry(&self) -> Entry<'_> {
+        Entry { item: &self.item, past: &self.past }
+    }
+}
+
 fn place(kind: Kind) -> usize {
     kind as usize - 1
 }
@@ -50,6 +66,29 @@
     hasher.digest()
 }
 
+/// `hash` with the older versions.
+fn whole(hash: u64, past: &[Version]) -> u64 {
+    if past.is_empty() {
+        return hash;
+    }
+    let mut hasher = Xxh3::new();
+    hasher.update(&hash.to_le_bytes());
+    for version in past {
+        hasher.update(&version.edition.to_le_bytes());
+        hasher.update(&version.mark.to_le_bytes());
+    }
+    hasher.digest()
+}
+
+/// One number for all buckets.
+fn digest(buckets: &[u64; BUCKETS]) -> u64 {
+    let mut bytes = [0; BUCKETS * 8];
+    for (room, hash) in bytes.chunks_exact_mut(8).zip(buckets) {
+        room.copy_from_slice(&hash.to_le_bytes());
+    }
+    xxh3_64(&bytes)
+}
+
 /// By kind and name alone, so that all versions of an item share a bucket.
 fn bucket(item: &Item) -> usize {
     let mut hasher = Xxh3::new();
@@ -66,32 +105,96 @@
 
 impl Ledger {
     pub fn new() -> Ledger {
-        Ledger { items: Default::default(), highest: [0; Kind::ALL.len()], buckets: Box::new([0; BUCKETS]) }
+        let buckets = || Box::new([0; BUCKETS]);
+        Ledger {
+            items: Default::default(),
+            highest: [0; Kind::ALL.len()],
+            buckets: buckets(),
+            whole: buckets(),
+        }
     }
 
-    /// Takes what another copy knows of an item; whether that changed this one.
+    /// Takes what another copy knows of an item; whether that changed its newest version. An older one is remembered.
     pub fn merge(&mut self, item: Item) -> bool {
+        self.merge_with(item, &[]) == Merged::News
+    }
+
+    /// Takes what another copy knows of an item and of its older versions.
+    pub fn merge_with(&mut self, item: Item, past: &[Version]) -> Merged {
         let place = place(item.kind);
-        let hash = hash(&item);
-        let edition = item.edition;
-        match self.items[place].entry(item.name.clone()) {
-            Entry::Vacant(vacant) => {
-                let bucket = bucket(&item);
-                self.buckets[bucket] ^= hash;
-                vacant.insert(Kept { item, hash, bucket });
-            }
-            Entry::Occupied(mut occupied) => {
-                let kept = occupied.get_mut();
-                if (item.edition, &item.value) <= (kept.item.edition, &kept.item.value) {
-                    return false;
-                }
-                self.buckets[kept.bucket] ^= kept.hash ^ hash;
-                kept.item = item;
-                kept.hash = hash;
+        self.highest[place] = self.highest[place].max(item.edition);
+        let keeps_past = item.kind.is_durable();
+        let btree_map::Entry::Occupied(mut occupied) = self.items[place].entry(item.name.clone()) else {
+            let mut older = Vec::new();
+            if keeps_past {
+                unite(&mut older, item.edition, past);
             }
+            let (hash, bucket) = (hash(&item), bucket(&item));
+            let whole = whole(hash, &older);
+            self.buckets[bucket] ^= hash;
+            self.whole[bucket] ^= whole;
+            let name = item.name.clone();
+            self.items[place].insert(name, Kept { item, past: older, hash, whole, bucket });
+            return Merged::News;
+        };
+        let kept = occupied.get_mut();
+        let is_news = (item.edition, &item.value) > (kept.item.edition, &kept.item.value);
+        if !is_news && item.edition == kept.item.edition && past.is_empty() {
+            return Merged::Nothing;
+        }
+        let (mut version, was) = (item.version(), kept.hash);
+        if is_news {
+            version = std::mem::replace(&mut kept.item, item).version();
+            kept.hash = hash(&kept.item);
+            self.buckets[kept.bucket] ^= was ^ kept.hash;
+        }
+        let below = kept.item.edition;
+        let remembers =
+            keeps_past && (unite(&mut kept.past, below, past) | unite(&mut kept.past, below, &[version]));
+        if !is_news && !remembers {
+            return Merged::Nothing;
         }
-        self.highest[place] = self.highest[place].max(edition);
-        true
+        self.whole[kept.bucket] ^= kept.whole;
+        kept.whole = whole(kept.hash, &kept.past);
+        self.whole[kept.bucket] ^= kept.whole;
+        if is_news {
+            Merged::News
+        } else {
+            Merged::Past
+        }
+    }
+
+    /// How an item of a call stands to what is decided. Not for backends, of which the last word is always taken.
+    pub fn verdict(&self, item: &Item) -> Verdict {
+        let Some(kept) = self.items[place(item.kind)].get(&item.name) else { return Verdict::Open };
+        if kept.item.edition < item.edition {
+            return Verdict::Open;
+        }
+        if kept.item.edition == item.edition {
+            return if kept.item.value == item.value { Verdict::Alike } else { Verdict::Other };
+        }
+        match kept.past.iter().find(|version| version.edition == item.edition) {
+            Some(version) if *version == item.version() => Verdict::Alike,
+            Some(_) => Verdict::Other,
+            // Whether it was decided once is forgotten.
+            None if kept.past.len() == REMEMBERED && item.edition < kept.past[0].edition => Verdict::Past,
+            None => Verdict::Open,
+        }
+    }
+
+    /// The older versions that are remembered of an item, the lowest first.
+    pub fn past(&self, kind: Kind, name: &str) -> &[Version] {
+        self.items[place(kind)].get(name).map_or(&[], |kept| &kept.past)
+    }
+
+    /// The item with its older versions.
+    pub fn entry(&self, kind: Kind, name: &str) -> Option<Entry<'_>> {
+        self.items[place(kind)].get(name).map(Kept::entry)
+    }
+
+    /// All items with their older versions, by kind and name.
+    pub fn entries(&self) -> impl Iterator<Item = Entry<'_>> {
+        self.kept().map(Kept::entry)
     }
 
     /// Whether an item of an operator's call has an effect: no version as high is known. To be asked before
@@ -133,13 +236,14 @@
         self.len() == 0
     }
 
-    /// One number for all that is known: equal for equal ledgers, and for others but by a rare chance.
+    /// One number for all newest versions: equal for equal ledgers, and for others but by a rare chance.
     pub fn digest(&self) -> u64 {
-        let mut bytes = [0; BUCKETS * 8];
-        for (room, hash) in bytes.chunks_exact_mut(8).zip(self.buckets.iter()) {
-            room.copy_from_slice(&hash.to_le_bytes());
-        }
-        xxh3_64(&bytes)
+        digest(&self.buckets)
+    }
+
+    /// The same with the older versions.
+    pub fn whole_digest(&self) -> u64 {
+        digest(&self.whole)
     }
 
     /// A hash for each bucket of items; 0 for an empty one.
@@ -147,6 +251,11 @@
         &self.buckets
     }
 
+    /// As [`Ledger::buckets`], with the older versions.
+    pub fn whole_buckets(&self) -> &[u64; BUCKETS] {
+        &self.whole
+    }
+
     /// The items in the buckets whose hash differs from another copy's. A bucket that `theirs` is too short
     /// for differs.
     pub fn differing<'a>(&'a self, theirs: &'a [u64]) -> impl Iterator<Item = &'a Item> {
@@ -155,6 +264,13 @@
             .map(|kept| &kept.item)
     }
 
+    /// As [`Ledger::differing`], with the older versions.
+    pub fn whole_differing<'a>(&'a self, theirs: &'a [u64]) -> impl Iterator<Item = Entry<'a>> {
+        self.kept()
+            .filter(move |kept| theirs.get(kept.bucket) != Some(&self.whole[kept.bucket]))
+            .map(Kept::entry)
+    }
+
     /// Forgets the oldest dropped items of a kind, beyond so many. For kinds alone that somebody tells anew.
     pub fn forget_dropped(&mut self, kind: Kind, most: usize) {
         let items = &mut self.items[place(kind)];
@@ -173,6 +289,7 @@
             for (_, name) in dropped {
                 if let Some(kept) = items.remove(&name) {
                     self.buckets[kept.bucket] ^= kept.hash;
+                    self.whole[kept.bucket] ^= kept.whole;
                 }
             }
         }
--- a/crates/tenet/tests/merge.rs
+++ b/crates/tenet/tests/merge.rs
@@ -1,7 +1,7 @@
 //! Copies of a ledger agree, in whatever order they hear of things.
 
 use bytes::Bytes;
-use kitepass_tenet::{Item, Kind, Ledger};
+use kitepass_tenet::{record, unrecord, Item, Kind, Ledger, Merged, Verdict, Version, REMEMBERED};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -69,3 +69,84 @@
         prop_assert_eq!(left.digest() == right.digest(), shown(&left) == shown(&right));
     }
 }
+
+/// A durable item's version, of which there is one content for each number, as the register sees to.
+fn decided(edition: u64) -> Item {
+    Item { kind: Kind::Line, name: "a".into(), edition, value: Some(format!("{edition}").into()) }
+}
+
+/// Merges one ledger's items with their older versions into another.
+fn pour(from: &Ledger, into: &mut Ledger) {
+    let theirs = into.whole_buckets().to_vec();
+    for entry in from.whole_differing(&theirs) {
+        into.merge_with(entry.item.clone(), entry.past);
+    }
+}
+
+proptest! {
+    /// Copies that heard of versions in different orders come to remember the same ones: the highest.
+    #[test]
+    fn older_versions_are_a_union_in_whatever_order(
+        (editions, shuffled) in prop::collection::vec(0..40u64, 1..40)
+            .prop_flat_map(|editions| (Just(editions.clone()), Just(editions).prop_shuffle())),
+        at in 0..40usize,
+    ) {
+        let all = |editions: &[u64]| ledger(&editions.iter().map(|n| decided(*n)).collect::<Vec<_>>());
+        let whole = all(&editions);
+        let (left, right) = shuffled.split_at(at.min(shuffled.len()));
+        let (mut left, mut right) = (all(left), all(right));
+        pour(&right, &mut left);
+        pour(&left, &mut right);
+        for copy in [&left, &right] {
+            prop_assert_eq!(copy.past(Kind::Line, "a"), whole.past(Kind::Line, "a"));
+            prop_assert_eq!(copy.whole_buckets(), whole.whole_buckets());
+            prop_assert_eq!(copy.digest(), whole.digest());
+        }
+        let mut sorted = editions;
+        sorted.sort_unstable();
+        sorted.dedup();
+        sorted.pop();
+        let expected: Vec<Version> = sorted.iter().rev().take(REMEMBERED).rev().map(|n| decided(*n).version()).collect();
+        prop_assert_eq!(whole.past(Kind::Line, "a"), &expected[..]);
+        let entry = whole.entry(Kind::Line, "a").unwrap();
+        let (key, value) = record(entry);
+        prop_assert_eq!(unrecord(&key, &value), Some((entry.item.clone(), entry.past.to_vec())));
+    }
+}
+
+#[test]
+fn a_call_that_comes_again_is_known_after_newer_versions() {
+    let mut ledger = Ledger::new();
+    let other = |edition| Item { value: None, ..decided(edition) };
+    assert_eq!(ledger.verdict(&decided(2)), Verdict::Open);
+    for edition in (2..=2 * REMEMBERED as u64).step_by(2) {
+        assert_eq!(ledger.merge_with(decided(edition), &[]), Merged::News);
+    }
+    let newest = 2 * REMEMBERED as u64;
+    assert_eq!(
+        (ledger.verdict(&decided(newest)), ledger.verdict(&other(newest))),
+        (Verdict::Alike, Verdict::Other)
+    );
+    assert_eq!((ledger.verdict(&decided(2)), ledger.verdict(&other(2))), (Verdict::Alike, Verdict::Other));
+    assert_eq!(
+        (ledger.verdict(&decided(3)), ledger.verdict(&decided(newest + 1))),
+        (Verdict::Open, Verdict::Open)
+    );
+    // Decided late, an older version has no effect and is remembered; what falls out below is past.
+    assert_eq!(ledger.verdict(&decided(1)), Verdict::Open, "there is room to remember it");
+    assert_eq!(ledger.merge_with(decided(3), &[]), Merged::Past);
+    assert_eq!(ledger.merge_with(decided(3), &[]), Merged::Nothing);
+    assert_eq!((ledger.verdict(&decided(3)), ledger.verdict(&other(3))), (Verdict::Alike, Verdict::Other));
+    assert_eq!(ledger.past(Kind::Line, "a").len(), REMEMBERED);
+    assert_eq!((ledger.verdict(&decided(1)), ledger.verdict(&other(1))), (Verdict::Past, Verdict::Past));
+    assert_eq!(ledger.get(Kind::Line, "a"), Some(&decided(newest)));
+    // A record of before, without older versions, is read as it was.
+    let old = [&7u64.to_be_bytes()[..], &[1], b"x"].concat();
+    let (item, past) = unrecord(&[Kind::Line as u8, b'a'], &old).unwrap();
+    assert_eq!((item.edition, item.value.as_deref(), past.len()), (7, Some(&b"x"[..]), 0));
+    // Backends have no past.
+    let backend = |edition| Item { kind: Kind::Backend, ..decided(edition) };
+    ledger.merge(backend(1));
+    ledger.merge(backend(2));
+    assert_eq!(ledger.past(Kind::Backend, "a"), &[]);
+}
