--- a/crates/accord/examples/slopes.rs
+++ b/crates/accord/examples/slopes.rs
@@ -158,6 +158,7 @@
                 ip: format!("10.0.0.{n}"),
                 district,
                 province,
+                folder: 0,
             };
             let start = Start {
                 me: seat.clone(),
@@ -298,7 +299,7 @@
 
     fn beat(&mut self, gate: usize) {
         let Gate { ledger, ready, .. } = &self.gates[gate];
-        let beat = Beat { digest: ledger.digest(), ready: *ready, current: false, full: false, duty: 0 };
+        let beat = Beat { digest: ledger.digest(), ready: *ready, ..Beat::default() };
         self.say(gate, Word::Beat(beat));
     }
 
@@ -525,10 +526,8 @@
                 district: zone.to_owned(),
                 province: zone[..1].to_owned(),
                 life: (gate as u64 + 1) << 32,
-                control: false,
                 front: format!("10.1.{}.{}:8686", gate / 250, gate % 250),
-                current: false,
-                full: false,
+                ..Hello::default()
             };
             let seen = VecDeque::new();
             let session = gate as u64;
--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -26,8 +26,7 @@
     pub(super) fn founded(&mut self) {
         if self.standing == Standing::Blank && self.cast().is_some() {
             self.shift(Standing::Behind);
-            if self.maiden && self.cast().is_some_and(|cast| cast.has(&self.me.station) && cast.edition == 1)
-            {
+            if self.maiden && self.cast().is_some_and(|cast| cast.has(&self.name) && cast.edition == 1) {
                 self.keep_records(vec![(FULL.to_vec(), vec![1])], Kept::Full);
             }
         }
@@ -46,17 +45,17 @@
         self.founded();
     }
 
-    pub(super) fn held(&mut self, now: Moment, station: &str, held: Held) {
+    pub(super) fn held(&mut self, now: Moment, name: &str, held: Held) {
         self.take(held.items.into_iter().filter_map(ItemWord::item).collect());
         if !held.full || !held.founded {
             return;
         }
         if held.ticket == self.inquiry {
-            self.caught.insert(station.to_owned());
+            self.caught.insert(name.to_owned());
             self.catch_up();
         } else if let Some(work) = self.work.get_mut(&held.ticket) {
             if let Step::Reading(heard) = &mut work.step {
-                heard.insert(station.to_owned());
+                heard.insert(name.to_owned());
                 self.proceed(now, held.ticket);
             }
         }
@@ -66,7 +65,7 @@
     pub(super) fn catch_up(&mut self) {
         let mut heard = self.caught.clone();
         if self.full {
-            heard.insert(self.me.station.clone());
+            heard.insert(self.name.clone());
         }
         let apart = self.standing == Standing::Apart && !self.hears_enough();
         if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
@@ -96,13 +95,7 @@
         if !self.founder || self.standing != Standing::Blank || alone || quiet < GATHER {
             return;
         }
-        let seat = |hello: &Hello| Seat {
-            station: hello.station.clone(),
-            ip: hello.ip.clone(),
-            district: hello.district.clone(),
-            province: hello.province.clone(),
-        };
-        let mut seats: Vec<Seat> = self.peers.values().map(|peer| seat(&peer.hello)).collect();
+        let mut seats: Vec<Seat> = self.peers.values().map(|peer| Seat::from(&peer.hello)).collect();
         seats.push(self.me.clone());
         seats.sort();
         let cast = Cast { seats, edition: 1 };
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -19,9 +19,16 @@
             self.newest = now;
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
-        self.lost.remove(&station);
-        let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0, duty: 0 };
-        self.peers.insert(station.clone(), peer);
+        let name = Seat::from(hello).name();
+        self.lost.remove(&name);
+        self.leaving.remove(&name);
+        let peer =
+            Peer { hello: hello.clone(), name, heard: now, digest: 0, differs: 0, duty: 0, leaving: false };
+        if let Some(before) = self.peers.insert(station.clone(), peer) {
+            if before.name != self.peers[&station].name {
+                self.lost.insert(before.name, now);
+            }
+        }
         self.told.1 = Moment::default(); // it is to be told of the sessions here
         self.inquired = Moment::default();
         let controls = self.stops().into_iter().collect();
@@ -33,10 +40,15 @@
         self.peers.contains_key(station)
     }
 
+    /// Whether this life of it is the one that is known.
+    pub fn knows_life(&self, station: &str, life: u64) -> bool {
+        self.peers.get(station).is_some_and(|peer| peer.hello.life == life)
+    }
+
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
-        if self.peers.remove(station).is_some() {
+        if let Some(peer) = self.peers.remove(station) {
             info!("event=peer-lost station={station} why={why}");
-            self.lost.insert(station.to_owned(), now);
+            self.lost.insert(peer.name, now);
         }
     }
 
@@ -79,18 +91,25 @@
         Live { gateways: self.live.len() as u32, stations: self.live.clone(), controls, control_districts }
     }
 
+    /// Whether the seat of this name is heard; its own always is.
+    pub(super) fn hears(&self, name: &str) -> bool {
+        name == self.name || self.peers.values().any(|peer| peer.name == name)
+    }
+
     /// Whether a majority of the cast, itself among them, has been heard lately.
     pub(super) fn hears_enough(&self) -> bool {
         self.cast().is_some_and(|cast| {
-            let heard = cast.seats.iter().filter(|seat| self.peers.contains_key(&seat.station)).count();
-            heard + usize::from(cast.has(&self.me.station)) >= cast.majority()
+            let heard = cast.seats.iter().filter(|seat| self.hears(&seat.name())).count();
+            heard >= cast.majority()
         })
     }
 
     pub(super) fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
         let duty = self.holds(now).unwrap_or(0);
-        let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
+        let leaving = self.standing == Standing::Leaving;
+        let digest = self.ledger.digest();
+        let beat = Beat { digest, ready: false, current, full: self.full, duty, leaving };
         self.send_all(&Word::Beat(beat.clone()));
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
@@ -117,7 +136,8 @@
             ids.into_iter().for_each(|id| self.acts.push(Act::Session(id, word.clone())));
         }
         for id in self.sessions.keys() {
-            let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
+            let beat =
+                Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
             self.acts.push(Act::Session(*id, Word::Beat(beat)));
         }
     }
--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -7,48 +7,49 @@
         Cast::of(&self.ledger, NOW)
     }
 
-    /// A cast that is being brought in: what is safe or read must be so by both.
-    pub(super) fn coming(&self) -> Option<Cast> {
-        let (now, next) = (self.cast()?, Cast::of(&self.ledger, NEXT)?);
-        (next.edition > now.edition).then_some(next)
+    pub(super) fn era(&self) -> Option<Era> {
+        Era::of(&self.ledger)
     }
 
     pub(super) fn is_safe(&self, copies: &BTreeSet<String>) -> bool {
-        self.cast().is_some_and(|cast| cast.is_safe(copies))
-            && self.coming().is_none_or(|cast| cast.is_safe(copies))
+        self.era().is_some_and(|era| era.is_safe(copies))
     }
 
     pub(super) fn is_read(&self, heard: &BTreeSet<String>) -> bool {
-        self.cast().is_some_and(|cast| cast.is_read(heard))
-            && self.coming().is_none_or(|cast| cast.is_read(heard))
+        self.era().is_some_and(|era| era.is_read(heard))
     }
 
-    pub(super) fn vote(&mut self, now: Moment, who: &str, claim: &Claim) {
-        let mut grant = self.voter.vote(now, who, claim);
+    /// `who` is the claimant's seat, at `station`.
+    pub(super) fn vote(&mut self, now: Moment, station: &str, who: &str, claim: &Claim) {
+        let era = self.era();
+        self.voter.seat(now, era.as_ref().and_then(|era| era.seats(&self.name)));
+        let mut grant = self.voter.vote(now, who, claim, era.as_ref().map_or(0, Era::number));
         // Danger: a seat that lost its disk may have been replaced; only those of the cast count, and only full.
-        grant.granted &= self.full && self.cast().is_some_and(|cast| cast.has(&self.me.station));
-        if grant.granted && self.recorded != who {
+        grant.granted &= self.full && era.as_ref().is_some_and(|era| era.has(&self.name));
+        let vote = (who.to_owned(), era.map_or(0, |era| era.now.edition));
+        if grant.granted && self.recorded != vote {
             // Danger: a voter that came back would grant to another what it had granted.
-            let record = (VOTE.to_vec(), who.as_bytes().to_vec());
-            return self.keep_records(vec![record], Kept::Vote { who: who.to_owned(), grant });
+            let record = (VOTE.to_vec(), record_vote(&vote));
+            let station = station.to_owned();
+            return self.keep_records(vec![record], Kept::Vote { station, vote, grant });
         }
-        self.voted(now, who, grant);
+        self.voted(now, station, grant);
     }
 
-    pub(super) fn voted(&mut self, now: Moment, who: &str, grant: Grant) {
-        if who == self.me.station {
-            self.granted(now, who, &grant);
+    pub(super) fn voted(&mut self, now: Moment, station: &str, grant: Grant) {
+        if station == self.me.station {
+            self.granted(now, &self.name.clone(), &grant);
         } else {
-            self.send(who, Word::Grant(grant));
+            self.send(station, Word::Grant(grant));
         }
     }
 
+    /// `from` is the voter's seat.
     pub(super) fn granted(&mut self, now: Moment, from: &str, grant: &Grant) {
-        let Some(cast) = self.cast().filter(|cast| cast.has(from)) else { return };
-        let majority = self.coming().map_or(0, |next| next.majority()).max(cast.majority());
-        if self.claimant.heard(now, from, grant, majority) {
+        let Some(era) = self.era() else { return };
+        if self.claimant.heard(now, from, grant, era.number(), |votes| era.is_elected(votes)) {
             let term = self.claimant.holds(now).unwrap_or_default();
-            info!("event=duty term={term}");
+            info!("event=duty term={term} era={}", era.number());
             self.roster.begin(term);
             self.counts = Some((term, Counts::new(self.slack)));
             self.beat(now);
@@ -96,48 +97,57 @@
     }
 
     pub(super) fn claim(&mut self, now: Moment) {
-        let cast = self.cast();
-        let seated = cast.as_ref().is_some_and(|cast| cast.has(&self.me.station));
-        let free = self.voter.holder(now, DUTY).is_none_or(|holder| holder == self.me.station)
-            && self.holder().is_none();
-        if self.standing != Standing::Current || !self.full || !seated {
+        let Some(era) = self.era() else { return };
+        self.voter.seat(now, era.seats(&self.name));
+        let free =
+            self.voter.holder(now, DUTY).is_none_or(|holder| holder == self.name) && self.holder().is_none();
+        if self.standing != Standing::Current || !self.full || !era.now.has(&self.name) {
             return;
         }
         let wait = Span::from_micros(self.chance.rand_range(0..400_000) as i64);
-        if let Some(claim) = self.claimant.tick(now, free, wait) {
+        if let Some(claim) = self.claimant.tick(now, free, wait, era.number()) {
             self.send_all(&Word::Claim(claim.clone()));
-            self.vote(now, &self.me.station.clone(), &claim);
+            let (station, name) = (self.me.station.clone(), self.name.clone());
+            self.vote(now, &station, &name, &claim);
         }
         let holds = self.holds(now);
         if std::mem::replace(&mut self.held, holds.is_some()) && holds.is_none() {
             warn!("event=duty-lost");
         }
-        let Some(term) = holds else {
+        if holds.is_none() {
             self.counts = None;
             return;
-        };
-        self.recast(now, term);
+        }
+        self.recast(now);
+    }
+
+    /// What it sees of the stations, for the next cast.
+    fn sight(&mut self, now: Moment, cast: &Cast) -> Sight {
+        let full = self.peers.values().filter(|peer| peer.hello.full).map(|peer| Seat::from(&peer.hello));
+        let full: BTreeSet<Seat> = full.chain(self.full.then(|| self.me.clone())).collect();
+        let leaves = |peer: &&Peer| peer.leaving;
+        self.leaving.extend(self.peers.values().filter(leaves).map(|peer| peer.name.clone()));
+        self.leaving.retain(|name| cast.has(name));
+        self.lost.retain(|name, _| cast.has(name));
+        let unheard: Vec<String> =
+            cast.seats.iter().map(Seat::name).filter(|name| !self.hears(name)).collect();
+        // Of one that it has never heard it knows the silence from its own start on.
+        let since = |name: &String| self.lost.get(name).copied().unwrap_or(self.begun);
+        let silent = unheard.into_iter().filter(|name| now - since(name) > GONE).collect();
+        Sight { full, leaving: self.leaving.clone(), silent }
     }
 
-    /// Whoever does the duty lets newcomers in, and takes out seats in whose place one has come.
-    pub(super) fn recast(&mut self, now: Moment, term: u64) {
+    /// Whoever does the duty brings in what follows from what it sees: newcomers come, and seats go that are
+    /// superseded, leave, or were replaced in their silence.
+    pub(super) fn recast(&mut self, now: Moment) {
         let busy = self.work.values().any(|work| matches!(work.order, Order::Next(_) | Order::Now(_)));
-        let Some(cast) = self.cast().filter(|_| !busy) else { return };
-        if let Some(next) = self.coming() {
+        let Some(era) = self.era().filter(|_| !busy) else { return };
+        if let Some(next) = era.next {
             return self.begin(now, None, Order::Next(next)); // an earlier one was cut short
         }
-        let newcomer = self.peers.values().find(|peer| peer.hello.full && !cast.has(&peer.hello.station));
-        let newcomer = newcomer.map(|peer| Seat {
-            station: peer.hello.station.clone(),
-            ip: peer.hello.ip.clone(),
-            district: peer.hello.district.clone(),
-            province: peer.hello.province.clone(),
-        });
-        let silent =
-            self.lost.iter().filter(|(_, since)| now - **since > GONE).map(|(s, _)| s.clone()).collect();
-        let edition = (term << 20).max(cast.edition + 1);
-        if let Some(next) = cast.follow(edition, newcomer.as_ref(), &silent) {
-            info!("event=recast seats={} edition={edition}", next.seats.len());
+        let sight = self.sight(now, &era.now);
+        if let Some(next) = era.now.follow(&sight) {
+            info!("event=recast seats={} edition={}", next.seats.len(), next.edition);
             self.begin(now, None, Order::Next(next));
         }
     }
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -12,14 +12,14 @@
 use crate::roster::Roster;
 use bytes::Bytes;
 use kitepass::{Moment, Span};
-use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
 use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
 use log::{debug, info, warn};
-use record::{learn, record, unrecord};
+use record::{learn, record, record_vote, unrecord, unrecord_vote};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -40,7 +40,9 @@
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
 const FULL: &[u8] = b"full";
-/// The record of whom this voter granted the duty last.
+/// The record of this folder's number, with which its seat is named.
+const FOLDER: &[u8] = b"folder";
+/// The record of whom this voter granted the duty last, by seat, and the edition of the cast in which it did.
 const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
@@ -81,10 +83,13 @@
 
 struct Peer {
     hello: Hello,
+    /// Its seat's name.
+    name: String,
     heard: Moment,
     digest: u64,
     differs: u32,
     duty: u64,
+    leaving: bool,
 }
 
 struct Session {
@@ -94,7 +99,7 @@
     differs: u32,
 }
 
-/// How far an order has come. [`Core::step`] alone changes it.
+/// How far an order has come, by names of seats. [`Core::step`] alone changes it.
 #[derive(Debug)]
 enum Step {
     /// Hearing what the others hold.
@@ -121,7 +126,8 @@
     },
     /// A vote that may be told.
     Vote {
-        who: String,
+        station: String,
+        vote: Vote,
         grant: Grant,
     },
     /// The record that makes this folder full.
@@ -129,8 +135,13 @@
     Nothing,
 }
 
+/// Whom a voter granted the duty, by seat, and in which cast.
+type Vote = (String, u64);
+
 pub struct Core {
     me: Seat,
+    /// This process' own seat.
+    name: String,
     life: u64,
     maiden: bool,
     founder: bool,
@@ -143,7 +154,10 @@
     caught: BTreeSet<String>,
     inquiry: u64,
     peers: BTreeMap<String, Peer>,
+    /// Seats that are not heard, by name, and since when.
     lost: BTreeMap<String, Moment>,
+    /// Seats that said that they leave, by name.
+    leaving: BTreeSet<String>,
     sessions: BTreeMap<u64, Session>,
     table: Table,
     told: (u64, Moment, Vec<Member>),
@@ -151,7 +165,7 @@
     live: Vec<String>,
     voter: Voter,
     /// Whom the record on disk names.
-    recorded: String,
+    recorded: Vote,
     /// It did the duty when that was looked at last.
     held: bool,
     claimant: Claimant,
@@ -171,7 +185,9 @@
 
 /// What a process is at its start.
 pub struct Start {
+    /// Its folder's number is taken from the records, or drawn if there are none.
     pub me: Seat,
+    /// Drawn anew each time.
     pub life: u64,
     /// The first start of the whole system, with an empty folder.
     pub maiden: bool,
@@ -185,12 +201,16 @@
 impl Core {
     pub fn new(now: Moment, start: Start) -> Core {
         let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
-        let mut recorded = String::new();
+        let (mut recorded, mut me, mut empty) = (Vote::default(), start.me, true);
+        me.folder = 0;
         for (key, value) in &start.records {
+            empty &= key == FOLDER;
             if key == FULL {
                 full = true;
+            } else if key == FOLDER {
+                me.folder = value.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
             } else if key == VOTE {
-                recorded = String::from_utf8_lossy(value).into_owned();
+                recorded = unrecord_vote(value);
             } else if key == LIVE {
                 let stations = String::from_utf8_lossy(value);
                 stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
@@ -198,19 +218,27 @@
                 ledger.merge(item);
             }
         }
+        // The folder of a version that had no numbers stays the seat that it was.
+        let drawn = start.records.is_empty().then(|| start.life.max(1));
+        me.folder = drawn.unwrap_or(me.folder);
         let mut terms = BTreeMap::new();
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
-        let empty = start.records.is_empty();
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
-        info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
-        Core {
-            voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
+        let name = me.name();
+        let seated = Era::of(&ledger).and_then(|era| era.seats(&name));
+        // Danger: a vote of an earlier stay in the cast says nothing of what those granted who stood there meanwhile.
+        let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
+        let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
+        info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
+        let mut core = Core {
+            voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
             held: false,
             chance: oorandom::Rand64::new(u128::from(start.life)),
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
-            me: start.me,
+            me,
+            name,
             life: start.life,
             ledger,
             checker: Checker::new(),
@@ -222,6 +250,7 @@
             inquiry: 0,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             sessions: BTreeMap::new(),
             table,
             told: (0, Moment::default(), Vec::new()),
@@ -237,7 +266,12 @@
             beat: now,
             inquired: Moment::default(),
             acts: Vec::new(),
+        };
+        if let Some(folder) = drawn {
+            // First of all records, so that whatever else is on disk is on disk under this number.
+            core.keep_records(vec![(FOLDER.to_vec(), folder.to_be_bytes().to_vec())], Kept::Nothing);
         }
+        core
     }
 
     pub fn hello(&self) -> Hello {
@@ -251,6 +285,7 @@
             front: String::new(),
             current: self.standing == Standing::Current,
             full: self.full,
+            folder: self.me.folder,
         }
     }
 
@@ -304,11 +339,11 @@
     pub fn peer_said(&mut self, now: Moment, station: &str, word: Word) -> Vec<String> {
         let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         peer.heard = now;
-        let life = peer.hello.life;
+        let (life, name) = (peer.hello.life, peer.name.clone());
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
-                peer.duty = beat.duty;
+                (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
                 peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
                 self.table.alive(now, station, life);
@@ -327,16 +362,16 @@
                 self.send(station, Word::Items(Items { items }));
             }
             Word::Store(store) => self.copy(station, store),
-            Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, station),
+            Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, &name),
             Word::Inquire(inquire) => {
                 let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
                 let founded = self.cast().is_some();
                 let held = Held { ticket: inquire.ticket, items, full: self.full, founded };
                 self.send(station, Word::Held(held));
             }
-            Word::Held(held) => self.held(now, station, held),
-            Word::Claim(claim) => self.vote(now, station, &claim),
-            Word::Grant(grant) => self.granted(now, station, &grant),
+            Word::Held(held) => self.held(now, &name, held),
+            Word::Claim(claim) => self.vote(now, station, &name, &claim),
+            Word::Grant(grant) => self.granted(now, &name, &grant),
             Word::Sessions(sessions) => {
                 self.table.hear(now, station, life, &sessions);
             }
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -20,7 +20,7 @@
 
     pub(super) fn begin(&mut self, now: Moment, caller: Option<u64>, order: Order) {
         let id = self.ticket();
-        let step = Step::Reading(self.full.then(|| self.me.station.clone()).into_iter().collect());
+        let step = Step::Reading(self.full.then(|| self.name.clone()).into_iter().collect());
         self.work.insert(id, Work { caller, order, step, since: now });
         let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec() };
         self.send_all(&Word::Inquire(word));
@@ -103,9 +103,9 @@
         self.proceed(now, id);
     }
 
-    pub(super) fn stored(&mut self, now: Moment, id: u64, station: &str) {
+    pub(super) fn stored(&mut self, now: Moment, id: u64, name: &str) {
         if let Some(Work { step: Step::Storing(copies), .. }) = self.work.get_mut(&id) {
-            copies.insert(station.to_owned());
+            copies.insert(name.to_owned());
             self.proceed(now, id);
         }
     }
@@ -117,16 +117,16 @@
         self.keeping = self.keeping.split_off(&ticket);
         match kept {
             Some(Kept::Order(id)) if self.full => {
-                let me = self.me.station.clone();
+                let me = self.name.clone();
                 self.stored(now, id, &me);
             }
             Some(Kept::Copy { peer, ticket }) => {
                 let stored = Stored { ticket, full: self.full };
                 self.send(&peer, Word::Stored(stored));
             }
-            Some(Kept::Vote { who, grant }) => {
-                self.recorded.clone_from(&who);
-                self.voted(now, &who, grant);
+            Some(Kept::Vote { station, vote, grant }) => {
+                self.recorded = vote;
+                self.voted(now, &station, grant);
             }
             Some(Kept::Full) => {
                 self.full = true;
--- a/crates/accord/src/core/record.rs
+++ b/crates/accord/src/core/record.rs
@@ -43,3 +43,15 @@
         value: (*set == 1).then(|| Bytes::copy_from_slice(value)),
     })
 }
+
+pub(super) fn record_vote((who, edition): &Vote) -> Vec<u8> {
+    [&edition.to_be_bytes(), who.as_bytes()].concat()
+}
+
+/// A record of an earlier form reads as nobody's.
+pub(super) fn unrecord_vote(value: &[u8]) -> Vote {
+    let parts = value.split_first_chunk::<8>();
+    let vote =
+        parts.and_then(|(edition, who)| Some((str::from_utf8(who).ok()?, u64::from_be_bytes(*edition))));
+    vote.map_or_else(Vote::default, |(who, edition)| (who.to_owned(), edition))
+}
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -97,7 +97,7 @@
 
     /// Seats of the cast, and whether each is heard of now.
     pub fn seats(&self) -> Vec<(Seat, bool)> {
-        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
+        let heard = |seat: &Seat| self.hears(&seat.name());
         self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
     }
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -72,7 +72,7 @@
     /// One of another process, until it has said who it is.
     Stranger,
     /// Another control process speaks here.
-    Peer { station: String },
+    Peer { station: String, life: u64 },
     /// A gateway's session, both ways.
     Session,
     /// The platform's list.
@@ -156,6 +156,7 @@
             ip: settings.ip.to_string(),
             district: settings.district.clone(),
             province: settings.province.clone(),
+            folder: 0,
         };
         let founder = settings.first_stops.first().is_some_and(|stop| stop.ip() == IpAddr::V4(settings.ip));
         let life = life(&settings.station);
@@ -491,7 +492,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match (&conn.role, word) {
             (Role::Stranger, Word::Hello(hello)) if hello.control => {
-                conn.role = Role::Peer { station: hello.station.clone() };
+                conn.role = Role::Peer { station: hello.station.clone(), life: hello.life };
                 self.ips.insert(hello.station.clone(), hello.ip.clone());
                 self.stops.insert(hello.ip.clone(), now);
                 self.core.peer_came(now, &hello);
@@ -500,9 +501,10 @@
                 conn.role = Role::Session;
                 self.core.session_came(now, id, hello);
             }
-            (Role::Peer { station }, word) => {
+            (Role::Peer { station, life }, word) => {
                 let station = station.clone();
-                if !self.core.knows(&station) {
+                // Danger: what an earlier life said would count for the seat of this one, which may have another folder.
+                if !self.core.knows_life(&station, *life) {
                     conn.ends = true;
                     return;
                 }
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -62,6 +62,7 @@
                 ip: format!("10.0.0.{n}"),
                 district: district.to_string(),
                 province: district[..1].to_owned(),
+                folder: 0,
             },
             core: None,
             life: 0,
--- a/crates/bond/src/cast.rs
+++ b/crates/bond/src/cast.rs
@@ -1,9 +1,11 @@
-//! The cast: which control processes make up the core, and how many of them must keep or say a thing.
+//! The cast: which seats make up the core, and how many of them must keep or say a thing.
 //!
-//! Two items of the ledger tell it: `now`, the cast in force, and `next`, one that is being brought in. Casts
-//! follow one another by one seat at a time, so that a majority of one meets every majority of the next; `next`
-//! becomes `now` only once a majority of both has it on disk.
+//! A seat is one folder (disk) of one station: a station that lost its disk comes back as another seat. Two items of
+//! the ledger tell the cast: `now`, the one in force, and `next`, one that is being brought in. Casts follow one
+//! another by joint consensus: while `next` is being brought in, copies must be safe, readings whole and votes enough
+//! by both.
 
+use crate::words::Hello;
 use kitepass_tenet::{Item, Kind, Ledger};
 use prost::Message;
 use std::collections::BTreeSet;
@@ -11,6 +13,8 @@
 
 pub const NOW: &str = "now";
 pub const NEXT: &str = "next";
+/// Seats that leave in order go while so many stay.
+pub const FEWEST: usize = 3;
 
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Message)]
 pub struct Seat {
@@ -22,6 +26,27 @@
     pub district: String,
     #[prost(string, tag = "4")]
     pub province: String,
+    /// Drawn when an empty folder is first written, and kept in it; 0 for folders older than that.
+    #[prost(fixed64, tag = "5")]
+    pub folder: u64,
+}
+
+impl Seat {
+    /// What copies, promises, votes and readings go by. Danger: by its station alone, one that lost its disk would be
+    /// held to have what the earlier disk held, and to have promised nothing.
+    pub fn name(&self) -> String {
+        match self.folder {
+            0 => self.station.clone(),
+            folder => format!("{}#{folder:x}", self.station),
+        }
+    }
+}
+
+impl From<&Hello> for Seat {
+    fn from(hello: &Hello) -> Seat {
+        let Hello { station, ip, district, province, folder, .. } = hello.clone();
+        Seat { station, ip, district, province, folder }
+    }
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -32,6 +57,17 @@
     pub edition: u64,
 }
 
+/// What the holder of the duty sees of the stations as it works the next cast out. All but `full` are seats' names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sight {
+    /// Stations that are heard now and whose folder is full.
+    pub full: BTreeSet<Seat>,
+    /// Those that said that they leave.
+    pub leaving: BTreeSet<String>,
+    /// Those that have been silent for long.
+    pub silent: BTreeSet<String>,
+}
+
 impl Cast {
     pub fn of(ledger: &Ledger, name: &str) -> Option<Cast> {
         let item = ledger.get(Kind::Cast, name)?;
@@ -43,8 +79,9 @@
         Item { kind: Kind::Cast, name: Arc::from(name), edition: self.edition, value }
     }
 
-    pub fn has(&self, station: &str) -> bool {
-        self.seats.iter().any(|seat| seat.station == station)
+    /// Whether the seat of this name is in it.
+    pub fn has(&self, name: &str) -> bool {
+        self.seats.iter().any(|seat| seat.name() == name)
     }
 
     /// Copies that a write needs, and votes that a lease needs.
@@ -58,10 +95,14 @@
         self.seats.len() + 1 - self.majority()
     }
 
-    /// Whether these stations' copies make a write safe: a majority, and not all in one province or district.
+    fn among<'a>(&'a self, names: &'a BTreeSet<String>) -> impl Iterator<Item = &'a Seat> {
+        self.seats.iter().filter(|seat| names.contains(&seat.name()))
+    }
+
+    /// Whether these seats' copies make a write safe: a majority, and not all in one province or district.
     /// Danger: a zone's or a region's disks may be lost at once, while the others lose power.
     pub fn is_safe(&self, copies: &BTreeSet<String>) -> bool {
-        let with: Vec<&Seat> = self.seats.iter().filter(|seat| copies.contains(&seat.station)).collect();
+        let with: Vec<&Seat> = self.among(copies).collect();
         let spread = |of: fn(&Seat) -> &str| {
             let all: BTreeSet<&str> = self.seats.iter().map(of).collect();
             let these: BTreeSet<&str> = with.iter().map(|seat| of(seat)).collect();
@@ -70,29 +111,128 @@
         with.len() >= self.majority() && spread(|seat| &seat.province) && spread(|seat| &seat.district)
     }
 
-    /// Whether these full stations together know all that was acknowledged.
+    /// Whether these full seats together know all that was acknowledged.
     pub fn is_read(&self, heard: &BTreeSet<String>) -> bool {
-        self.seats.iter().filter(|seat| heard.contains(&seat.station)).count() >= self.reading()
+        self.among(heard).count() >= self.reading()
     }
 
-    /// The cast that follows when somebody full stands at the door: one more seat; else, where some have been silent for
-    /// long and another stands in the same district, one seat of those fewer.
-    pub fn follow(&self, edition: u64, comes: Option<&Seat>, silent: &BTreeSet<String>) -> Option<Cast> {
-        let mut seats = self.seats.clone();
-        if let Some(comes) = comes.filter(|seat| !self.has(&seat.station)) {
-            seats.push(comes.clone());
-            seats.sort();
-            return Some(Cast { seats, edition });
+    /// Whether these seats' votes are enough for a lease.
+    pub fn is_elected(&self, votes: &BTreeSet<String>) -> bool {
+        self.among(votes).count() >= self.majority()
+    }
+
+    /// Losses of a whole province or district after which the rest still reads, and still takes writes.
+    fn bears(&self) -> BTreeSet<(bool, String, bool)> {
+        let mut all = BTreeSet::new();
+        for by_province in [true, false] {
+            let place = |seat: &Seat| if by_province { &seat.province } else { &seat.district }.clone();
+            for lost in self.seats.iter().map(place).collect::<BTreeSet<String>>() {
+                let rest = self.seats.iter().filter(|seat| place(seat) != lost).map(Seat::name).collect();
+                if self.is_read(&rest) {
+                    all.insert((by_province, lost.clone(), false));
+                }
+                if self.is_safe(&rest) {
+                    all.insert((by_province, lost, true));
+                }
+            }
         }
+        all
+    }
+
+    fn without(&self, name: &str) -> Cast {
+        let seats = self.seats.iter().filter(|seat| seat.name() != name).cloned().collect();
+        Cast { seats, edition: self.edition }
+    }
+
+    /// The cast that follows this one, if another should: one edition above it, so that of two that are worked out
+    /// from one base only one can be decided.
+    pub fn follow(&self, sight: &Sight) -> Option<Cast> {
+        let mut next = Cast { seats: self.seats.clone(), edition: self.edition + 1 };
+        // A station has one seat: that of the folder, and at the place, with which it is seen now.
+        for comes in sight.full.iter().filter(|seat| !sight.leaving.contains(&seat.name())) {
+            next.seats.retain(|seat| seat.station != comes.station);
+            next.seats.push(comes.clone());
+        }
+        next.seats.sort();
         // A silent seat goes only where another stands in its district: a newcomer has taken its place.
-        let goes = seats.iter().position(|seat| {
-            let another = |o: &Seat| {
-                o.station != seat.station && o.district == seat.district && !silent.contains(&o.station)
-            };
-            silent.contains(&seat.station) && self.seats.iter().any(another)
-        })?;
-        seats.remove(goes);
-        Some(Cast { seats, edition })
+        for seat in self.seats.iter().filter(|seat| sight.silent.contains(&seat.name())) {
+            let stands = |o: &Seat| o.district == seat.district && !sight.silent.contains(&o.name());
+            if next.seats.len() > 1 && next.seats.iter().any(stands) {
+                next = next.without(&seat.name());
+            }
+        }
+        // Danger: seats that leave one after another would leave a cast that the next loss ends. One stays on the list,
+        // for its successor to take its place, if without it the rest would bear less than now or be too few.
+        for name in &sight.leaving {
+            let fewer = next.without(name);
+            let bears = || fewer.bears().is_superset(&next.bears_without(name));
+            if next.has(name) && fewer.seats.len() >= FEWEST && bears() {
+                next = fewer;
+            }
+        }
+        (next.seats != self.seats).then_some(next)
+    }
+
+    /// What it bears, places left out of which the seat of this name is the last one.
+    fn bears_without(&self, name: &str) -> BTreeSet<(bool, String, bool)> {
+        let rest = self.without(name);
+        let has = |by_province: bool, place: &str| {
+            rest.seats.iter().any(|s| place == if by_province { &s.province } else { &s.district })
+        };
+        self.bears().into_iter().filter(|(by_province, place, _)| has(*by_province, place)).collect()
+    }
+}
+
+/// The casts that decide: the one in force, and the one that is being brought in, if any.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Era {
+    pub now: Cast,
+    pub next: Option<Cast>,
+}
+
+impl Era {
+    /// By what is decided.
+    pub fn of(ledger: &Ledger) -> Option<Era> {
+        Some(Era { now: Cast::of(ledger, NOW)?, next: None }.fenced(Cast::of(ledger, NEXT)))
+    }
+
+    /// With a `next` that is decided, or that this process has accepted: it follows if it is the one after `now`.
+    pub fn fenced(self, next: Option<Cast>) -> Era {
+        let next = next.filter(|next| next.edition > self.now.edition);
+        Era { next: next.or(self.next), now: self.now }
+    }
+
+    /// Eras in order: twice the edition in force, and one more while the next cast is being brought in.
+    pub fn number(&self) -> u64 {
+        self.now.edition * 2 + u64::from(self.next.is_some())
+    }
+
+    fn both(&self, holds: impl Fn(&Cast) -> bool) -> bool {
+        holds(&self.now) && self.next.as_ref().is_none_or(holds)
+    }
+
+    /// Danger: what one cast alone took for safe, the other would not read. So too for readings and votes.
+    pub fn is_safe(&self, copies: &BTreeSet<String>) -> bool {
+        self.both(|cast| cast.is_safe(copies))
+    }
+
+    pub fn is_read(&self, heard: &BTreeSet<String>) -> bool {
+        self.both(|cast| cast.is_read(heard))
+    }
+
+    pub fn is_elected(&self, votes: &BTreeSet<String>) -> bool {
+        self.both(|cast| cast.is_elected(votes))
+    }
+
+    /// The newest of them, if the seat of this name is in it.
+    pub fn seats(&self, name: &str) -> Option<u64> {
+        let newest = self.next.as_ref().unwrap_or(&self.now);
+        newest.has(name).then_some(newest.edition)
+    }
+
+    /// Whether the seat of this name is in either.
+    pub fn has(&self, name: &str) -> bool {
+        self.now.has(name) || self.next.as_ref().is_some_and(|next| next.has(name))
     }
 }
 
@@ -106,12 +246,13 @@
             ip: String::new(),
             district: district.to_string(),
             province: province.to_string(),
+            folder: n as u64,
         };
         Cast { seats: places.iter().enumerate().map(seat).collect(), edition: 1 }
     }
 
     fn stations(numbers: &[usize]) -> BTreeSet<String> {
-        numbers.iter().map(|n| format!("s{n}")).collect()
+        numbers.iter().map(|n| cast(&SIX).seats[*n].name()).collect()
     }
 
     const SIX: [(&str, &str); 6] =
@@ -136,20 +277,46 @@
         }
     }
 
+    fn sight(full: &[&Seat], leaving: &[usize], silent: &[usize]) -> Sight {
+        let full = full.iter().map(|seat| (*seat).clone()).collect();
+        Sight { full, leaving: stations(leaving), silent: stations(silent) }
+    }
+
     #[test]
-    fn casts_follow_by_one_seat_and_their_majorities_meet() {
+    fn one_step_brings_all_that_changed_one_edition_above_its_base() {
         let old = cast(&SIX);
-        let comes =
-            Seat { station: "s9".into(), ip: String::new(), district: "a1".into(), province: "a".into() };
-        let more = old.follow(2, Some(&comes), &BTreeSet::new()).unwrap();
-        assert_eq!((more.seats.len(), more.majority() + old.majority() > 7), (7, true));
-        assert_eq!(more.follow(3, Some(&comes), &BTreeSet::new()), None);
-        let fewer = more.follow(3, None, &stations(&[0])).unwrap();
-        assert!(fewer.seats.len() == 6 && fewer.has("s9") && !fewer.has("s0"));
-        // Nobody has come in the place of a silent one: it keeps its seat.
-        assert_eq!(old.follow(2, None, &stations(&[0])), None);
+        assert_eq!(old.seats[0].name(), "s0");
+        let other = |n: usize, folder: u64| Seat { folder, ..old.seats[n].clone() };
+        let (lost, comes) = (other(1, 77), Seat { station: "s9".into(), ..other(2, 9) });
+        // s1 lost its disk, s9 stands in silent s2's district, s5 leaves; s4 moved with its disk.
+        let moved = Seat { ip: "elsewhere".into(), ..old.seats[4].clone() };
+        let next = old.follow(&sight(&[&lost, &comes, &moved], &[5], &[2, 3])).unwrap();
+        assert_eq!(next.edition, 2);
+        let names: Vec<String> = next.seats.iter().map(Seat::name).collect();
+        assert_eq!(names, ["s0", "s1#4d", "s3#3", "s4#4", "s9#9"]);
+        assert!(next.seats.contains(&moved));
+        assert_eq!(next.follow(&sight(&[&lost, &comes, &moved], &[], &[3])), None);
         let mut ledger = Ledger::new();
-        ledger.merge(fewer.item(NOW));
-        assert_eq!(Cast::of(&ledger, NOW), Some(fewer));
+        ledger.merge(old.item(NOW));
+        assert_eq!(Era::of(&ledger).unwrap().number(), 2);
+        ledger.merge(next.item(NEXT));
+        assert_eq!(Era::of(&ledger), Some(Era { now: old, next: Some(next.clone()) }));
+        assert_eq!(Era::of(&ledger).unwrap().number(), 3);
+        ledger.merge(next.item(NOW));
+        assert_eq!(Era::of(&ledger).unwrap().number(), 4);
+    }
+
+    #[test]
+    fn nobody_leaves_a_cast_that_would_bear_less() {
+        // Nobody has come in the place of a silent one: it keeps its seat.
+        assert_eq!(cast(&SIX).follow(&sight(&[], &[], &[0])), None);
+        // One may go; a second one of any region may not: of four seats no two are enough for a write.
+        let next = cast(&SIX).follow(&sight(&[], &[0, 1, 2, 3, 4, 5], &[])).unwrap();
+        assert_eq!((next.seats.len(), next.has("s0")), (5, false));
+        assert_eq!(cast(&SIX[..3]).follow(&sight(&[], &[0], &[])), None);
+        // One that leaves is no newcomer.
+        let comes = Seat { station: "s9".into(), folder: 9, ..cast(&SIX).seats[0].clone() };
+        let leaves = Sight { leaving: [comes.name()].into(), ..sight(&[&comes], &[], &[]) };
+        assert_eq!(cast(&SIX).follow(&leaves), None);
     }
 }
--- a/crates/bond/src/lease.rs
+++ b/crates/bond/src/lease.rs
@@ -2,6 +2,11 @@
 //!
 //! Steady time alone is used: a clock that is set must neither end a lease nor prolong one. A holder reckons from
 //! the moment at which it asked, a voter from the moment at which it granted, which is later.
+//!
+//! Votes are told apart by seat names, and counted within an era (see [`Era`](crate::cast::Era)): in an odd era a majority
+//! of both casts is needed. Two holders at once would need votes of one seat for both, or votes of two eras: a voter that
+//! knows of a later era refuses a claim of an earlier one, and a seat that is new in the cast abstains for a span, by the
+//! end of which whatever was granted without it has run out.
 
 use crate::words::{Claim, Grant};
 use kitepass::{Moment, Span};
@@ -19,19 +24,37 @@
     granted: BTreeMap<String, (String, u64, Moment)>,
     highest: BTreeMap<String, u64>,
     abstains: Moment,
+    /// Until when it grants to nobody, as its seat is new.
+    new: Moment,
+    /// The newest cast by decided items in which this voter's seat stands.
+    seated: Option<u64>,
     /// Whom it granted each duty in an earlier life, as far as that is on disk.
     recalled: BTreeMap<String, String>,
 }
 
 impl Voter {
-    /// Danger: in an earlier life it may have granted what still holds, so for a span it grants to nobody else than it
-    /// did then, except at the first start of all. Whoever uses it keeps on disk whom it grants before it says so.
-    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>) -> Voter {
+    /// `seated` is the newest cast on disk that has its seat. Danger: in an earlier life it may have granted what still
+    /// holds, so for a span it grants to nobody else than it did then, except at the first start of all. Whoever uses it
+    /// keeps on disk whom it grants, and in which cast, before it says so.
+    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>, seated: Option<u64>) -> Voter {
         let abstains = if maiden { now } else { now + SPAN };
-        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains, recalled }
+        let seated = if maiden { Some(0) } else { seated };
+        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains, new: now, seated, recalled }
+    }
+
+    /// Tells the edition of the newest decided cast, in force or being brought in, if this voter's seat stands in it.
+    /// Danger: seats in whose place it came may have granted what still holds. Once a cast is decided nobody gets a
+    /// majority of the one before under an earlier era, so all that was granted so runs out within a span.
+    pub fn seat(&mut self, now: Moment, edition: Option<u64>) {
+        let stood = self.seated.zip(edition).is_some_and(|(was, is)| is <= was + 1);
+        if edition.is_some() && !stood {
+            self.new = now + SPAN;
+        }
+        self.seated = edition;
     }
 
-    pub fn vote(&mut self, now: Moment, who: &str, claim: &Claim) -> Grant {
+    /// `who` is the claimant's seat, `era` the voter's own.
+    pub fn vote(&mut self, now: Moment, who: &str, claim: &Claim, era: u64) -> Grant {
         let highest = self.highest.get(&claim.duty).copied().unwrap_or_default();
         let held = self.granted.get(&claim.duty).filter(|(_, _, until)| *until > now);
         let free = match held {
@@ -41,8 +64,12 @@
             // them. Without it a voter that once voted for a rival would never be the holder's again.
             None => claim.holds || claim.term > highest || claim.term == highest && self.was(who, claim),
         };
-        let may = now >= self.abstains || self.recalled.get(&claim.duty).is_some_and(|holder| holder == who);
-        let granted = free && may && !claim.release;
+        let may = now >= self.new;
+        let may = may
+            && (now >= self.abstains || self.recalled.get(&claim.duty).is_some_and(|holder| holder == who));
+        // Danger: a claimant that has not heard of the cast that is being brought in would count votes by the one before.
+        let timely = claim.era >= era;
+        let granted = free && may && timely && !claim.release;
         let highest = highest.max(claim.term);
         self.highest.insert(claim.duty.clone(), highest);
         if granted {
@@ -51,7 +78,7 @@
             self.granted.remove(&claim.duty);
         }
         let holder = self.granted.get(&claim.duty).map(|(holder, ..)| holder.clone()).unwrap_or_default();
-        Grant { duty: claim.duty.clone(), ticket: claim.ticket, granted, term: highest, holder }
+        Grant { duty: claim.duty.clone(), ticket: claim.ticket, granted, term: highest, holder, era }
     }
 
     fn was(&self, who: &str, claim: &Claim) -> bool {
@@ -86,6 +113,8 @@
     duty: String,
     term: u64,
     ticket: u64,
+    /// The era of the claim under way, or of the last one.
+    era: u64,
     state: State,
     again: Moment,
 }
@@ -94,7 +123,7 @@
     /// `ticket` is drawn: words to an earlier life must not be taken for answers to this one.
     pub fn new(duty: &str, ticket: u64) -> Claimant {
         let state = State::Idle;
-        Claimant { duty: duty.to_owned(), term: 0, ticket, state, again: Moment::default() }
+        Claimant { duty: duty.to_owned(), term: 0, ticket, era: 0, state, again: Moment::default() }
     }
 
     fn shift(&mut self, to: State) {
@@ -107,8 +136,8 @@
     }
 
     /// What to send to the whole core now, if anything. `wait` is drawn by the caller: claimants that collide
-    /// come again at different moments.
-    pub fn tick(&mut self, now: Moment, free: bool, wait: Span) -> Option<Claim> {
+    /// come again at different moments. `era` is its own by now.
+    pub fn tick(&mut self, now: Moment, free: bool, wait: Span, era: u64) -> Option<Claim> {
         if matches!(self.state, State::Holding { until, .. } if now >= until) {
             self.shift(State::Idle);
         }
@@ -139,23 +168,34 @@
             }
         }
         self.again = now + RENEW;
+        self.era = era;
         self.ticket = self.ticket.wrapping_add(1);
         Some(Claim { holds: self.holds(now).is_some(), ..self.word(false) })
     }
 
     fn word(&self, release: bool) -> Claim {
-        Claim { duty: self.duty.clone(), term: self.term, ticket: self.ticket, release, holds: false }
+        let (duty, term, ticket, era) = (self.duty.clone(), self.term, self.ticket, self.era);
+        Claim { duty, term, ticket, release, holds: false, era }
     }
 
-    /// A voter's word; true if the duty is held from now on and was not before.
-    pub fn heard(&mut self, now: Moment, from: &str, grant: &Grant, majority: usize) -> bool {
+    /// A voter's word; true if the duty is held from now on and was not before. `from` is the voter's seat; `era` is the
+    /// claimant's by now, and `elects` tells whether votes are enough in it.
+    pub fn heard(
+        &mut self,
+        now: Moment,
+        from: &str,
+        grant: &Grant,
+        era: u64,
+        elects: impl Fn(&BTreeSet<String>) -> bool,
+    ) -> bool {
         if !grant.granted {
             if self.holds(now).is_none() {
                 self.term = self.term.max(grant.term);
             }
             return false;
         }
-        if grant.ticket != self.ticket {
+        // Danger: votes for a claim of an earlier era may be of seats that the casts of this one do not count on.
+        if grant.ticket != self.ticket || era != self.era {
             return false;
         }
         let (since, votes, held) = match &mut self.state {
@@ -166,7 +206,7 @@
         votes.insert(from.to_owned());
         // An earlier life may have got further: terms do not fall.
         self.term = self.term.max(grant.term);
-        if votes.len() < majority {
+        if !elects(votes) {
             return false;
         }
         let until = since + SPAN - MARGIN;
@@ -187,6 +227,14 @@
     use super::*;
     use std::collections::VecDeque;
 
+    fn four(votes: &BTreeSet<String>) -> bool {
+        votes.len() >= 4
+    }
+
+    fn one_is(votes: &BTreeSet<String>) -> bool {
+        !votes.is_empty()
+    }
+
     /// Six that vote and claim, under a drawn schedule of late, lost and repeated words, pauses and restarts:
     /// at no moment do two hold the duty, and terms never fall.
     #[test]
@@ -195,7 +243,8 @@
         for seed in 0..200 {
             let mut chance = oorandom::Rand64::new(seed);
             let at = |millis: i64| Moment::from_micros(millis * 1000);
-            let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
+            let mut voters: Vec<Voter> =
+                (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), Some(0))).collect();
             let mut recorded: Vec<BTreeMap<String, String>> = vec![BTreeMap::new(); 6];
             let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty", 0)).collect();
             let mut paused = [0i64; 6];
@@ -206,7 +255,7 @@
                 for who in 0..6 {
                     match chance.rand_range(0..12_000) {
                         0 => paused[who] = now + chance.rand_range(0..4_000) as i64,
-                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone()),
+                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone(), Some(0)),
                         2 => claimants[who] = Claimant::new("duty", chance.rand_u64()),
                         _ => {}
                     }
@@ -216,7 +265,7 @@
                     let wait = Span::from_micros(chance.rand_range(0..400_000) as i64);
                     let free =
                         voters[who].holder(at(now), "duty").is_none_or(|holder| holder == who.to_string());
-                    if let Some(claim) = claimants[who].tick(at(now), free, wait) {
+                    if let Some(claim) = claimants[who].tick(at(now), free, wait, 0) {
                         for to in 0..6 {
                             for _ in 0..chance.rand_range(0..4).min(2) {
                                 let late = now + chance.rand_range(0..200) as i64;
@@ -231,7 +280,7 @@
                         claims.push_back((due, from, to, claim));
                         continue;
                     }
-                    let grant = voters[to].vote(at(now), &from.to_string(), &claim);
+                    let grant = voters[to].vote(at(now), &from.to_string(), &claim, 0);
                     if grant.granted {
                         recorded[to].insert("duty".into(), from.to_string());
                     }
@@ -243,7 +292,7 @@
                         grants.push_back((due, from, to, grant));
                         continue;
                     }
-                    claimants[to].heard(at(now), &from.to_string(), &grant, 4);
+                    claimants[to].heard(at(now), &from.to_string(), &grant, 0, four);
                 }
                 let holders: Vec<u64> = claimants.iter().filter_map(|c| c.holds(at(now))).collect();
                 assert!(holders.len() <= 1, "seed {seed} at {now}: {holders:?}");
@@ -262,45 +311,50 @@
     #[test]
     fn a_holder_is_granted_by_all_in_the_end_and_at_once_after_a_restart() {
         let at = |millis: i64| Moment::from_micros(millis * 1000);
-        let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new())).collect();
+        let mut voters: Vec<Voter> =
+            (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), Some(0))).collect();
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
-        let (_, _) = (one.tick(at(0), true, Span::ZERO), two.tick(at(0), true, Span::ZERO));
-        let (a, b) = (one.tick(at(0), true, Span::ZERO).unwrap(), two.tick(at(0), true, Span::ZERO).unwrap());
+        let (_, _) = (one.tick(at(0), true, Span::ZERO, 0), two.tick(at(0), true, Span::ZERO, 0));
+        let (a, b) =
+            (one.tick(at(0), true, Span::ZERO, 0).unwrap(), two.tick(at(0), true, Span::ZERO, 0).unwrap());
         for (n, voter) in voters.iter_mut().enumerate() {
             let (who, claim, claimant) = if n < 4 { ("one", &a, &mut one) } else { ("two", &b, &mut two) };
-            claimant.heard(at(1), &n.to_string(), &voter.vote(at(1), who, claim), 4);
+            claimant.heard(at(1), &n.to_string(), &voter.vote(at(1), who, claim, 0), 0, four);
         }
         assert!(one.holds(at(1)).is_some());
-        let back = two.tick(at(600), true, Span::ZERO).unwrap();
-        let renewal = one.tick(at(600), true, Span::ZERO).unwrap();
+        let back = two.tick(at(600), true, Span::ZERO, 0).unwrap();
+        let renewal = one.tick(at(600), true, Span::ZERO, 0).unwrap();
         assert!(back.release && renewal.holds);
         for voter in &mut voters {
-            voter.vote(at(600), "two", &back);
-            assert!(voter.vote(at(601), "one", &renewal).granted);
+            voter.vote(at(600), "two", &back, 0);
+            assert!(voter.vote(at(601), "one", &renewal, 0).granted);
         }
-        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into());
-        assert!(!back.vote(at(701), "two", &Claim { term: 9, ..renewal.clone() }).granted);
-        assert!(back.vote(at(702), "one", &renewal).granted);
+        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into(), Some(0));
+        assert!(!back.vote(at(701), "two", &Claim { term: 9, ..renewal.clone() }, 0).granted);
+        assert!(back.vote(at(702), "one", &renewal, 0).granted);
     }
 
     #[test]
     fn a_duty_that_is_given_back_is_free_at_once() {
         let now = Moment::from_micros(1);
-        let mut voter = Voter::new(now, true, BTreeMap::new());
+        let mut voter = Voter::new(now, true, BTreeMap::new(), Some(0));
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
-        assert_eq!(one.tick(now, true, Span::ZERO), None);
-        let claim = one.tick(now, true, Span::ZERO).unwrap();
-        assert!(one.heard(now, "v", &voter.vote(now, "one", &claim), 1));
-        assert_eq!(two.tick(now, true, Span::ZERO), None);
-        let claim = two.tick(now, true, Span::ZERO).unwrap();
-        let refusal = voter.vote(now, "two", &claim);
+        assert_eq!(one.tick(now, true, Span::ZERO, 0), None);
+        let claim = one.tick(now, true, Span::ZERO, 0).unwrap();
+        assert!(one.heard(now, "v", &voter.vote(now, "one", &claim, 0), 0, one_is));
+        assert_eq!(two.tick(now, true, Span::ZERO, 0), None);
+        let claim = two.tick(now, true, Span::ZERO, 0).unwrap();
+        let refusal = voter.vote(now, "two", &claim, 0);
         assert!(!refusal.granted && refusal.holder == "one");
-        two.heard(now, "v", &refusal, 1);
-        voter.vote(now, "one", &one.release(now).unwrap());
+        two.heard(now, "v", &refusal, 0, one_is);
+        voter.vote(now, "one", &one.release(now).unwrap(), 0);
         let later = now + RENEW + RENEW;
-        assert!(two.tick(later, true, Span::ZERO).unwrap().release);
-        assert_eq!(two.tick(later, true, Span::ZERO), None);
-        let claim = two.tick(later, true, Span::ZERO).unwrap();
-        assert!(two.heard(later, "v", &voter.vote(later, "two", &claim), 1) && one.holds(later).is_none());
+        assert!(two.tick(later, true, Span::ZERO, 0).unwrap().release);
+        assert_eq!(two.tick(later, true, Span::ZERO, 0), None);
+        let claim = two.tick(later, true, Span::ZERO, 0).unwrap();
+        assert!(
+            two.heard(later, "v", &voter.vote(later, "two", &claim, 0), 0, one_is)
+                && one.holds(later).is_none()
+        );
     }
 }
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -84,6 +84,10 @@
     /// Its folder holds what it has acknowledged.
     #[prost(bool, tag = "9")]
     pub full: bool,
+    /// A control process' folder, by the number that was drawn when it was first written: with the station it names the
+    /// seat. 0 for a gateway, and for a folder older than that.
+    #[prost(fixed64, tag = "10")]
+    pub folder: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -101,6 +105,9 @@
     /// The term under which it does the duty now, or 0.
     #[prost(uint64, tag = "5")]
     pub duty: u64,
+    /// A control process that ends in order: its seat may go at once, before it is silent.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -199,6 +206,9 @@
     /// The claimant holds the duty under this term, and renews.
     #[prost(bool, tag = "5")]
     pub holds: bool,
+    /// The era by whose casts the claimant counts the votes: a voter that knows of a later one refuses.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -215,6 +225,9 @@
     /// Who holds it, by the voter.
     #[prost(string, tag = "5")]
     pub holder: String,
+    /// The voter's own era: a claimant that hears of a later one is behind.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -187,13 +187,7 @@
         }
         if now - self.beat >= BEAT || self.ready != self.told_ready {
             (self.beat, self.told_ready) = (now, self.ready);
-            let beat = Beat {
-                digest: self.ledger.digest(),
-                ready: self.ready,
-                current: false,
-                full: false,
-                duty: 0,
-            };
+            let beat = Beat { digest: self.ledger.digest(), ready: self.ready, ..Beat::default() };
             self.out.push(Word::Beat(beat));
         }
         false
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -187,10 +187,8 @@
             district: settings.district.clone(),
             province: settings.province.clone(),
             life,
-            control: false,
             front: front.to_string(),
-            current: false,
-            full: false,
+            ..Hello::default()
         };
         let first = settings.first_stops.iter().map(|stop| stop.ip().to_string()).collect();
         let link = Link::new(hello, first, settings.districts.clone());
