Long words go in pieces; calls of up to 16 MiB are confirmed, longer ones refused with 413

Change: frames of up to 256 KiB (`bond::frame`); a longer word goes in marked pieces that an `Assembler` of each connection puts together, bounded at 24 MiB, kept by what came and never by a claim. Whole words may stand between pieces. Bytes that are no whole word yet are a sign of life. Orders are borne 1 s longer for each MiB, as callers wait longer for large bodies. The desk answers 413 by Content-Length alone, or once a chunked body has passed the limit; it reads the rest off for up to 10 s so that the answer is not reset away. One connection's input holds 256 KiB at most; a fill that stopped at its bound goes on (the next edge does not tell of it).

Not run: a slow link.

--- a/crates/accord/examples/slopes.rs
+++ b/crates/accord/examples/slopes.rs
@@ -281,7 +281,7 @@
 
     fn unpack(&mut self, n: usize, frame: &[u8]) -> Word {
         let begun = Instant::now();
-        let word = unpack(frame, &mut 0);
+        let word = Assembler::default().next(frame, &mut 0);
         self.nodes[n].tally.busy += begun.elapsed();
         self.nodes[n].tally.got(frame.len());
         word.expect("packed here").expect("whole")
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -33,6 +33,13 @@
         self.peers.contains_key(station)
     }
 
+    /// Bytes have come of a peer that are no whole word yet.
+    pub fn peer_alive(&mut self, now: Moment, station: &str) {
+        if let Some(peer) = self.peers.get_mut(station) {
+            peer.heard = now;
+        }
+    }
+
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
         if self.peers.remove(station).is_some() {
             info!("event=peer-lost station={station} why={why}");
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -27,8 +27,10 @@
 const BEAT: Span = Span::from_micros(500_000);
 /// A peer or session that has said nothing for so long is given up.
 const SILENT: Span = Span::from_micros(1_500_000);
-/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
+/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere. Callers wait longer for
+/// large bodies, and so much more is borne for each MiB.
 const PATIENCE: Span = Span::from_micros(2_500_000);
+const PATIENCE_MIB: Span = Span::from_micros(1_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
 /// For so long the founder waits for others after the last that came, and at the most.
@@ -372,8 +374,9 @@
             _ => {}
         }
         self.claim(now);
-        let late: Vec<u64> =
-            self.work.iter().filter(|(_, work)| now - work.since > PATIENCE).map(|(id, _)| *id).collect();
+        let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
+        let is_late = |work: &Work| now - work.since > patience(&work.order);
+        let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
         for id in late {
             warn!("event=order-late order={}", self.work[&id].order.name());
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -15,6 +15,13 @@
         self.acts.push(Act::Session(id, word));
     }
 
+    /// Bytes have come of a gateway that are no whole word yet.
+    pub fn session_alive(&mut self, now: Moment, id: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.heard = now;
+        }
+    }
+
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
         if let Some(session) = self.sessions.remove(&id) {
             info!("event=session-lost station={} why={why}", session.hello.station);
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -18,6 +18,14 @@
 }
 
 impl Order {
+    /// Bytes that are to be moved for it, its own alone.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Order::Patch(items) => items.iter().map(Item::bytes).sum(),
+            _ => 0,
+        }
+    }
+
     pub fn name(&self) -> &'static str {
         match self {
             Order::Get => "get",
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -6,10 +6,11 @@
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::Seat;
 use kitepass_bond::count::Slack;
+use kitepass_bond::frame::{Assembler, MOST_FRAME};
 use kitepass_bond::words::{self, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_recall::Store;
-use kitepass_strand::flow::{Body, HeadReader};
+use kitepass_strand::flow::{Body, Framing, HeadReader};
 use kitepass_strand::http::Kind as Which;
 use kitepass_strand::poll::{self, Clock, Poll, Ready};
 use kitepass_strand::process::{life, Signals};
@@ -25,6 +26,12 @@
 /// Bytes of an operator's call. Danger: a caller that never ends.
 const MOST_CALL: usize = 16 * 1024 * 1024;
 const MOST_HEAD: usize = 16 * 1024;
+/// Unused bytes that one connection's input may hold; the rest waits in the socket.
+const MOST_INPUT: usize = MOST_FRAME + 4;
+/// Fills in one turn of a connection.
+const MOST_TURNS: usize = 16;
+/// So long after a refusal that did not wait for the call's end its rest is read off and dropped.
+const DRAIN: Span = Span::from_micros(10_000_000);
 /// Bytes that may wait for a peer or caller that does not read; beyond that it is given up.
 const MOST_UNSENT: usize = 32 * 1024 * 1024;
 /// A caller that is idle for so long is closed.
@@ -87,15 +94,26 @@
     bytes: Vec<u8>,
     closes: bool,
     waits: bool,
+    /// It was refused before its call had ended, and what still comes is dropped until then. Danger: a socket that
+    /// is closed with bytes unread is reset, and the answer with it.
+    drains: bool,
+    refused: Moment,
 }
 
 struct Conn {
     wire: Wire,
+    assembler: Assembler,
     role: Role,
     at: Moment,
     ends: bool,
 }
 
+impl Conn {
+    fn new(wire: Wire, role: Role, at: Moment) -> Conn {
+        Conn { wire, assembler: Assembler::default(), role, at, ends: false }
+    }
+}
+
 /// A reading of the platform's list under way.
 struct Reading {
     entries: Vec<Entry>,
@@ -121,6 +139,8 @@
     reading: Option<Reading>,
     read: Moment,
     piece: Vec<u8>,
+    /// Connections with more to read than one turn took.
+    again: Vec<u64>,
     signals: Signals,
     watch: Watch,
 }
@@ -185,6 +205,7 @@
             reading: None,
             read: Moment::default(),
             piece: vec![0; 64 * 1024],
+            again: Vec::new(),
             signals: Signals::default(),
             watch,
         })
@@ -197,10 +218,12 @@
         let mut leaves: Option<Moment> = None;
         loop {
             let wait = TICK - (self.clock.now() - ticked).min(TICK);
+            let wait = if self.again.is_empty() { wait } else { Span::ZERO };
             self.poll.wait(Some(wait), &mut ready).context(SystemSnafu { what: "waiting" })?;
             for ready in ready.drain(..) {
                 self.ready(&ready)?;
             }
+            std::mem::take(&mut self.again).into_iter().for_each(|id| self.serve(id, None));
             let now = self.clock.now();
             if now - ticked >= TICK {
                 ticked = now;
@@ -218,7 +241,7 @@
                 self.core.leave(now);
                 leaves = Some(now);
             }
-            self.act(now);
+            self.act();
             if leaves.is_some_and(|since| now - since > GRACE || self.core.is_idle()) {
                 info!("event=end");
                 return Ok(());
@@ -265,7 +288,7 @@
                         continue;
                     }
                     let at = self.clock.now();
-                    self.conns.insert(id, Conn { wire: Wire::accepted(socket), role, at, ends: false });
+                    self.conns.insert(id, Conn::new(Wire::accepted(socket), role, at));
                     self.serve(id, None);
                 }
                 Ok(None) => return,
@@ -283,26 +306,46 @@
                 return self.lose(id, cause(error));
             }
         }
-        let ended = match conn.wire.fill(&mut self.piece, MOST_CALL + MOST_HEAD) {
-            Ok(ended) => ended,
-            Err(error) => return self.lose(id, cause(error)),
-        };
-        if !conn.wire.input.is_empty() {
-            conn.at = now;
-        }
-        let going = match &conn.role {
-            Role::Caller(_) => self.call(now, id),
-            Role::Carrier(..) => self.carried(now, id, ended),
-            _ => self.said(now, id),
+        // What a fill that stopped at its bound has left in the socket is told of by no further edge: it goes on for as
+        // long as something is taken up. Danger: one that sends without end would keep the loop from all others.
+        let mut turns = 0;
+        let ended = loop {
+            if turns == MOST_TURNS {
+                self.again.push(id);
+                break false;
+            }
+            turns += 1;
+            let Some(conn) = self.conns.get_mut(&id) else { return };
+            let ended = match conn.wire.fill(&mut self.piece, MOST_INPUT) {
+                Ok(ended) => ended,
+                Err(error) => return self.lose(id, cause(error)),
+            };
+            if !conn.wire.input.is_empty() {
+                conn.at = now;
+            }
+            let going = match &conn.role {
+                Role::Caller(_) => self.call(now, id),
+                Role::Carrier(..) => self.carried(now, id, ended),
+                _ => self.said(now, id),
+            };
+            if let Err(why) = going {
+                return self.lose(id, why);
+            }
+            let more = |conn: &Conn| conn.wire.is_readable() && conn.wire.input.len() < MOST_INPUT;
+            if ended || !self.conns.get(&id).is_some_and(more) {
+                break ended;
+            }
         };
-        if let Err(why) = going {
-            return self.lose(id, why);
-        }
         self.flush(id);
         if ended {
             let waits = matches!(self.conns.get(&id), Some(Conn { role: Role::Caller(c), .. }) if c.waits);
-            if !waits {
-                self.lose(id, "closed");
+            match self.conns.get_mut(&id) {
+                _ if waits => {}
+                // It has said all, and reads on.
+                Some(conn) if matches!(conn.role, Role::Caller(_)) && conn.wire.unsent() > 0 => {
+                    conn.ends = true
+                }
+                _ => self.lose(id, "closed"),
             }
         }
     }
@@ -310,6 +353,9 @@
     fn flush(&mut self, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match conn.wire.flush() {
+            Ok(true) if matches!(&conn.role, Role::Caller(caller) if caller.drains) => {
+                let _ = conn.wire.end(); // the answer is whole: its reader need not wait for more
+            }
             Ok(true) if conn.ends => self.lose(id, "done"),
             Ok(_) if conn.wire.unsent() > MOST_UNSENT => self.lose(id, "does-not-read"),
             Ok(_) => {}
@@ -341,6 +387,9 @@
             let Some(Conn { wire, role: Role::Caller(caller), ends, .. }) = self.conns.get_mut(&id) else {
                 return Ok(());
             };
+            if caller.drains {
+                wire.input.clear();
+            }
             if caller.waits || *ends {
                 return Ok(());
             }
@@ -354,6 +403,10 @@
                     }
                     Ok(Some((head, framing))) => {
                         caller.closes = !head.keeps_open();
+                        if matches!(framing, Framing::Sized(length) if length > MOST_CALL as u64) {
+                            self.too_long(id);
+                            return Ok(());
+                        }
                         if head.expects_a_word() {
                             wire.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                         }
@@ -364,13 +417,14 @@
                 }
             }
             let body = caller.body.as_mut().expect("set with the call");
-            let room = MOST_CALL.saturating_sub(caller.bytes.len());
+            // One byte more than is taken tells a call that goes on from one that ends there.
+            let room = (MOST_CALL + 1).saturating_sub(caller.bytes.len());
             let whole = body.read(&mut wire.input, &mut caller.bytes, room).map_err(|_| "garbled")?;
+            if caller.bytes.len() > MOST_CALL {
+                self.too_long(id);
+                return Ok(());
+            }
             if !whole {
-                if caller.bytes.len() >= MOST_CALL {
-                    caller.closes = true;
-                    self.answer(id, 413, "text/plain", b"a call of too many bytes", None);
-                }
                 return Ok(());
             }
             let call = caller.call.take().expect("set above");
@@ -379,6 +433,15 @@
         }
     }
 
+    /// A call beyond the limit is refused before anything is made of it.
+    fn too_long(&mut self, id: u64) {
+        let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get_mut(&id) else { return };
+        (caller.closes, caller.drains) = (true, true);
+        (caller.bytes, caller.refused) = (Vec::new(), self.clock.now());
+        info!("event=call-too-long most={MOST_CALL}");
+        self.answer(id, 413, "text/plain", b"a call of more than 16 MiB", None);
+    }
+
     fn run_call(&mut self, now: Moment, id: u64, call: Call, body: &[u8]) {
         let order = match call {
             Call::Order(order) => order,
@@ -442,7 +505,7 @@
     }
 
     fn answer(&mut self, id: u64, status: u16, kind: &str, body: &[u8], retry: Option<u32>) {
-        let Some(Conn { wire, role: Role::Caller(caller), ends, at }) = self.conns.get_mut(&id) else {
+        let Some(Conn { wire, role: Role::Caller(caller), ends, at, .. }) = self.conns.get_mut(&id) else {
             return;
         };
         *at = self.clock.now();
@@ -450,6 +513,7 @@
         *ends |= caller.closes;
         let reason = match status {
             200 => "OK",
+            413 => "Content Too Large",
             503 => "Service Unavailable",
             _ => "Refused",
         };
@@ -473,18 +537,27 @@
     fn said(&mut self, now: Moment, id: u64) -> Result<(), &'static str> {
         let Some(conn) = self.conns.get_mut(&id) else { return Ok(()) };
         let (input, mut at) = (std::mem::take(&mut conn.wire.input), 0);
-        let result = loop {
-            match words::unpack(&input, &mut at) {
-                Ok(None) => break Ok(()),
-                Err(_) => break Err("garbled"),
+        // Danger: over a slow line a word of many MiB takes longer than a silence is borne.
+        match &conn.role {
+            Role::Peer { station } if !input.is_empty() => self.core.peer_alive(now, station),
+            Role::Session if !input.is_empty() => self.core.session_alive(now, id),
+            _ => {}
+        }
+        loop {
+            let Some(conn) = self.conns.get_mut(&id) else { return Ok(()) };
+            match conn.assembler.next(&input, &mut at) {
                 Ok(Some(word)) => self.word(now, id, word),
+                Err(error) => {
+                    warn!("event=garbled why={:?}", error.to_string());
+                    return Err("garbled");
+                }
+                Ok(None) => {
+                    conn.wire.input = input;
+                    conn.wire.input.drain(..at);
+                    return Ok(());
+                }
             }
-        };
-        if let Some(conn) = self.conns.get_mut(&id) {
-            conn.wire.input = input;
-            conn.wire.input.drain(..at);
         }
-        result
     }
 
     fn word(&mut self, now: Moment, id: u64, word: Word) {
@@ -534,8 +607,7 @@
             match Wire::open(&self.poll, &to, id, PATIENCE) {
                 Ok(mut wire) => {
                     words::pack(Word::Hello(self.core.hello()), &mut wire.output);
-                    self.conns
-                        .insert(id, Conn { wire, role: Role::Out { ip: ip.clone() }, at: now, ends: false });
+                    self.conns.insert(id, Conn::new(wire, Role::Out { ip: ip.clone() }, now));
                     self.out.insert(ip, id);
                 }
                 Err(error) => warn!("event=connect-failed ip={ip} why={}", cause(error)),
@@ -545,6 +617,7 @@
 
     fn sweep(&mut self, now: Moment) {
         let old = |conn: &Conn| match &conn.role {
+            Role::Caller(caller) if caller.drains => now - conn.at > PATIENCE || now - caller.refused > DRAIN,
             Role::Caller(caller) => !caller.waits && now - conn.at > IDLE,
             Role::Stranger => now - conn.at > PATIENCE * 2,
             // Danger: a connection that is never made, to a machine without power, would stand in the way of
@@ -573,7 +646,7 @@
             match Wire::open(&self.poll, &carrier, id, PATIENCE) {
                 Ok(wire) => {
                     let role = Role::Carrier(HeadReader::default(), None, Vec::new());
-                    self.conns.insert(id, Conn { wire, role, at: now, ends: false });
+                    self.conns.insert(id, Conn::new(wire, role, now));
                     self.carrier = Some(id);
                 }
                 Err(error) => {
@@ -637,7 +710,7 @@
     }
 
     /// Carries out what the core wants done.
-    fn act(&mut self, now: Moment) {
+    fn act(&mut self) {
         let mut touched = std::collections::BTreeSet::new();
         while !self.core.acts.is_empty() {
             for act in std::mem::take(&mut self.core.acts) {
@@ -671,7 +744,8 @@
                             }
                         }
                         touched.insert(id);
-                        let _ = self.call(now, id); // the next call may stand in its input already
+                        // The next call may stand in its input already, and more of it in the socket.
+                        self.serve(id, None);
                     }
                     Act::Keep(ticket, records) => self.store.put(ticket, records),
                     Act::Close(id) => {
--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! | module | what it holds |
 //! | --- | --- |
-//! | [`words`] | the messages, and how they are framed on a connection |
+//! | [`words`] | the messages |
+//! | [`frame`] | how they go over a connection, long ones in pieces |
 //! | [`cast`] | who the core is, and how many copies make a write safe and a reading whole |
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
 //! | [`session`] | who is a member: the sessions of each control process, and how long a lost one counts |
@@ -11,6 +12,7 @@
 
 pub mod cast;
 pub mod count;
+pub mod frame;
 pub mod lease;
 pub mod session;
 pub mod words;
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,24 +1,15 @@
-//! The messages between the system's own processes, and their frames: four bytes of length, then the message.
+//! The messages between the system's own processes; [`frame`](crate::frame) carries them.
 
 use bytes::Bytes;
 use kitepass_tenet::{Item, Kind};
 use prost::Message;
-use snafu::Snafu;
 use std::sync::Arc;
 
-/// The longest frame that is taken. Danger: a peer that lies about a length must not make us keep memory for it.
-pub const MOST: usize = 8 * 1024 * 1024;
+pub use crate::frame::{pack, Assembler};
+
 /// Items go in messages of about so many bytes, so that no one message holds a connection for long.
 const BATCH: usize = 256 * 1024;
 
-#[derive(Debug, Snafu, PartialEq, Eq)]
-pub enum Error {
-    #[snafu(display("a frame of {length} bytes, over the {MOST} that are taken"))]
-    TooLong { length: usize },
-    #[snafu(display("a frame that is no message: {cause}"))]
-    Garbled { cause: String },
-}
-
 #[derive(Clone, PartialEq, Message)]
 pub struct Parcel {
     #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
@@ -325,18 +316,11 @@
     pub control_districts: Vec<String>,
 }
 
-/// Appends a word with its frame.
-pub fn pack(word: Word, into: &mut Vec<u8>) {
-    let parcel = Parcel { word: Some(word) };
-    into.extend_from_slice(&(parcel.encoded_len() as u32).to_be_bytes());
-    parcel.encode_raw(into);
-}
-
 /// Appends items in as many words as they need.
 pub fn pack_items<'a>(items: impl Iterator<Item = &'a Item>, into: &mut Vec<u8>) {
     let (mut batch, mut size) = (Vec::new(), 0);
     for item in items {
-        size += item.name.len() + item.value.as_ref().map_or(0, |value| value.len()) + 16;
+        size += item.bytes();
         batch.push(ItemWord::from(item));
         if size > BATCH {
             pack(Word::Items(Items { items: std::mem::take(&mut batch) }), into);
@@ -347,50 +331,3 @@
         pack(Word::Items(Items { items: batch }), into);
     }
 }
-
-/// Takes the next whole word off the input's front, from `at` on, which is moved. A word of a kind that this
-/// version does not know is passed over.
-pub fn unpack(input: &[u8], at: &mut usize) -> Result<Option<Word>, Error> {
-    loop {
-        let rest = &input[*at..];
-        let Some(length) = rest.first_chunk::<4>() else { return Ok(None) };
-        let length = u32::from_be_bytes(*length) as usize;
-        if length > MOST {
-            return Err(Error::TooLong { length });
-        }
-        let Some(frame) = rest.get(4..4 + length) else { return Ok(None) };
-        *at += 4 + length;
-        let parcel = Parcel::decode(frame).map_err(|e| Error::Garbled { cause: e.to_string() })?;
-        if let Some(word) = parcel.word {
-            return Ok(Some(word));
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn words_are_the_same_wherever_they_are_cut_and_lies_are_refused() {
-        let add = Add { tenant: "a".into(), offered: 7, sent: 3, ..Add::default() };
-        let words = [
-            Word::Hello(Hello { station: "one".into(), life: 7, ..Hello::default() }),
-            Word::Adds(Adds { ticket: 3, station: "one".into(), adds: vec![add], life: 9, asks: false }),
-            Word::Beat(Beat { digest: 5, ready: true, ..Beat::default() }),
-        ];
-        let mut bytes = Vec::new();
-        words.iter().for_each(|word| pack(word.clone(), &mut bytes));
-        for cut in 0..=bytes.len() {
-            let (mut at, mut seen) = (0, Vec::new());
-            for input in [&bytes[..cut], &bytes] {
-                while let Some(word) = unpack(input, &mut at).unwrap() {
-                    seen.push(word);
-                }
-            }
-            assert_eq!(seen, words);
-        }
-        assert_eq!(unpack(&[255; 8], &mut 0), Err(Error::TooLong { length: u32::MAX as usize }));
-        assert!(matches!(unpack(&[0, 0, 0, 2, 255, 255], &mut 0), Err(Error::Garbled { .. })));
-    }
-}
--- /dev/null
+++ b/crates/bond/tests/frames.rs
@@ -0,0 +1,84 @@
+//! Words as they go over a connection: whole and in pieces, wherever they are cut, and lies about them.
+
+use kitepass_bond::frame::{pack, Assembler, Error, MOST_FRAME, MOST_WORD};
+use kitepass_bond::words::{Add, Adds, Beat, Hello, ItemWord, Store, Word};
+use rstest::rstest;
+
+fn long(bytes: usize) -> Word {
+    let value = Some(vec![7; bytes].into());
+    let item = ItemWord { kind: 1, name: "n".into(), edition: 1, value };
+    Word::Store(Store { ticket: 3, items: vec![item] })
+}
+
+fn packed(words: &[Word]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    words.iter().for_each(|word| pack(word.clone(), &mut bytes));
+    bytes
+}
+
+fn read(assembler: &mut Assembler, input: &[u8], at: &mut usize) -> Vec<Word> {
+    std::iter::from_fn(|| assembler.next(input, at).unwrap()).collect()
+}
+
+#[test]
+fn words_are_the_same_wherever_they_are_cut() {
+    let add = Add { tenant: "a".into(), offered: 7, sent: 3, ..Add::default() };
+    let words = [
+        Word::Hello(Hello { station: "one".into(), life: 7, ..Hello::default() }),
+        Word::Adds(Adds { ticket: 3, station: "one".into(), adds: vec![add], life: 9, asks: false }),
+        Word::Beat(Beat { digest: 5, ready: true, ..Beat::default() }),
+    ];
+    let bytes = packed(&words);
+    for cut in 0..=bytes.len() {
+        let (mut assembler, mut at) = (Assembler::default(), 0);
+        let mut seen = read(&mut assembler, &bytes[..cut], &mut at);
+        seen.extend(read(&mut assembler, &bytes, &mut at));
+        assert_eq!(seen, words);
+    }
+}
+
+#[test]
+fn long_words_go_in_pieces_and_others_may_overtake_them() {
+    let words = [long(MOST_FRAME - 40), long(3 * MOST_FRAME + 9), long(16 << 20)];
+    let bytes = packed(&words);
+    // In odd slices, as a socket gives them.
+    let (mut assembler, mut input, mut seen, mut most) = (Assembler::default(), Vec::new(), Vec::new(), 0);
+    for slice in bytes.chunks(100_003) {
+        input.extend_from_slice(slice);
+        let mut at = 0;
+        seen.extend(read(&mut assembler, &input, &mut at));
+        input.drain(..at);
+        assert!(input.len() < MOST_FRAME + 4);
+        most = most.max(assembler.kept());
+    }
+    assert!(seen == words && assembler.kept() == 0 && most > 15 << 20);
+    // A beat between two pieces comes first.
+    let beat = Word::Beat(Beat { digest: 5, ..Beat::default() });
+    let mut mixed = packed(&words[1..2]);
+    mixed.splice(MOST_FRAME + 4..MOST_FRAME + 4, packed(std::slice::from_ref(&beat)));
+    let seen = read(&mut Assembler::default(), &mixed, &mut 0);
+    assert!(seen == [beat, words[1].clone()]);
+}
+
+#[rstest]
+#[case::length(&[0, 255, 255, 255], Error::LongFrame { length: 0xff_ffff })]
+#[case::both_marks(&[0xc0, 0, 0, 1, 0], Error::Stray)]
+#[case::an_end_alone(&[0x40, 0, 0, 1, 0], Error::Stray)]
+#[case::nothing_for_ever(&[0x80, 0, 0, 0, 0x80, 0, 0, 0], Error::Stray)]
+fn lies_are_refused(#[case] bytes: &[u8], #[case] error: Error) {
+    assert_eq!(Assembler::default().next(bytes, &mut 0), Err(error));
+}
+
+#[test]
+fn what_is_no_message_or_never_ends_is_refused() {
+    let mut at = 0;
+    let garbled = Assembler::default().next(&[0, 0, 0, 2, 255, 255], &mut at);
+    assert!(matches!(garbled, Err(Error::Garbled { .. })));
+    let mut frame = (MOST_FRAME as u32 | 1 << 31).to_be_bytes().to_vec();
+    frame.resize(4 + MOST_FRAME, 0);
+    let mut assembler = Assembler::default();
+    for _ in 0..MOST_WORD / MOST_FRAME {
+        assert_eq!(assembler.next(&frame, &mut 0), Ok(None));
+    }
+    assert_eq!(assembler.next(&frame, &mut 0), Err(Error::LongWord));
+}
--- a/crates/course/examples/tables.rs
+++ b/crates/course/examples/tables.rs
@@ -78,8 +78,8 @@
 }
 
 fn hear(link: &mut Link, now: Moment, frame: &[u8]) -> Brought {
-    let (mut at, mut brought) = (0, Brought::default());
-    while let Some(word) = unpack(frame, &mut at).expect("packed here") {
+    let (mut at, mut brought, mut assembler) = (0, Brought::default(), Assembler::default());
+    while let Some(word) = assembler.next(frame, &mut at).expect("packed here") {
         link.said(now, word, &mut brought);
     }
     brought
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -199,6 +199,12 @@
         false
     }
 
+    /// Bytes have come that are no whole word yet. Danger: over a slow line one of many MiB takes longer than a silence
+    /// is borne.
+    pub fn alive(&mut self, now: Moment) {
+        self.heard = now;
+    }
+
     pub fn said(&mut self, now: Moment, word: Word, brought: &mut Brought) {
         self.heard = now;
         match word {
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -7,6 +7,7 @@
 use crate::quota::{Quota, Verdict as Draw, PERIOD};
 use kitepass::{Moment, Span};
 use kitepass_bond::count::{Slack, Terms};
+use kitepass_bond::frame::{Assembler, MOST_FRAME};
 use kitepass_bond::words::{self, Add, Adds, Hello, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_strand::flow::{Body, Framing, Head, HeadReader};
@@ -115,6 +116,7 @@
 struct Session {
     id: u64,
     wire: Wire,
+    assembler: Assembler,
 }
 
 pub struct Server {
@@ -352,7 +354,9 @@
             self.next += 1;
             let opened = address.and_then(|to| Wire::open(&self.poll, &to, id, PATIENCE).ok());
             match opened {
-                Some(wire) => self.session = Some(Session { id, wire }),
+                Some(wire) => {
+                    self.session = Some(Session { id, wire, assembler: Assembler::default() });
+                }
                 None => self.link.lost("no-way"),
             }
         }
@@ -463,17 +467,27 @@
         let now = self.clock.now();
         let Some(session) = &mut self.session else { return };
         let mut brought = Brought::default();
-        let read = ready.map_or(Ok(()), |ready| session.wire.note(ready));
-        let read = read.and_then(|()| session.wire.fill(&mut self.piece, words::MOST + 4));
-        let mut at = 0;
-        let garbled = loop {
-            match words::unpack(&session.wire.input, &mut at) {
-                Ok(None) => break false,
-                Err(_) => break true,
-                Ok(Some(word)) => self.link.said(now, word, &mut brought),
+        let mut read = ready.map_or(Ok(()), |ready| session.wire.note(ready)).map(|()| false);
+        let mut garbled = false;
+        // What is left in the socket by a fill that stopped at its bound is told of by no further edge.
+        while let Ok(false) = read {
+            read = session.wire.fill(&mut self.piece, MOST_FRAME + 4);
+            if !session.wire.input.is_empty() {
+                self.link.alive(now);
             }
-        };
-        session.wire.input.drain(..at);
+            let mut at = 0;
+            garbled = loop {
+                match session.assembler.next(&session.wire.input, &mut at) {
+                    Ok(None) => break false,
+                    Err(_) => break true,
+                    Ok(Some(word)) => self.link.said(now, word, &mut brought),
+                }
+            };
+            session.wire.input.drain(..at);
+            if garbled || !session.wire.is_readable() {
+                break;
+            }
+        }
         for item in &brought.items {
             match item.kind {
                 Kind::Backend => self.pick.learn(now, item),
--- a/crates/course/tests/sockets/stand.rs
+++ b/crates/course/tests/sockets/stand.rs
@@ -412,11 +412,11 @@
 }
 
 fn serve(mut stream: TcpStream, desk: &Mutex<Desk>, beats: &Sender<Beat>) {
-    let (mut input, mut piece) = (Vec::new(), [0; 16 * 1024]);
+    let (mut input, mut piece, mut assembler) = (Vec::new(), [0; 16 * 1024], Assembler::default());
     while let Ok(length @ 1..) = stream.read(&mut piece) {
         input.extend_from_slice(&piece[..length]);
         let mut at = 0;
-        while let Some(word) = unpack(&input, &mut at).expect("a gateway's words") {
+        while let Some(word) = assembler.next(&input, &mut at).expect("a gateway's words") {
             if let Word::Beat(beat) = &word {
                 let _ = beats.send(beat.clone());
             }
--- a/crates/strand/src/wire.rs
+++ b/crates/strand/src/wire.rs
@@ -94,6 +94,15 @@
         Ok(whole)
     }
 
+    /// Ends the sending; what the other side still says is read.
+    ///
+    /// # Errors
+    ///
+    /// The system's: the connection is lost.
+    pub fn end(&self) -> Result<()> {
+        rustix::net::shutdown(&self.socket, rustix::net::Shutdown::Write)
+    }
+
     /// Whether more may stand in the socket: a fill stopped at its bound, or none has been made since it told so.
     pub fn is_readable(&self) -> bool {
         self.made && self.readable
--- a/crates/tenet/src/item.rs
+++ b/crates/tenet/src/item.rs
@@ -47,6 +47,11 @@
 }
 
 impl Item {
+    /// About how many bytes it takes on the wire and on disk.
+    pub fn bytes(&self) -> usize {
+        self.name.len() + self.value.as_ref().map_or(0, |value| value.len()) + 16
+    }
+
     /// Whether the item is set, not dropped.
     pub fn stands(&self) -> bool {
         self.value.is_some()
