--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! | module | what it holds |
 //! | --- | --- |
-//! | [`words`] | the messages, and how they are framed on a connection |
+//! | [`words`] | the messages |
+//! | [`frame`] | how they go over a connection, long ones in pieces |
 //! | [`cast`] | who the core is, and how many copies make a write safe and a reading whole |
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
 //! | [`register`] | one number, one content: the ballots by which a change is decided |
@@ -12,6 +13,7 @@
 
 pub mod cast;
 pub mod count;
+pub mod frame;
 pub mod lease;
 pub mod register;
 pub mod session;
