--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -1,15 +1,28 @@
 //! Catching up with the core: what others hold is asked for, taken in and kept; the first cast is made.
 
 use super::*;
+use kitepass_tenet::{Merged, Version};
 
 impl Core {
-    /// Takes items in; those that are news go to all sessions, and to disk. True if any was.
-    pub(super) fn take(&mut self, items: Vec<Item>) -> bool {
-        let news: Vec<Item> = items.into_iter().filter(|item| self.ledger.merge(item.clone())).collect();
-        if news.is_empty() {
+    /// Takes decided items in, with their older versions; those that are news go to all sessions, and to disk. True if any
+    /// was.
+    pub(super) fn take(&mut self, items: Vec<(Item, Vec<Version>)>) -> bool {
+        let (mut news, mut changed) = (Vec::new(), Vec::new());
+        for (item, past) in items {
+            match self.ledger.merge_with(item.clone(), &past) {
+                Merged::Nothing => continue,
+                Merged::Past => {}
+                Merged::News => news.push(item.clone()),
+            }
+            changed.push(item);
+        }
+        if changed.is_empty() {
             return false;
         }
-        self.keep(&news, Kept::Nothing);
+        let entries = changed.iter().filter_map(|item| self.ledger.entry(item.kind, &item.name));
+        let mut records: Vec<(Vec<u8>, Vec<u8>)> = entries.map(kitepass_tenet::record).collect();
+        records.extend(self.acceptor.settle(&self.ledger, &changed));
+        self.keep_records(records, Kept::Nothing);
         self.spread(&news);
         self.founded();
         true
@@ -33,38 +46,57 @@
         self.maiden &= self.cast().is_none();
     }
 
-    /// Keeps another process' write. It counts as a copy only once it is on disk, and only if this folder is full.
-    pub(super) fn copy(&mut self, peer: &str, store: Store) {
-        let items: Vec<Item> = store.items.into_iter().filter_map(ItemWord::item).collect();
-        let news: Vec<Item> =
-            items.iter().filter(|item| self.ledger.merge((*item).clone())).cloned().collect();
-        let known = items.iter().filter_map(|item| self.ledger.get(item.kind, &item.name)).cloned();
-        let known: Vec<Item> = known.collect();
-        self.keep(&known, Kept::Copy { peer: peer.to_owned(), ticket: store.ticket, life: store.life });
-        self.spread(&news);
-        self.founded();
-    }
-
-    pub(super) fn held(&mut self, now: Moment, name: &str, held: Held) {
-        self.take(held.items.into_iter().filter_map(ItemWord::item).collect());
+    pub(super) fn held(&mut self, now: Moment, name: &str, mut held: Held) {
+        let items = std::mem::take(&mut held.items);
+        self.take(items.into_iter().filter_map(ItemWord::entry).collect());
         // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a reading
         // that was never made.
-        if !held.full || !held.founded || held.life != self.life {
+        if held.life != self.life {
             return;
         }
-        if held.ticket == self.inquiry {
-            self.caught.insert(name.to_owned());
-            self.catch_up();
-        } else if let Some(work) = self.work.get_mut(&held.ticket) {
-            if let Step::Reading(heard) = &mut work.step {
-                heard.insert(name.to_owned());
-                self.proceed(now, held.ticket);
-            }
+        if self.pulled(now, held.ticket, &held) || !held.full || !held.founded {
+            return;
+        }
+        if held.ticket != self.inquiry {
+            return self.read_of(now, name, held);
         }
+        if held.refused {
+            self.inquired = Moment::default(); // of a newer era, that has come with the answer
+            return;
+        }
+        self.caught.insert(name.to_owned());
+        self.catch_up(now);
+    }
+
+    /// A copy that another asks for waits until this process holds all that the other does.
+    pub(super) fn pull(&mut self, station: &str, store: Store) {
+        let ticket = self.ticket();
+        let inquire = Inquire {
+            ticket,
+            hashes: self.ledger.whole_buckets().to_vec(),
+            life: self.life,
+            era: store.era,
+            ..Inquire::default()
+        };
+        self.pulls.insert(station.to_owned(), (ticket, store));
+        self.send(station, Word::Inquire(inquire));
+    }
+
+    /// What such a copy waited for has come.
+    fn pulled(&mut self, now: Moment, ticket: u64, held: &Held) -> bool {
+        let of = |(_, (asked, _)): &(&String, &(u64, Store))| *asked == ticket;
+        let Some(station) = self.pulls.iter().find(of).map(|(station, _)| station.clone()) else {
+            return false;
+        };
+        let Some((_, store)) = self.pulls.remove(&station) else { return false };
+        if !held.refused {
+            self.copy(now, &station, Store { whole: Vec::new(), ..store });
+        }
+        true
     }
 
     /// Whether enough of the core has been heard since the start.
-    pub(super) fn catch_up(&mut self) {
+    pub(super) fn catch_up(&mut self, now: Moment) {
         let mut heard = self.caught.clone();
         if self.full {
             heard.insert(self.name.clone());
@@ -75,6 +107,7 @@
         }
         if self.full {
             self.shift(Standing::Current);
+            self.watch_all(now);
         } else if !self.keeping.values().any(|kept| matches!(kept, Kept::Full)) {
             // Danger: one with an empty folder would pass for a copy of what it never held. It is full only once
             // all that others hold is on its disk, in order before this record.
@@ -86,7 +119,13 @@
         // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Apart from
         // the core that is not so: what it heard then may be old by now.
         self.inquiry = self.ticket();
-        let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec(), life: self.life };
+        let word = Inquire {
+            ticket: self.inquiry,
+            hashes: self.ledger.whole_buckets().to_vec(),
+            life: self.life,
+            era: self.era_number(),
+            ..Inquire::default()
+        };
         self.send_all(&Word::Inquire(word));
     }
 
@@ -104,6 +143,6 @@
         info!("event=found seats={}", cast.seats.len());
         let item = cast.item(NOW);
         self.send_all(&Word::Items(Items { items: vec![(&item).into()] }));
-        self.take(vec![item]);
+        self.take(vec![(item, Vec::new())]);
     }
 }
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -113,9 +113,9 @@
 
     pub(super) fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
-        let duty = self.holds(now).unwrap_or(0);
+        let duty = self.acts(now).unwrap_or(0);
         let leaving = self.standing == Standing::Leaving;
-        let digest = self.ledger.digest();
+        let digest = self.ledger.whole_digest();
         let beat = Beat { digest, ready: false, current, full: self.full, duty, leaving };
         self.send_all(&Word::Beat(beat.clone()));
         let silent = |heard: Moment| now - heard > SILENT;
--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -50,13 +50,27 @@
         if self.claimant.heard(now, from, grant, era.number(), |votes| era.is_elected(votes)) {
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term} era={}", era.number());
-            self.roster.begin(term);
-            self.counts = Some((term, Counts::new(self.slack)));
             self.beat(now);
         }
     }
 
-    /// The term under which this process does the duty now.
+    /// It has read what a majority holds. Danger: one that acted as soon as the votes are in would go by what was in
+    /// force before its term.
+    pub(super) fn surveyed(&mut self, now: Moment) {
+        let Some(term) = self.holds(now).filter(|term| self.acting != Some(*term)) else { return };
+        info!("event=duty-acts term={term}");
+        self.acting = Some(term);
+        self.roster.begin(term);
+        self.counts = Some((term, Counts::new(self.slack)));
+        self.beat(now);
+    }
+
+    /// The term under which this process does the duty now, and has read a majority.
+    pub fn acts(&self, now: Moment) -> Option<u64> {
+        self.holds(now).filter(|term| self.acting == Some(*term))
+    }
+
+    /// The term under which this process holds the duty's lease now.
     pub fn holds(&self, now: Moment) -> Option<u64> {
         self.claimant.holds(now)
     }
@@ -70,20 +84,20 @@
 
     /// A whole reading of the platform's list.
     pub fn list_read(&mut self, now: Moment, entries: Vec<crate::roster::Entry>) {
-        if self.holds(now).is_none() {
+        if self.acts(now).is_none() {
             return;
         }
         let news = self.roster.read(now, entries, &self.ledger);
         if !news.is_empty() {
             debug!("event=list news={}", news.len());
             let items = news.iter().map(ItemWord::from).collect();
-            self.take(news);
+            self.take(news.into_iter().map(|item| (item, Vec::new())).collect());
             self.send_all(&Word::Items(Items { items }));
         }
     }
 
     pub(super) fn add(&mut self, now: Moment, adds: &Adds) -> Option<Totals> {
-        self.holds(now)?;
+        self.acts(now)?;
         let (terms, live) = (&self.terms, &self.live);
         let (_, counts) = self.counts.as_mut()?;
         Some(counts.add(now, adds, live, |tenant| terms.get(tenant).copied()))
@@ -115,10 +129,12 @@
             warn!("event=duty-lost");
         }
         if holds.is_none() {
-            self.counts = None;
-            return;
+            (self.acting, self.counts) = (None, None);
+        } else if self.acts(now).is_some() {
+            self.recast(now);
+        } else if !self.work.values().any(|work| work.order == Order::Survey) {
+            self.begin(now, None, Order::Survey);
         }
-        self.recast(now);
     }
 
     /// What it sees of the stations, for the next cast.
@@ -140,10 +156,13 @@
     /// Whoever does the duty brings in what follows from what it sees: newcomers come, and seats go that are
     /// superseded, leave, or were replaced in their silence.
     pub(super) fn recast(&mut self, now: Moment) {
-        let busy = self.work.values().any(|work| matches!(work.order, Order::Next(_) | Order::Now(_)));
+        let busy = self
+            .work
+            .values()
+            .any(|work| matches!(work.order, Order::Next(_) | Order::Fill(_) | Order::Now(_)));
         let Some(era) = self.era().filter(|_| !busy) else { return };
         if let Some(next) = era.next {
-            return self.begin(now, None, Order::Next(next)); // an earlier one was cut short
+            return self.begin(now, None, Order::Fill(next)); // an earlier one was cut short
         }
         let sight = self.sight(now, &era.now);
         if let Some(next) = era.now.follow(&sight) {
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -15,13 +15,16 @@
 use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
+use kitepass_bond::register::{
+    Acceptor, Ballot, Bid, Call as Proposal, CallWord, Mark, Reserve, Restored, Seen,
+};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
 use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
-use log::{debug, info, warn};
-use record::{learn, record, record_vote, unrecord, unrecord_vote};
+use log::{debug, error, info, warn};
+use orders::{Watched, Work};
+use record::{learn, record_vote, unrecord_vote};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 /// Time between two signs of life to each other control process and each session.
 const BEAT: Span = Span::from_micros(500_000);
@@ -101,31 +104,18 @@
     differs: u32,
 }
 
-/// How far an order has come, by names of seats. [`Core::step`] alone changes it.
-#[derive(Debug)]
-enum Step {
-    /// Hearing what the others hold.
-    Reading(BTreeSet<String>),
-    /// Waiting for copies on disk.
-    Storing(BTreeSet<String>),
-}
-
-struct Work {
-    /// Who waits for the answer, if anybody.
-    caller: Option<u64>,
-    order: Order,
-    step: Step,
-    since: Moment,
-}
-
 enum Kept {
-    /// This process' own copy for an order.
-    Order(u64),
-    /// A copy for another process' order.
+    /// What was accepted for an order of a station, and what it is told then.
     Copy {
-        peer: String,
-        ticket: u64,
-        life: u64,
+        station: String,
+        stored: Stored,
+        reserve: Option<Reserve>,
+    },
+    /// A floor that covers what was promised to a station.
+    Promise {
+        station: String,
+        held: Held,
+        reserve: Reserve,
     },
     /// A vote that may be told.
     Vote {
@@ -172,12 +162,24 @@
     /// It did the duty when that was looked at last.
     held: bool,
     claimant: Claimant,
+    /// The term under which it has read what a majority holds, and acts.
+    acting: Option<u64>,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
     terms: BTreeMap<String, Terms>,
     slack: Slack,
     roster: Roster,
+    /// What this seat has promised and accepted.
+    acceptor: Acceptor,
+    /// The highest ballot heard of.
+    highest: Ballot,
     work: BTreeMap<u64, Work>,
+    /// Calls that are accepted somewhere and not known to be settled.
+    watch: BTreeMap<Mark, Watched>,
+    /// Calls that are denied, and under which ballot.
+    denied: BTreeMap<Mark, Ballot>,
+    /// By station, copies that wait for what this process lacks, asked for under a ticket.
+    pulls: BTreeMap<String, (u64, Store)>,
     keeping: BTreeMap<u64, Kept>,
     ticket: u64,
     beat: Moment,
@@ -205,6 +207,7 @@
     pub fn new(now: Moment, start: Start) -> Core {
         let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
         let (mut recorded, mut me, mut empty) = (Vote::default(), start.me, true);
+        let (mut acceptor, mut garbled) = (Acceptor::new(), Vec::new());
         me.folder = 0;
         for (key, value) in &start.records {
             empty &= key == FOLDER;
@@ -217,12 +220,19 @@
             } else if key == LIVE {
                 let stations = String::from_utf8_lossy(value);
                 stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
-            } else if let Some(item) = unrecord(key, value) {
-                ledger.merge(item);
+            } else if let Some((item, past)) = kitepass_tenet::unrecord(key, value) {
+                ledger.merge_with(item, &past);
+            } else if acceptor.restore(key, value) == Restored::Garbled {
+                // Danger: what it accepted may have been chosen by it. It is as good as lost, and comes anew.
+                error!("event=record-garbled key={:?}", String::from_utf8_lossy(key));
+                garbled.push((key.clone(), Vec::new()));
             }
         }
+        let is_garbled = !garbled.is_empty();
+        garbled.extend(acceptor.settle_all(&ledger));
         // The folder of a version that had no numbers stays the seat that it was.
-        let drawn = start.records.is_empty().then(|| start.life.max(1));
+        let drawn = (start.records.is_empty() || is_garbled).then(|| start.life.max(1));
+        full &= !is_garbled;
         me.folder = drawn.unwrap_or(me.folder);
         let mut terms = BTreeMap::new();
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
@@ -259,11 +269,17 @@
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
             claimant: Claimant::new(DUTY, start.life),
+            acting: None,
             counts: None,
             terms,
             slack: start.slack,
             roster: Roster::default(),
+            acceptor,
+            highest: Ballot::default(),
             work: BTreeMap::new(),
+            watch: BTreeMap::new(),
+            denied: BTreeMap::new(),
+            pulls: BTreeMap::new(),
             keeping: BTreeMap::new(),
             ticket: 0,
             beat: now,
@@ -274,6 +290,9 @@
             // First of all records, so that whatever else is on disk is on disk under this number.
             core.keep_records(vec![(FOLDER.to_vec(), folder.to_be_bytes().to_vec())], Kept::Nothing);
         }
+        if !garbled.is_empty() {
+            core.keep_records(garbled, Kept::Nothing);
+        }
         core
     }
 
@@ -317,11 +336,6 @@
         self.ticket
     }
 
-    fn keep(&mut self, items: &[Item], why: Kept) {
-        let records = items.iter().map(record).collect();
-        self.keep_records(records, why);
-    }
-
     fn keep_records(&mut self, records: Vec<(Vec<u8>, Vec<u8>)>, why: Kept) {
         let ticket = self.ticket();
         self.keeping.insert(ticket, why);
@@ -347,35 +361,29 @@
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
                 (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
-                peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
+                peer.differs = if beat.digest == self.ledger.whole_digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.send(station, Word::Buckets(self.buckets(true)));
+                    let hashes = self.ledger.whole_buckets().to_vec();
+                    self.send(station, Word::Buckets(Buckets { hashes, back: true }));
                 }
             }
             Word::Live(live) => return live.controls,
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
             }
             Word::Buckets(buckets) => {
                 let items: Vec<ItemWord> =
-                    self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
+                    self.ledger.whole_differing(&buckets.hashes).map(ItemWord::from).collect();
                 self.send(station, Word::Items(Items { items }));
             }
-            Word::Store(store) => self.copy(station, store),
+            Word::Store(store) => self.copy(now, station, store),
+            Word::Decided(decided) => self.decided(&decided),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
-            Word::Stored(stored) if stored.full && stored.life == self.life => {
-                self.stored(now, stored.ticket, &name)
-            }
-            Word::Inquire(inquire) => {
-                let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
-                let founded = self.cast().is_some();
-                let (ticket, life) = (inquire.ticket, inquire.life);
-                let held = Held { ticket, items, full: self.full, founded, life };
-                self.send(station, Word::Held(held));
-            }
+            Word::Stored(stored) if stored.life == self.life => self.stored(now, &name, stored),
+            Word::Inquire(inquire) => self.inquired(now, station, &inquire),
             Word::Held(held) => self.held(now, &name, held),
             Word::Claim(claim) => self.vote(now, station, &name, &claim),
             Word::Grant(grant) => self.granted(now, &name, &grant),
@@ -390,6 +398,7 @@
             Word::Totals(totals) => self.totals(totals),
             _ => {}
         }
+        self.pursue(now);
         Vec::new()
     }
 
@@ -414,6 +423,8 @@
             _ => {}
         }
         self.claim(now);
+        self.settle(now);
+        self.pursue(now);
         let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
         let is_late = |work: &Work| now - work.since > patience(&work.order);
         let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -1,6 +1,60 @@
-//! Orders: each is read for, judged, kept by enough of the core, and answered.
+//! Orders: each is read for, judged, decided in the register, and answered.
+//!
+//! A change is a call: all its items, taken whole or not at all. Whoever runs one has a reading's quorum promise a ballot
+//! for its keys, and hears which calls were accepted for them; then enough seats accept the call under that ballot. Only
+//! then it is decided, and only what is decided is in the ledger, is read back, and goes to gateways.
 
 use super::*;
+use kitepass_bond::register::{hear, is_done, standing, taken, Refused, Standing as Found};
+
+/// So long a call that was accepted and not heard of again is left to whoever proposed it, and a drawn time more. Danger:
+/// two that push one call together take each other's promises away.
+const LEFT: Span = Span::from_micros(250_000);
+/// And so long until another try, after one that came to nothing.
+const RETRY: Span = Span::from_micros(700_000);
+/// A pause before a further reading, at the least and the most. Danger: two that outbid each other at once never end.
+const PAUSE: std::ops::Range<u64> = 20_000..150_000;
+/// Calls that are watched until they are settled, and denials that are remembered.
+const MOST_WATCHED: usize = 1_024;
+/// Calls of others that are begun to be settled at one tick.
+const MOST_SETTLED: usize = 8;
+
+/// How far an order has come, by names of seats. [`Core::step`] alone changes it.
+#[derive(Debug)]
+pub(super) enum Step {
+    /// Hearing what the others hold, and having them promise.
+    Reading(BTreeSet<String>),
+    /// Another reading begins then.
+    Paused(Moment),
+    /// Calls that may be decided already have to be settled first.
+    Behind(BTreeSet<Mark>),
+    /// Waiting for copies on disk.
+    Storing(BTreeSet<String>),
+    /// The denial is on its way to enough disks; then this is answered.
+    Denying(BTreeSet<String>, Reply),
+}
+
+pub(super) struct Work {
+    /// Who waits for the answer, if anybody.
+    pub(super) caller: Option<u64>,
+    pub(super) order: Order,
+    /// What is proposed; none for a reading alone.
+    call: Option<Proposal>,
+    /// The ballot of this attempt, and the ticket that its answers repeat.
+    ballot: Ballot,
+    attempt: u64,
+    /// Accepted calls that readings told of.
+    seen: Seen,
+    step: Step,
+    pub(super) since: Moment,
+}
+
+/// A call that somebody has accepted, and that is not known to be settled.
+pub(super) struct Watched {
+    call: Proposal,
+    /// From then on this process settles it.
+    due: Moment,
+}
 
 impl Core {
     /// A call of an operator; it is answered under its number.
@@ -20,14 +74,22 @@
 
     pub(super) fn begin(&mut self, now: Moment, caller: Option<u64>, order: Order) {
         let id = self.ticket();
-        let step = Step::Reading(self.full.then(|| self.name.clone()).into_iter().collect());
-        self.work.insert(id, Work { caller, order, step, since: now });
-        let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec(), life: self.life };
-        self.send_all(&Word::Inquire(word));
-        self.proceed(now, id);
+        let call = match &order {
+            Order::Patch(items) => Some(Proposal::new(items.clone())),
+            Order::Settle(call) => Some(call.clone()),
+            Order::Next(cast) => Some(Proposal::new(vec![cast.item(NEXT)])),
+            Order::Now(cast) => Some(Proposal::new(vec![cast.item(NOW)])),
+            // It is worked out anew for each reading.
+            Order::Evacuate { .. } => None,
+            Order::Get | Order::Survey | Order::Fill(_) => None,
+        };
+        let step = Step::Paused(now);
+        let (ballot, seen) = (Ballot::default(), Seen::new());
+        self.work.insert(id, Work { caller, order, call, ballot, attempt: 0, seen, step, since: now });
+        self.read(now, id);
     }
 
-    pub(super) fn step(&mut self, id: u64, to: Step) {
+    fn step(&mut self, id: u64, to: Step) {
         if let Some(work) = self.work.get_mut(&id) {
             work.step = to;
         }
@@ -40,89 +102,463 @@
         }
     }
 
+    /// Beyond any change: decided, or never to be.
+    fn is_settled(&self, call: &Proposal) -> bool {
+        is_done(call, &self.ledger) || taken(call, &self.ledger).is_some()
+    }
+
+    /// A coming cast that was accepted here, may be decided, and is not known to be.
+    pub(super) fn undecided_cast(&self) -> Option<(Ballot, Proposal)> {
+        let now = self.cast()?;
+        let next = |item: &Item| item.kind == Kind::Cast && &*item.name == NEXT && item.edition > now.edition;
+        let mut open = self.acceptor.pending().filter(|(_, call)| call.items().iter().any(next));
+        open.find(|(_, call)| !self.is_settled(call)).map(|(ballot, call)| (ballot, call.clone()))
+    }
+
+    /// Whether what counts by this era, about these keys, is to be refused here. Danger: whoever knows of an older cast
+    /// alone would meet no majority of the newer one. A cast that was accepted here and may be decided fences off all
+    /// else than its own settling.
+    fn is_fenced(&self, era: u64, keys: &[u64]) -> bool {
+        era < self.era_number()
+            || self
+                .undecided_cast()
+                .is_some_and(|(_, cast)| !cast.keys().iter().any(|key| keys.contains(key)))
+    }
+
+    pub(super) fn era_number(&self) -> u64 {
+        self.era().map_or(0, |era| era.number())
+    }
+
+    /// Begins a reading, or a further one.
+    fn read(&mut self, now: Moment, id: u64) {
+        let Some(work) = self.work.get(&id) else { return };
+        let keys = work.call.as_ref().map(|call| call.keys().to_vec()).unwrap_or_default();
+        // What may be the coming cast is settled first: nothing else counts before.
+        let fence = self.undecided_cast().filter(|(_, cast)| !cast.keys().iter().any(|k| keys.contains(k)));
+        if let Some((_, cast)) = fence {
+            self.watch(now, &cast);
+            return self.step(id, Step::Behind([cast.mark()].into()));
+        }
+        let evacuation = match &work.order {
+            Order::Evacuate { zone, on } => Some(Proposal::new(vec![self.evacuation(zone, *on)])),
+            _ => None,
+        };
+        let era = self.era_number();
+        let attempt = self.ticket();
+        let ballot = Ballot::above(self.highest, era, self.life);
+        self.highest = self.highest.max(ballot);
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.call = evacuation.or(work.call.take());
+        (work.attempt, work.ballot) = (attempt, ballot);
+        work.step = Step::Reading(BTreeSet::new());
+        let keys = work.call.as_ref().map(|call| call.keys().to_vec()).unwrap_or_default();
+        let inquire = Inquire {
+            ticket: attempt,
+            hashes: self.ledger.whole_buckets().to_vec(),
+            life: self.life,
+            era,
+            ballot: work.call.is_some().then_some(ballot),
+            all: work.call.is_none(),
+            keys,
+        };
+        self.send_all(&Word::Inquire(inquire.clone()));
+        let station = self.me.station.clone();
+        self.inquired(now, &station, &inquire);
+    }
+
+    /// The item that evacuates a zone or takes that back: one version above the one that stands.
+    fn evacuation(&self, zone: &str, on: bool) -> Item {
+        let known = self.ledger.get(Kind::Evacuation, zone);
+        let edition = known.map_or(0, |item| item.edition) + 1;
+        let value = on.then(|| Bytes::from_static(b"1"));
+        Item { kind: Kind::Evacuation, name: zone.into(), edition, value }
+    }
+
+    /// Somebody, this process too, asks what is held here, and maybe for a promise.
+    pub(super) fn inquired(&mut self, now: Moment, station: &str, inquire: &Inquire) {
+        let own = station == self.me.station;
+        let mut held = Held {
+            ticket: inquire.ticket,
+            life: inquire.life,
+            full: self.full,
+            founded: self.cast().is_some(),
+            ..Held::default()
+        };
+        if !own {
+            held.items = self.ledger.whole_differing(&inquire.hashes).map(ItemWord::from).collect();
+        }
+        let (mut calls, mut reserve) = (Vec::new(), None);
+        if held.founded && self.is_fenced(inquire.era, &inquire.keys) {
+            held.refused = true;
+            calls.extend(self.undecided_cast());
+        } else if let Some(ballot) = inquire.ballot {
+            self.highest = self.highest.max(ballot);
+            match self.acceptor.prepare(ballot, &inquire.keys) {
+                Ok(promise) => (calls, reserve) = (promise.calls, promise.reserve),
+                Err(higher) => (held.refused, held.ballot) = (true, Some(higher)),
+            }
+            let denials = self.acceptor.denials(&inquire.keys);
+            held.denied =
+                denials.map(|(m, ballot)| Denied { ballot, mark: Bytes::copy_from_slice(&m.0) }).collect();
+        } else if inquire.all {
+            calls = self.acceptor.pending().map(|(ballot, call)| (ballot, call.clone())).collect();
+            // Danger: what is accepted here under an earlier era after this answer would be decided and not read.
+            reserve = self.acceptor.fence(inquire.era);
+        }
+        held.calls = calls.iter().map(|(ballot, call)| CallWord::new(*ballot, call)).collect();
+        match reserve {
+            // Danger: a promise that a restart forgets: it is told once the floor that covers it is on disk.
+            Some(reserve) => {
+                let kept = Kept::Promise { station: station.to_owned(), held, reserve };
+                self.keep_records(vec![reserve.record()], kept);
+            }
+            None => self.tell_held(now, station, held),
+        }
+    }
+
+    pub(super) fn tell_held(&mut self, now: Moment, station: &str, held: Held) {
+        if station == self.me.station {
+            let name = self.name.clone();
+            self.held(now, &name, held);
+        } else {
+            self.send(station, Word::Held(held));
+        }
+    }
+
+    /// What a seat, this one too, told for an order's reading.
+    pub(super) fn read_of(&mut self, now: Moment, name: &str, held: Held) {
+        let Some((&id, _)) = self.work.iter().find(|(_, work)| work.attempt == held.ticket) else { return };
+        let calls: Vec<(Ballot, Proposal)> = held.calls.into_iter().filter_map(CallWord::call).collect();
+        for (ballot, call) in &calls {
+            self.highest = self.highest.max(*ballot);
+            self.watch(now, call);
+        }
+        for Denied { ballot, mark } in held.denied {
+            if let Some(mark) = Mark::from_bytes(&mark) {
+                let known = self.denied.entry(mark).or_insert(ballot);
+                *known = ballot.max(*known);
+            }
+        }
+        let Some(work) = self.work.get_mut(&id) else { return };
+        hear(&mut work.seen, calls);
+        if held.refused {
+            self.highest = self.highest.max(held.ballot.unwrap_or_default());
+            return self.again(now, id);
+        }
+        if let Step::Reading(heard) = &mut work.step {
+            heard.insert(name.to_owned());
+            self.proceed(now, id);
+        }
+    }
+
+    /// After a drawn pause there is another reading.
+    fn again(&mut self, now: Moment, id: u64) {
+        let pause = Span::from_micros(self.chance.rand_range(PAUSE) as i64);
+        if let Some(Step::Reading(_) | Step::Storing(_) | Step::Denying(..)) =
+            self.work.get(&id).map(|w| &w.step)
+        {
+            self.step(id, Step::Paused(now + pause));
+        }
+    }
+
     pub(super) fn proceed(&mut self, now: Moment, id: u64) {
         let Some(work) = self.work.get(&id) else { return };
         match &work.step {
             Step::Reading(heard) if self.is_read(heard) => self.decide(now, id),
-            Step::Storing(copies) if self.is_safe(copies) => {
-                let order = work.order.clone();
-                self.end(id, Reply::Done);
-                if let Order::Next(cast) = order {
-                    // Both casts have it: from here on it is the one in force.
-                    self.begin(now, None, Order::Now(cast));
-                }
+            Step::Storing(copies) if self.is_safe(copies) && is_safe_in_its_cast(work, copies) => {
+                self.chosen(now, id);
+            }
+            Step::Denying(copies, reply) if self.is_safe(copies) => {
+                let reply = reply.clone();
+                self.end(id, reply);
             }
             _ => {}
         }
     }
 
-    /// All that was acknowledged anywhere is known here by now.
-    pub(super) fn decide(&mut self, now: Moment, id: u64) {
+    /// All that was decided anywhere before this reading is known here by now, or was told as accepted.
+    fn decide(&mut self, now: Moment, id: u64) {
+        let era = self.era_number();
         let Some(work) = self.work.get(&id) else { return };
-        let items = match &work.order {
-            Order::Get => {
-                let body = kitepass_tenet::read_back(&self.ledger);
-                return self.end(id, Reply::Body(body));
+        if work.ballot.era < era {
+            return self.read(now, id); // another cast has come meanwhile
+        }
+        let live = |(mark, (ballot, _)): &(&Mark, &(Ballot, Proposal))| {
+            self.denied.get(mark).is_none_or(|denied| denied < ballot)
+        };
+        let seen: Seen =
+            work.seen.iter().filter(live).map(|(mark, accepted)| (*mark, accepted.clone())).collect();
+        let Some(call) = work.call.clone() else {
+            let open = seen.values().filter(|(_, call)| !self.is_settled(call));
+            let open: BTreeSet<Mark> = open.map(|(_, call)| call.mark()).collect();
+            if open.is_empty() {
+                return self.read_out(now, id);
             }
-            Order::Patch(items) => {
-                if let Err(refusal) = kitepass_tenet::judge(&self.ledger, items) {
-                    info!("event=refused-call why={:?}", refusal.to_string());
-                    return self.end(id, Reply::Invalid(refusal.to_string()));
-                }
-                items.clone()
+            return self.step(id, Step::Behind(open));
+        };
+        if let Order::Evacuate { zone, on } = &work.order {
+            if self.ledger.get(Kind::Evacuation, zone).is_some_and(Item::stands) == *on {
+                return self.end(id, Reply::Done);
             }
-            Order::Evacuate { zone, on } => {
-                let known = self.ledger.get(Kind::Evacuation, zone);
-                let stands = known.is_some_and(|item| item.value.is_some());
-                let edition = known.map_or(0, |item| item.edition) + u64::from(stands != *on);
-                let value = on.then(|| Bytes::from_static(b"1"));
-                vec![Item { kind: Kind::Evacuation, name: zone.as_str().into(), edition, value }]
+            if call.items()[0].edition != self.evacuation(zone, *on).edition {
+                return self.read(now, id);
             }
-            Order::Next(cast) => vec![cast.item(NEXT)],
-            Order::Now(cast) => vec![cast.item(NOW)],
+        }
+        match standing(&call, &seen, &self.ledger) {
+            Found::Done => self.finished(now, id),
+            // Two that evacuate one zone draw the same version: the later one takes the next.
+            Found::Taken(_) if matches!(work.order, Order::Evacuate { .. }) => self.read(now, id),
+            Found::Taken(item) => {
+                let order = work.order.name();
+                info!(
+                    "event=conflict order={order} kind={:?} name={:?} version=r{}",
+                    item.kind, item.name, item.edition
+                );
+                self.watch.remove(&call.mark());
+                self.end(id, Reply::Conflict(conflict(&item)));
+            }
+            Found::Behind(mark) => self.step(id, Step::Behind([mark].into())),
+            Found::Again => self.propose(now, id, call),
+            Found::Free => match &work.order {
+                Order::Patch(items) => match kitepass_tenet::judge(&self.ledger, items) {
+                    Ok(()) => self.propose(now, id, call),
+                    Err(refusal) => self.deny(now, id, &call, refusal.to_string()),
+                },
+                // It is not decided, and whoever wants it will see to it.
+                Order::Settle(_) => {
+                    self.watch.remove(&call.mark());
+                    self.end(id, Reply::Done);
+                }
+                Order::Next(cast) if self.cast().is_none_or(|now| now.edition + 1 != cast.edition) => {
+                    self.end(id, Reply::Done);
+                }
+                _ => self.propose(now, id, call),
+            },
+        }
+    }
+
+    /// Asks all for copies of a call, or of its denial, under the ballot that was promised.
+    fn store(&mut self, now: Moment, id: u64, step: Step, store: Store) {
+        let Some(work) = self.work.get_mut(&id) else { return };
+        work.step = step;
+        let (ticket, ballot) = (work.attempt, Some(work.ballot));
+        let store = Store { ticket, life: self.life, era: work.ballot.era, ballot, ..store };
+        self.send_all(&Word::Store(store.clone()));
+        let station = self.me.station.clone();
+        self.copy(now, &station, store);
+    }
+
+    fn propose(&mut self, now: Moment, id: u64, call: Proposal) {
+        let Some(work) = self.work.get(&id) else { return };
+        info!("event=write order={} items={}", work.order.name(), call.items().len());
+        let puts_in_force = call.items().iter().any(|item| item.kind == Kind::Cast && &*item.name == NOW);
+        let whole = puts_in_force.then(|| self.ledger.whole_buckets().to_vec()).unwrap_or_default();
+        let again = matches!(work.order, Order::Settle(_));
+        let store = Store { items: call.words(), whole, again, ..Store::default() };
+        self.store(now, id, Step::Storing(BTreeSet::new()), store);
+    }
+
+    fn deny(&mut self, now: Moment, id: u64, call: &Proposal, why: String) {
+        info!("event=refused-call why={why:?}");
+        let denies = Bytes::copy_from_slice(&call.mark().0);
+        let store = Store { denies, keys: call.keys().to_vec(), ..Store::default() };
+        self.store(now, id, Step::Denying(BTreeSet::new(), Reply::Invalid(why)), store);
+    }
+
+    /// Accepts a call, or its denial, if nothing forbids it. It counts as a copy only once it is on disk, and only if this
+    /// folder is full.
+    pub(super) fn copy(&mut self, now: Moment, station: &str, store: Store) {
+        let Some(ballot) = store.ballot else { return };
+        self.highest = self.highest.max(ballot);
+        let (ticket, life) = (store.ticket, store.life);
+        let mut stored = Stored { ticket, life, under: Some(ballot), ..Stored::default() };
+        let call = if store.denies.is_empty() { Proposal::of_words(store.items.clone()) } else { None };
+        let keys = call.as_ref().map_or(&store.keys[..], |call| call.keys());
+        if self.is_fenced(store.era, keys) {
+            stored.refused = true;
+            return self.tell_stored(now, station, stored);
+        }
+        // Danger: a cast would be in force whose seats lack what the one before had decided. Who lacks some of what the
+        // writer holds asks for it first.
+        if store.whole.iter().zip(self.ledger.whole_buckets()).any(|(theirs, mine)| theirs != mine) {
+            return self.pull(station, store);
+        }
+        let accepted = match call {
+            Some(call) => {
+                self.watch(now, &call);
+                let bid = if store.again { Bid::Again } else { Bid::First };
+                self.acceptor.accept(ballot, call, bid, &self.ledger)
+            }
+            None => match Mark::from_bytes(&store.denies) {
+                Some(mark) => self.acceptor.deny(ballot, mark, &store.keys),
+                None => return, // of a kind that this version does not know
+            },
         };
-        let by_call = matches!(work.order, Order::Patch(_));
-        let mut news = Vec::new();
-        for item in &items {
-            // Of a call an equal version has no effect, even where it says something else.
-            let changed =
-                if by_call { self.ledger.take(item.clone()) } else { self.ledger.merge(item.clone()) };
-            if changed {
-                news.push(item.clone());
-            }
-        }
-        // What stands may be on few disks yet, if an earlier try of the same call was cut short: it is kept again.
-        let known = items.iter().filter_map(|item| self.ledger.get(item.kind, &item.name)).cloned();
-        let known: Vec<Item> = known.collect();
-        info!("event=write order={} items={} news={}", work.order.name(), known.len(), news.len());
-        self.step(id, Step::Storing(BTreeSet::new()));
-        self.keep(&known, Kept::Order(id));
-        let items = known.iter().map(ItemWord::from).collect();
-        self.send_all(&Word::Store(Store { ticket: id, items, life: self.life }));
-        self.spread(&news);
-        self.proceed(now, id);
-    }
-
-    pub(super) fn stored(&mut self, now: Moment, id: u64, name: &str) {
-        if let Some(Work { step: Step::Storing(copies), .. }) = self.work.get_mut(&id) {
+        match accepted {
+            Ok(accepted) => {
+                let kept = Kept::Copy { station: station.to_owned(), stored, reserve: accepted.reserve };
+                self.keep_records(accepted.records, kept);
+            }
+            Err(refused) => {
+                stored.refused = true;
+                stored.ballot = match refused {
+                    Refused::Promised { to } => Some(to),
+                    Refused::Taken { .. } | Refused::Full => None,
+                };
+                self.tell_stored(now, station, stored);
+            }
+        }
+    }
+
+    fn tell_stored(&mut self, now: Moment, station: &str, stored: Stored) {
+        if station == self.me.station {
+            let name = self.name.clone();
+            self.stored(now, &name, stored);
+        } else {
+            self.send(station, Word::Stored(stored));
+        }
+    }
+
+    pub(super) fn stored(&mut self, now: Moment, name: &str, stored: Stored) {
+        let asked = |work: &Work| work.attempt == stored.ticket && Some(work.ballot) == stored.under;
+        let Some((&id, _)) = self.work.iter().find(|(_, work)| asked(work)) else { return };
+        if stored.refused {
+            self.highest = self.highest.max(stored.ballot.unwrap_or_default());
+            return self.again(now, id);
+        }
+        // Danger: one whose folder is not full would pass for a copy of what it never held.
+        if !stored.full {
+            return;
+        }
+        let work = self.work.get_mut(&id).map(|work| &mut work.step);
+        if let Some(Step::Storing(copies) | Step::Denying(copies, _)) = work {
             copies.insert(name.to_owned());
             self.proceed(now, id);
         }
     }
 
+    /// Enough seats have it on disk under one ballot: it is decided.
+    fn chosen(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.work.get(&id).and_then(|work| work.call.clone()) else { return };
+        self.send_all(&Word::Decided(Decided { mark: Bytes::copy_from_slice(&call.mark().0) }));
+        self.take(call.items().iter().map(|item| (item.clone(), Vec::new())).collect());
+        self.finished(now, id);
+    }
+
+    /// All of an order's items are decided.
+    fn finished(&mut self, now: Moment, id: u64) {
+        let Some(work) = self.work.get(&id) else { return };
+        let order = work.order.clone();
+        self.end(id, Reply::Done);
+        match order {
+            // Both casts have it. All that was decided before is read under it, then it is put in force.
+            Order::Next(cast) => self.begin(now, None, Order::Fill(cast)),
+            Order::Now(cast) => info!("event=cast edition={} seats={}", cast.edition, cast.seats.len()),
+            _ => {}
+        }
+    }
+
+    /// A reading is whole, and all calls that it told of are settled.
+    fn read_out(&mut self, now: Moment, id: u64) {
+        match self.work.get(&id).map(|work| work.order.clone()) {
+            Some(Order::Get) => {
+                let body = kitepass_tenet::read_back(&self.ledger);
+                self.end(id, Reply::Body(body));
+            }
+            Some(Order::Survey) => {
+                self.end(id, Reply::Done);
+                self.surveyed(now);
+            }
+            Some(Order::Fill(cast)) => {
+                self.end(id, Reply::Done);
+                self.begin(now, None, Order::Now(cast));
+            }
+            _ => {}
+        }
+    }
+
+    /// Word that a call is decided, from whoever proposed it.
+    pub(super) fn decided(&mut self, decided: &Decided) {
+        let mark = Mark::from_bytes(&decided.mark);
+        let Some((_, call)) = mark.and_then(|mark| self.acceptor.get(mark)) else { return };
+        let items = call.items().iter().map(|item| (item.clone(), Vec::new())).collect();
+        self.take(items);
+    }
+
+    /// A call that was accepted somewhere is watched until it is settled. Danger: who proposed it may have died after it
+    /// was decided and confirmed, and nobody would bring it in force.
+    fn watch(&mut self, now: Moment, call: &Proposal) {
+        if self.is_settled(call) || self.watch.len() >= MOST_WATCHED {
+            return;
+        }
+        let due = now + LEFT + Span::from_micros(self.chance.rand_range(0..250_000) as i64);
+        self.watch.entry(call.mark()).or_insert_with(|| Watched { call: call.clone(), due });
+    }
+
+    /// What an earlier life accepted is watched, too.
+    pub(super) fn watch_all(&mut self, now: Moment) {
+        let calls: Vec<Proposal> = self.acceptor.pending().map(|(_, call)| call.clone()).collect();
+        calls.iter().for_each(|call| self.watch(now, call));
+    }
+
+    /// Takes up what waited. To be called after whatever may have changed that.
+    pub(super) fn pursue(&mut self, now: Moment) {
+        let ledger = &self.ledger;
+        self.watch.retain(|_, w| !is_done(&w.call, ledger) && taken(&w.call, ledger).is_none());
+        if self.denied.len() > MOST_WATCHED {
+            self.denied.clear(); // readings tell them again
+        }
+        let ready = |work: &Work| match &work.step {
+            Step::Paused(until) => *until <= now,
+            Step::Behind(marks) => !marks.iter().any(|mark| self.watch.contains_key(mark)),
+            _ => false,
+        };
+        let ready: Vec<u64> = self.work.iter().filter(|(_, w)| ready(w)).map(|(id, _)| *id).collect();
+        let era = self.era_number();
+        for id in ready {
+            let Some(work) = self.work.get(&id) else { continue };
+            // A reading alone, all of whose calls are settled, is whole: others that came meanwhile came after it.
+            let reads = work.call.is_none() && !matches!(work.order, Order::Evacuate { .. });
+            if reads && matches!(work.step, Step::Behind(_)) && work.ballot.era == era {
+                self.read_out(now, id);
+            } else {
+                self.read(now, id);
+            }
+        }
+    }
+
+    /// Begins to settle what is due; to be called at each tick.
+    pub(super) fn settle(&mut self, now: Moment) {
+        if self.standing != Standing::Current {
+            return;
+        }
+        let busy: BTreeSet<Mark> = self.work.values().filter_map(|w| Some(w.call.as_ref()?.mark())).collect();
+        let mut calls = Vec::new();
+        for (mark, watched) in &mut self.watch {
+            if watched.due <= now && !busy.contains(mark) && calls.len() < MOST_SETTLED {
+                watched.due = now + RETRY + Span::from_micros(self.chance.rand_range(0..700_000) as i64);
+                calls.push(watched.call.clone());
+            }
+        }
+        for call in calls {
+            debug!("event=settle items={}", call.items().len());
+            self.begin(now, None, Order::Settle(call));
+        }
+    }
+
     /// Records are on disk.
     pub fn kept(&mut self, now: Moment, ticket: u64) {
         // A disk in trouble may drop old tickets; what they were for is over.
         let kept = self.keeping.remove(&ticket);
         self.keeping = self.keeping.split_off(&ticket);
         match kept {
-            Some(Kept::Order(id)) if self.full => {
-                let me = self.name.clone();
-                self.stored(now, id, &me);
+            Some(Kept::Copy { station, stored, reserve }) => {
+                reserve.into_iter().for_each(|reserve| self.acceptor.on_disk(reserve));
+                self.tell_stored(now, &station, Stored { full: self.full, ..stored });
             }
-            Some(Kept::Copy { peer, ticket, life }) => {
-                let stored = Stored { ticket, full: self.full, life };
-                self.send(&peer, Word::Stored(stored));
+            Some(Kept::Promise { station, held, reserve }) => {
+                self.acceptor.on_disk(reserve);
+                self.tell_held(now, &station, held);
             }
             Some(Kept::Vote { station, vote, grant }) => {
                 self.recorded = vote;
@@ -131,9 +567,31 @@
             Some(Kept::Full) => {
                 self.full = true;
                 info!("event=full");
-                self.catch_up();
+                self.catch_up(now);
             }
-            _ => {}
+            Some(Kept::Nothing) | None => {}
         }
+        self.pursue(now);
     }
 }
+
+/// Danger: a cast that cannot work would be brought in: what it needs for a write must have stored it.
+fn is_safe_in_its_cast(work: &Work, copies: &BTreeSet<String>) -> bool {
+    let items = work.call.iter().flat_map(|call| call.items().iter());
+    let mut casts = items.filter(|item| item.kind == Kind::Cast).filter_map(Cast::from_item);
+    casts.all(|cast| cast.is_safe(copies))
+}
+
+/// What a caller reads whose number another call has taken.
+fn conflict(item: &Item) -> String {
+    let list = match item.kind {
+        Kind::Route => "itineraries",
+        Kind::Tenant => "customers",
+        Kind::Line => "carrier-lines",
+        Kind::Limits => "weight-limits",
+        Kind::Evacuation => "evacuation",
+        Kind::Backend => "backend",
+        Kind::Cast => "cast",
+    };
+    format!("{list} {:?}: version r{} is taken by another content", item.name, item.edition)
+}
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -54,7 +54,7 @@
             }
             // Repair: what a gateway was told by one that is lost.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -1,6 +1,7 @@
 //! What callers ask of a control process, as values; decoded from their calls, run by the core.
 
 use kitepass_bond::cast::Cast;
+use kitepass_bond::register::Call as Proposal;
 use kitepass_tenet::Item;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -12,8 +13,13 @@
         zone: String,
         on: bool,
     },
-    /// The core's own: bring a cast in, and put it in force.
+    /// The core's own: a call that somebody accepted is brought to its end.
+    Settle(Proposal),
+    /// The one that does the duty reads what a majority holds.
+    Survey,
+    /// A cast is brought in, all that was decided before is read, and it is put in force.
     Next(Cast),
+    Fill(Cast),
     Now(Cast),
 }
 
@@ -22,6 +28,7 @@
     pub fn bytes(&self) -> usize {
         match self {
             Order::Patch(items) => items.iter().map(Item::bytes).sum(),
+            Order::Settle(call) => call.bytes(),
             _ => 0,
         }
     }
@@ -32,7 +39,10 @@
             Order::Patch(_) => "patch",
             Order::Evacuate { on: true, .. } => "evacuate-start",
             Order::Evacuate { on: false, .. } => "evacuate-end",
+            Order::Settle(_) => "settle",
+            Order::Survey => "survey",
             Order::Next(_) => "cast-next",
+            Order::Fill(_) => "cast-fill",
             Order::Now(_) => "cast-now",
         }
     }
@@ -44,6 +54,8 @@
     Body(Vec<u8>),
     /// Nothing of it was taken, and why.
     Invalid(String),
+    /// Another content has taken the version of one of its items: no part of it ever takes effect.
+    Conflict(String),
     /// Another control process may do it.
     Elsewhere(&'static str),
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -540,7 +540,7 @@
         let (input, mut at) = (std::mem::take(&mut conn.wire.input), 0);
         // Danger: over a slow line a word of many MiB takes longer than a silence is borne.
         match &conn.role {
-            Role::Peer { station } if !input.is_empty() => self.core.peer_alive(now, station),
+            Role::Peer { station, .. } if !input.is_empty() => self.core.peer_alive(now, station),
             Role::Session if !input.is_empty() => self.core.session_alive(now, id),
             _ => {}
         }
@@ -636,7 +636,7 @@
     // The platform's list.
 
     fn fetch(&mut self, now: Moment) {
-        if self.core.holds(now).is_none() || self.reading.is_some() || now - self.read < READING {
+        if self.core.acts(now).is_none() || self.reading.is_some() || now - self.read < READING {
             return;
         }
         let Some(carrier) = self.settings.carrier.as_ref().map(|carrier| carrier.address) else { return };
@@ -740,6 +740,7 @@
                         match reply {
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
+                            Reply::Conflict(why) => self.answer(id, 409, "text/plain", why.as_bytes(), None),
                             Reply::Invalid(why) => self.answer(id, 400, "text/plain", why.as_bytes(), None),
                             Reply::Elsewhere(why) => {
                                 self.answer(id, 503, "text/plain", why.as_bytes(), Some(1));
--- a/crates/bond/src/cast.rs
+++ b/crates/bond/src/cast.rs
@@ -70,7 +70,11 @@
 
 impl Cast {
     pub fn of(ledger: &Ledger, name: &str) -> Option<Cast> {
-        let item = ledger.get(Kind::Cast, name)?;
+        Cast::from_item(ledger.get(Kind::Cast, name)?)
+    }
+
+    /// None where the item is dropped, or is no cast.
+    pub fn from_item(item: &Item) -> Option<Cast> {
         Cast::decode(item.value.clone()?).ok()
     }
 
--- a/crates/bond/src/register.rs
+++ b/crates/bond/src/register.rs
@@ -26,6 +26,8 @@
 const FLOOR: &[u8] = b"floor";
 /// What the key of an accepted call's record begins with; its mark follows.
 const CALL: &[u8] = b"call:";
+/// What the key of a denial's record begins with; the call's mark follows.
+const DENIED: &[u8] = b"deny:";
 /// The floor on disk lies so many rounds above the ballot that it was written for.
 const AHEAD: u64 = 1024;
 /// Promises that are kept one by one; beyond, the floor takes their place.
@@ -37,6 +39,8 @@
 /// Beyond these bounds, by so much, calls are taken that another accepted before. Danger: full acceptors that each
 /// hold other calls could resolve none of them.
 const AGAIN: usize = 4;
+/// Denials that are kept; beyond, the lowest go.
+const MOST_DENIED: usize = 1_024;
 
 /// A key and a value for disk. An empty value takes the record away.
 pub type Record = (Vec<u8>, Vec<u8>);
@@ -84,6 +88,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Mark(pub [u8; 16]);
 
+impl Mark {
+    pub fn from_bytes(bytes: &[u8]) -> Option<Mark> {
+        Some(Mark(bytes.try_into().ok()?))
+    }
+}
+
 /// An operator's change, with all its items.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -287,6 +297,8 @@
     /// By key, where above the floor.
     promised: BTreeMap<u64, Ballot>,
     calls: BTreeMap<Mark, (Ballot, Call)>,
+    /// Calls that were refused for their content, with their keys.
+    denied: BTreeMap<Mark, (Ballot, Vec<u64>)>,
     by_key: BTreeMap<u64, BTreeSet<Mark>>,
     by_name: BTreeMap<u64, BTreeSet<Mark>>,
     bytes: usize,
@@ -309,6 +321,7 @@
             asked: least,
             promised: BTreeMap::new(),
             calls: BTreeMap::new(),
+            denied: BTreeMap::new(),
             by_key: BTreeMap::new(),
             by_name: BTreeMap::new(),
             bytes: 0,
@@ -338,6 +351,17 @@
             self.asked = self.asked.max(floor);
             return Restored::Taken;
         }
+        if let Some(mark) = key.strip_prefix(DENIED) {
+            let read = || {
+                let (ballot, rest) = Ballot::from_bytes(value)?;
+                let keys =
+                    rest.chunks_exact(8).filter_map(|key| Some(u64::from_be_bytes(*key.first_chunk()?)));
+                Some((Mark(mark.try_into().ok()?), (ballot, keys.collect())))
+            };
+            let Some((mark, denial)) = read() else { return Restored::Garbled };
+            self.denied.insert(mark, denial);
+            return Restored::Taken;
+        }
         let Some(mark) = key.strip_prefix(CALL) else { return Restored::Other };
         let read = || {
             let (ballot, rest) = Ballot::from_bytes(value)?;
@@ -444,11 +468,49 @@
             let mut value = ballot.to_bytes().to_vec();
             crate::words::Items { items: call.words() }.encode_raw(&mut value);
             records.push((record_key(call.mark), value));
+            if self.denied.remove(&call.mark).is_some() {
+                records.push((denial_key(call.mark), Vec::new()));
+            }
             self.insert(ballot, call);
         }
         Ok(Accepted { records, reserve })
     }
 
+    /// Takes up that a call is refused for its content: what was accepted of it below this ballot can never be chosen.
+    /// Danger: a seat that was not heard may have accepted it in an earlier try, and would bring it in force after
+    /// its caller was told that it is refused. So a refusal is told once safe copies of it are on disk.
+    ///
+    /// # Errors
+    /// Where a higher ballot was promised on a key.
+    pub fn deny(&mut self, ballot: Ballot, mark: Mark, keys: &[u64]) -> Result<Accepted, Refused> {
+        if let Some(to) = self.above(ballot, keys) {
+            return PromisedSnafu { to }.fail();
+        }
+        self.promise(ballot, keys);
+        let reserve = self.reserve(ballot);
+        let mut records: Vec<Record> = reserve.into_iter().map(Reserve::record).collect();
+        if self.calls.contains_key(&mark) {
+            self.remove(mark);
+            records.push((record_key(mark), Vec::new()));
+        }
+        if self.denied.len() >= MOST_DENIED {
+            if let Some(lowest) = self.denied.iter().min_by_key(|(_, (ballot, _))| *ballot).map(|(m, _)| *m) {
+                self.denied.remove(&lowest);
+                records.push((denial_key(lowest), Vec::new()));
+            }
+        }
+        self.denied.insert(mark, (ballot, keys.to_vec()));
+        let keys = keys.iter().flat_map(|key| key.to_be_bytes());
+        records.push((denial_key(mark), ballot.to_bytes().into_iter().chain(keys).collect()));
+        Ok(Accepted { records, reserve })
+    }
+
+    /// The calls that touch any of the keys and are denied.
+    pub fn denials<'a>(&'a self, keys: &'a [u64]) -> impl Iterator<Item = (Mark, Ballot)> + 'a {
+        let touches = |denied: &[u64]| denied.iter().any(|key| keys.contains(key));
+        self.denied.iter().filter(move |(_, (_, k))| touches(k)).map(|(mark, (ballot, _))| (*mark, *ballot))
+    }
+
     fn insert(&mut self, ballot: Ballot, call: Call) {
         let known = self.calls.insert(call.mark, (ballot, call.clone()));
         if known.is_some() {
@@ -531,6 +593,10 @@
     [CALL, &mark.0].concat()
 }
 
+fn denial_key(mark: Mark) -> Vec<u8> {
+    [DENIED, &mark.0].concat()
+}
+
 /// The item of a call that is decided with another content, if there is one: the call can never be chosen.
 pub fn taken<'a>(call: &'a Call, ledger: &Ledger) -> Option<&'a Item> {
     call.items.iter().find(|item| ledger.verdict(item) == Verdict::Other)
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,5 +1,6 @@
 //! The messages between the system's own processes; [`frame`](crate::frame) carries them.
 
+use crate::register::{Ballot, CallWord};
 use bytes::Bytes;
 use kitepass_tenet::{Entry, Item, Kind, Version};
 use prost::Message;
@@ -12,7 +13,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Parcel {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub word: Option<Word>,
 }
 
@@ -47,6 +48,8 @@
     Totals(Totals),
     #[prost(message, tag = "14")]
     Live(Live),
+    #[prost(message, tag = "15")]
+    Decided(Decided),
 }
 
 /// Who speaks: the first word on each connection, from both ends.
@@ -196,6 +199,23 @@
     /// The asker's life. Tickets begin anew in each: an answer that repeats another life's is not for this one.
     #[prost(fixed64, tag = "3")]
     pub life: u64,
+    /// See [`Inquire`].
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// The ballot under which the call is proposed.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    /// Not the call is proposed but that it is denied: the items are left out, and these are its mark and its keys.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub denies: Bytes,
+    #[prost(fixed64, repeated, tag = "7")]
+    pub keys: Vec<u64>,
+    /// For a cast that is to be in force: what its writer holds, by buckets. Only who holds all of it is a copy.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub whole: Vec<u64>,
+    /// Somebody has accepted it before.
+    #[prost(bool, tag = "9")]
+    pub again: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -208,6 +228,15 @@
     /// The asker's life, as it was told.
     #[prost(fixed64, tag = "3")]
     pub life: u64,
+    /// Nothing was accepted: see [`Held`].
+    #[prost(bool, tag = "4")]
+    pub refused: bool,
+    /// The higher ballot that was promised, where that is why.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    /// The ballot that this answers.
+    #[prost(message, optional, tag = "6")]
+    pub under: Option<Ballot>,
 }
 
 /// Asks a control process for all that it holds and the asker does not.
@@ -220,6 +249,18 @@
     /// The asker's life: see [`Store`].
     #[prost(fixed64, tag = "3")]
     pub life: u64,
+    /// The era by whose casts the asker counts, as decided. Danger: one that knows of an older cast alone would take an
+    /// old majority for one in force.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Asks for the promise to accept nothing below this ballot for these keys. None: a reading alone.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    #[prost(fixed64, repeated, tag = "6")]
+    pub keys: Vec<u64>,
+    /// All calls that are accepted and undecided are to be told, whatever their keys.
+    #[prost(bool, tag = "7")]
+    pub all: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -236,6 +277,34 @@
     /// The asker's life, as it was told.
     #[prost(fixed64, tag = "5")]
     pub life: u64,
+    /// No reading and no promise: the asker counts by an older era, or a higher ballot was promised.
+    #[prost(bool, tag = "6")]
+    pub refused: bool,
+    /// The highest ballot promised, where that is why.
+    #[prost(message, optional, tag = "7")]
+    pub ballot: Option<Ballot>,
+    /// Calls that are accepted here and undecided.
+    #[prost(message, repeated, tag = "8")]
+    pub calls: Vec<CallWord>,
+    /// Calls that are denied here.
+    #[prost(message, repeated, tag = "9")]
+    pub denied: Vec<Denied>,
+}
+
+/// A call, by its mark, that was refused for its content under a ballot.
+#[derive(Clone, PartialEq, Message)]
+pub struct Denied {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub mark: Bytes,
+}
+
+/// A call is decided: who has accepted it takes it up.
+#[derive(Clone, PartialEq, Message)]
+pub struct Decided {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub mark: Bytes,
 }
 
 #[derive(Clone, PartialEq, Message)]
