Contact: a majority heard this process lately, or it hands nothing out as current

Cause: a process called itself Apart by what it heard alone. Mute (it hears all, nobody hears it) it went on; one that stood still went on with what was true before; orders then waited 2.5 s for a 503; look-ups went on. Change: bond::contact keeps, in own steady time, as of when each peer is known to have heard this process. Beats between control processes carry a number of their own and the last heard of the other (10 bytes a beat); an answer to an inquiry counts alike. Out of contact for 2 s: Apart, works ended at once, orders answered 307 to one heard that is in contact, else 503; sessions only for gateways that have caught up; look-ups until 4 s after the last contact. Members show it.

--- a/crates/accord/examples/slopes.rs
+++ b/crates/accord/examples/slopes.rs
@@ -298,7 +298,7 @@
 
     fn beat(&mut self, gate: usize) {
         let Gate { ledger, ready, .. } = &self.gates[gate];
-        let beat = Beat { digest: ledger.digest(), ready: *ready, current: false, full: false, duty: 0 };
+        let beat = Beat { digest: ledger.digest(), ready: *ready, ..Beat::default() };
         self.say(gate, Word::Beat(beat));
     }
 
--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -68,7 +68,7 @@
         if self.full {
             heard.insert(self.me.station.clone());
         }
-        let apart = self.standing == Standing::Apart && !self.hears_enough();
+        let apart = self.contact.state() == ContactState::Out;
         if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
             return;
         }
@@ -82,8 +82,8 @@
     }
 
     pub(super) fn inquire(&mut self) {
-        // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Apart from
-        // the core that is not so: what it heard then may be old by now.
+        // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Out of contact
+        // that is not so: see `ask_core`.
         self.inquiry = self.ticket();
         let word = Inquire { ticket: self.inquiry, hashes: self.ledger.buckets().to_vec() };
         self.send_all(&Word::Inquire(word));
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -1,8 +1,111 @@
-//! Whom of the core this process hears, and what each is told at every beat.
+//! Contact with the core: who is heard, who heard this process, what follows when that is lost, and what each is told at
+//! every beat.
 
 use super::*;
 
+/// What operators are shown of a seat's contact.
+pub struct SeatContact {
+    pub seat: Seat,
+    /// It said something lately.
+    pub heard: bool,
+    /// How long ago it is known to have heard this process.
+    pub age: Option<Span>,
+}
+
 impl Core {
+    /// Reckons the contact anew, and parts from the core where it is lost.
+    pub(super) fn judge_contact(&mut self, now: Moment) {
+        let casts: Vec<Cast> = self.cast().into_iter().chain(self.coming()).collect();
+        if let Some(state) = self.contact.judge(now, &casts) {
+            info!("event=contact state={state:?} age-ms={:?}", self.contact.age(now).map(millis));
+        }
+        if self.contact.state() == ContactState::Out && self.standing == Standing::Current {
+            self.part(now);
+        }
+    }
+
+    /// Contact is lost. Danger: cut off from the rest of the core, it would hold its gateways on an old configuration, and
+    /// let its callers wait for an answer that cannot come.
+    fn part(&mut self, now: Moment) {
+        self.shift(Standing::Apart);
+        let ids: Vec<u64> = self.work.keys().copied().collect();
+        let reply = self.elsewhere(now);
+        ids.into_iter().for_each(|id| self.end(id, reply.clone()));
+        // Danger: a gateway that has never caught up would take an old configuration for the newest.
+        let news: Vec<u64> =
+            self.sessions.iter().filter(|(_, s)| !s.hello.current).map(|(id, _)| *id).collect();
+        for id in news {
+            self.acts.push(Act::Close(id));
+            self.session_lost(now, id, "apart");
+        }
+        self.beat(now);
+        self.ask_core(now);
+    }
+
+    /// Asks all of the core for what they hold. Danger: what was heard before contact was lost, or by one that is cut off
+    /// alike, may be old by now; without contact each asking begins anew.
+    pub(super) fn ask_core(&mut self, now: Moment) {
+        if self.contact.state() == ContactState::Out {
+            self.caught.clear();
+        }
+        (self.inquired, self.asked) = (now, now);
+        self.inquire();
+    }
+
+    /// Whether an order may be taken, gone on with and answered now.
+    pub fn is_in_contact(&self, now: Moment) -> bool {
+        self.contact.is_in(now)
+    }
+
+    /// Whether a look-up may be answered: what is known of the gateways is no older than a stated time.
+    pub fn may_look_up(&self, now: Moment) -> bool {
+        matches!(self.standing, Standing::Current | Standing::Apart)
+            && self.contact.age(now).is_some_and(|age| age <= LOOKUP)
+    }
+
+    /// How long ago a majority is known to have heard this process.
+    pub fn contact_age(&self, now: Moment) -> Option<Span> {
+        self.contact.age(now)
+    }
+
+    /// What a caller is told whose order is not for this process now: another one that is heard and says that it is in
+    /// contact, if there is any. Danger: one that was in contact long ago may be as cut off as this one.
+    pub(super) fn elsewhere(&self, now: Moment) -> Reply {
+        let may = |peer: &&Peer| peer.hello.current && now - peer.heard <= SILENT;
+        match self.peers.values().filter(may).max_by_key(|peer| peer.heard) {
+            Some(peer) => Reply::Redirect(peer.hello.ip.clone()),
+            None => Reply::Elsewhere("out of contact with the core"),
+        }
+    }
+
+    /// Why an order cannot be taken at this moment, if so.
+    pub(super) fn not_now(&self, now: Moment) -> Option<Reply> {
+        match self.standing {
+            Standing::Current if self.is_in_contact(now) => None,
+            Standing::Blank | Standing::Behind if self.is_in_contact(now) => {
+                Some(Reply::Elsewhere("not caught up with the core"))
+            }
+            _ => Some(self.elsewhere(now)),
+        }
+    }
+
+    /// Whether an order may be judged by what is known here.
+    pub fn takes_orders(&self, now: Moment) -> bool {
+        self.not_now(now).is_none()
+    }
+
+    /// Seats of the cast, and the contact with each.
+    pub fn seats(&self, now: Moment) -> Vec<SeatContact> {
+        let of = |seat: Seat| {
+            let own = seat.station == self.me.station;
+            let peer = self.peers.get(&seat.station);
+            let heard = own || peer.is_some_and(|peer| now - peer.heard <= SILENT);
+            let as_of = if own { Some(now) } else { self.contact.as_of(&seat.station) };
+            SeatContact { seat, heard, age: as_of.map(|as_of| now - as_of) }
+        };
+        self.cast().map_or(Vec::new(), |cast| cast.seats.into_iter().map(of).collect())
+    }
+
     /// Addresses of control processes that this one knows of, its own left out.
     pub fn stops(&self) -> BTreeSet<String> {
         let seats = [NOW, NEXT].into_iter().filter_map(|name| Cast::of(&self.ledger, name));
@@ -20,6 +123,7 @@
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
         self.lost.remove(&station);
+        self.contact.came(now, &station, hello.life);
         let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0, duty: 0 };
         self.peers.insert(station.clone(), peer);
         self.told.1 = Moment::default(); // it is to be told of the sessions here
@@ -79,19 +183,16 @@
         Live { gateways: self.live.len() as u32, stations: self.live.clone(), controls, control_districts }
     }
 
-    /// Whether a majority of the cast, itself among them, has been heard lately.
-    pub(super) fn hears_enough(&self) -> bool {
-        self.cast().is_some_and(|cast| {
-            let heard = cast.seats.iter().filter(|seat| self.peers.contains_key(&seat.station)).count();
-            heard + usize::from(cast.has(&self.me.station)) >= cast.majority()
-        })
-    }
-
     pub(super) fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
         let duty = self.holds(now).unwrap_or(0);
-        let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
-        self.send_all(&Word::Beat(beat.clone()));
+        let beat = Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
+        for station in self.peers.keys() {
+            let (number, yours) = self.contact.next(now, station);
+            let word = Word::Beat(Beat { number, yours, ..beat.clone() });
+            self.acts.push(Act::Peer(station.clone(), word));
+        }
+        self.contact.sweep(now);
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
             self.peers.iter().filter(|(_, p)| silent(p.heard)).map(|(s, _)| s.clone()).collect();
@@ -117,8 +218,12 @@
             ids.into_iter().for_each(|id| self.acts.push(Act::Session(id, word.clone())));
         }
         for id in self.sessions.keys() {
-            let beat = Beat { digest: self.ledger.digest(), ready: false, current, full: self.full, duty };
-            self.acts.push(Act::Session(*id, Word::Beat(beat)));
+            let digest = self.ledger.digest();
+            self.acts.push(Act::Session(*id, Word::Beat(Beat { digest, ..beat.clone() })));
         }
     }
 }
+
+pub fn millis(span: Span) -> i64 {
+    span.micros() / 1000
+}
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -11,8 +11,10 @@
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
 use bytes::Bytes;
+pub use contact::{millis, SeatContact};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::contact::{Contact, State as ContactState};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::session::Table;
@@ -29,6 +31,8 @@
 const SILENT: Span = Span::from_micros(1_500_000);
 /// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
 const PATIENCE: Span = Span::from_micros(2_500_000);
+/// After the last contact a look-up is answered for so long: what this process knows of the gateways is that old.
+const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
 /// For so long the founder waits for others after the last that came, and at the most.
@@ -70,10 +74,10 @@
     Blank,
     /// It knows of a core, and has yet to hear what was acknowledged while it was away.
     Behind,
-    /// It has caught up: it takes orders and sessions.
+    /// It has caught up, and is in contact with a majority: it takes orders and sessions.
     Current,
-    /// It had caught up, and hears too few of the core now to know of all that is acknowledged. Gateways are told,
-    /// and go to another if there is a better one.
+    /// It had caught up, and too few of the core have proved lately that they hear it: it cannot know of all that is
+    /// acknowledged, and hands nothing out as current. Gateways are told, and go to another if there is a better one.
     Apart,
     /// It ends: nothing new is taken.
     Leaving,
@@ -141,7 +145,10 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
+    /// The ticket of the last inquiry for catching up, and when it was sent.
     inquiry: u64,
+    asked: Moment,
+    contact: Contact,
     peers: BTreeMap<String, Peer>,
     lost: BTreeMap<String, Moment>,
     sessions: BTreeMap<u64, Session>,
@@ -203,11 +210,13 @@
         let empty = start.records.is_empty();
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
+        let mut chance = oorandom::Rand64::new(u128::from(start.life));
         Core {
+            contact: Contact::new(&start.me.station, chance.rand_u64() as u32),
             voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
             recorded,
             held: false,
-            chance: oorandom::Rand64::new(u128::from(start.life)),
+            chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
             me: start.me,
@@ -220,6 +229,7 @@
             newest: now,
             caught: BTreeSet::new(),
             inquiry: 0,
+            asked: now,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -305,6 +315,17 @@
         let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         peer.heard = now;
         let life = peer.hello.life;
+        match &word {
+            Word::Beat(beat) => self.contact.heard(now, station, beat.number, beat.yours),
+            Word::Held(held) if held.ticket == self.inquiry => {
+                self.contact.answered(now, station, self.asked);
+            }
+            _ => {}
+        }
+        if matches!(word, Word::Beat(_) | Word::Held(_)) {
+            self.judge_contact(now);
+        }
+        let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
@@ -357,18 +378,12 @@
             self.beat = now;
             self.beat(now);
         }
+        self.judge_contact(now);
         match self.standing {
             Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
-                self.inquired = now;
-                self.inquire();
+                self.ask_core(now);
                 self.found(now);
             }
-            // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
-            Standing::Current if !self.hears_enough() => {
-                self.caught.clear();
-                self.shift(Standing::Apart);
-                self.beat(now);
-            }
             _ => {}
         }
         self.claim(now);
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -5,8 +5,8 @@
 impl Core {
     /// A call of an operator; it is answered under its number.
     pub fn order(&mut self, now: Moment, caller: u64, order: Order) {
-        if self.standing != Standing::Current {
-            return self.acts.push(Act::Answer(caller, Reply::Elsewhere("not caught up with the core")));
+        if let Some(reply) = self.not_now(now) {
+            return self.acts.push(Act::Answer(caller, reply));
         }
         self.begin(now, Some(caller), order);
     }
@@ -41,6 +41,10 @@
     }
 
     pub(super) fn proceed(&mut self, now: Moment, id: u64) {
+        // Danger: a process that stood still would answer by what it heard before.
+        if !self.is_in_contact(now) {
+            return;
+        }
         let Some(work) = self.work.get(&id) else { return };
         match &work.step {
             Step::Reading(heard) if self.is_read(heard) => self.decide(now, id),
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -6,7 +6,13 @@
     /// A gateway asks for a session. Danger: one that has not caught up would tell it an old configuration.
     pub fn session_came(&mut self, now: Moment, id: u64, hello: Hello) {
         self.acts.push(Act::Session(id, Word::Hello(self.hello())));
-        if !matches!(self.standing, Standing::Current | Standing::Apart) {
+        let may = match self.standing {
+            Standing::Current => self.is_in_contact(now) || hello.current,
+            // It had caught up once itself, and does no worse here while nobody better is to be found.
+            Standing::Apart => hello.current,
+            Standing::Blank | Standing::Behind | Standing::Leaving => false,
+        };
+        if !may {
             return self.acts.push(Act::Close(id));
         }
         info!("event=session station={} life={:x}", hello.station, hello.life);
@@ -28,6 +34,7 @@
         match word {
             Word::Beat(beat) => {
                 let was = std::mem::replace(&mut session.ready, beat.ready);
+                session.hello.current |= beat.current;
                 session.differs = if beat.digest == self.ledger.digest() { 0 } else { session.differs + 1 };
                 // One beat may have crossed with news.
                 if session.differs >= 2 {
@@ -94,10 +101,4 @@
         let stands = self.ledger.each(Kind::Evacuation).filter(|item| item.value.is_some());
         stands.map(|item| item.name.to_string()).collect()
     }
-
-    /// Seats of the cast, and whether each is heard of now.
-    pub fn seats(&self) -> Vec<(Seat, bool)> {
-        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
-        self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
-    }
 }
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -36,6 +36,8 @@
     Body(Vec<u8>),
     /// Nothing of it was taken, and why.
     Invalid(String),
+    /// The control process at this address says that it is in contact with the core: it may do it.
+    Redirect(String),
     /// Another control process may do it.
     Elsewhere(&'static str),
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -1,10 +1,11 @@
 //! Sockets, disk and clock around the [`Core`]: one thread, one loop.
 
-use crate::core::{Act, Core, Standing, Start, DUTY};
+use crate::core::{millis, Act, Core, SeatContact, Start, DUTY};
 use crate::order::{Call, Order, Reply};
 use crate::roster::{self, Entry};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::Seat;
+use kitepass_bond::contact::CONTACT;
 use kitepass_bond::count::Slack;
 use kitepass_bond::words::{self, Word};
 use kitepass_intent::{Settings, Watch};
@@ -83,6 +84,8 @@
 struct Caller {
     reader: HeadReader,
     call: Option<Call>,
+    /// Path and query, as they were asked.
+    target: Vec<u8>,
     body: Option<Body>,
     bytes: Vec<u8>,
     closes: bool,
@@ -358,6 +361,7 @@
                             wire.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                         }
                         caller.call = Some(Call::decode(head.start(0), head.start(1)));
+                        caller.target = head.start(1).to_vec();
                         caller.body = Some(Body::new(framing));
                         caller.bytes.clear();
                     }
@@ -395,7 +399,11 @@
             Call::WrongMethod => return self.answer(id, 405, "text/plain", b"not by this method", None),
         };
         if let Order::Evacuate { zone, .. } = &order {
-            if !self.settings.districts.is_empty() && !self.settings.districts.contains_key(zone) {
+            // Out of contact not even that is known for certain: others may have newer settings.
+            if self.core.takes_orders(now)
+                && !self.settings.districts.is_empty()
+                && !self.settings.districts.contains_key(zone)
+            {
                 return self.answer(id, 404, "text/plain", b"no such zone", None);
             }
         }
@@ -406,8 +414,9 @@
     }
 
     fn lookup(&mut self, id: u64, province: &str, district: &str) {
-        if !matches!(self.core.standing(), Standing::Current | Standing::Apart) {
-            return self.answer(id, 503, "text/plain", b"not caught up", Some(1));
+        // Danger: gateways that are long gone, told by one that cannot know of it.
+        if !self.core.may_look_up(self.clock.now()) {
+            return self.answer(id, 503, "text/plain", b"out of contact with the core", Some(1));
         }
         let addresses = self.core.lookup(province, district, &self.settings.districts);
         if addresses.is_empty() {
@@ -430,18 +439,41 @@
             .collect();
         let seats: Vec<_> = self
             .core
-            .seats()
+            .seats(now)
             .into_iter()
-            .map(|(s, up)| json!({"station": s.station, "ip": s.ip, "district": s.district, "heard": up}))
+            .map(|SeatContact { seat, heard, age }| {
+                json!({"station": seat.station, "ip": seat.ip, "district": seat.district, "heard": heard,
+                    "contact": age.is_some_and(|age| age <= CONTACT), "contact-age-ms": age.map(millis)})
+            })
             .collect();
         let standing = format!("{:?}", self.core.standing()).to_lowercase();
         let body = json!({"asked": self.settings.station, "standing": standing,
+            "contact": self.core.is_in_contact(now), "contact-age-ms": self.core.contact_age(now).map(millis),
             "duty": {DUTY: self.core.holds(now).is_some()}, "core": seats, "gateways": gateways,
             "evacuated": self.core.evacuated()});
         self.answer(id, 200, "application/json", body.to_string().as_bytes(), None);
     }
 
     fn answer(&mut self, id: u64, status: u16, kind: &str, body: &[u8], retry: Option<u32>) {
+        let retry = retry.map(|seconds| format!("Retry-After: {seconds}\r\n"));
+        self.answer_with(id, status, kind, body, &retry.unwrap_or_default());
+    }
+
+    /// The same call, at another control process. Ports are alike on all machines.
+    fn redirect(&mut self, id: u64, ip: &str) {
+        let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get(&id) else { return };
+        let port = self.settings.counters.control_desk.map(|desk| desk.port());
+        let target = String::from_utf8_lossy(&caller.target);
+        match port.filter(|_| target.starts_with('/')) {
+            Some(port) => {
+                let field = format!("Location: http://{ip}:{port}{target}\r\n");
+                self.answer_with(id, 307, "text/plain", b"out of contact with the core", &field);
+            }
+            None => self.answer(id, 503, "text/plain", b"out of contact with the core", Some(1)),
+        }
+    }
+
+    fn answer_with(&mut self, id: u64, status: u16, kind: &str, body: &[u8], fields: &str) {
         let Some(Conn { wire, role: Role::Caller(caller), ends, at }) = self.conns.get_mut(&id) else {
             return;
         };
@@ -450,6 +482,7 @@
         *ends |= caller.closes;
         let reason = match status {
             200 => "OK",
+            307 => "Temporary Redirect",
             503 => "Service Unavailable",
             _ => "Refused",
         };
@@ -457,9 +490,7 @@
             "HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n",
             body.len()
         );
-        if let Some(seconds) = retry {
-            head.push_str(&format!("Retry-After: {seconds}\r\n"));
-        }
+        head.push_str(fields);
         if *ends {
             head.push_str("Connection: close\r\n");
         }
@@ -666,6 +697,7 @@
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
                             Reply::Invalid(why) => self.answer(id, 400, "text/plain", why.as_bytes(), None),
+                            Reply::Redirect(ip) => self.redirect(id, &ip),
                             Reply::Elsewhere(why) => {
                                 self.answer(id, 503, "text/plain", why.as_bytes(), Some(1));
                             }
--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -5,11 +5,13 @@
 //! | --- | --- |
 //! | [`words`] | the messages, and how they are framed on a connection |
 //! | [`cast`] | who the core is, and how many copies make a write safe and a reading whole |
+//! | [`contact`] | whom of the core a process hears, and who of it heard this process, as of when |
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
 //! | [`session`] | who is a member: the sessions of each control process, and how long a lost one counts |
 //! | [`count`] | what tenants asked of all gateways, period by period, and how a quota is shared out |
 
 pub mod cast;
+pub mod contact;
 pub mod count;
 pub mod lease;
 pub mod session;
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -78,7 +78,8 @@
     /// Where clients reach it; empty for a control process.
     #[prost(string, tag = "7")]
     pub front: String,
-    /// A control process that may be relied on: it has caught up with enough of the core.
+    /// A control process that may be relied on: it has caught up with enough of the core, and is in contact with it. A
+    /// gateway: it has caught up once, so it has nothing to fear from one that is not current.
     #[prost(bool, tag = "8")]
     pub current: bool,
     /// Its folder holds what it has acknowledged.
@@ -101,6 +102,12 @@
     /// The term under which it does the duty now, or 0.
     #[prost(uint64, tag = "5")]
     pub duty: u64,
+    /// Between control processes: a number that the sender gave to no other beat of its life, and the last one that it
+    /// heard of the other, or 0; see [`crate::contact`].
+    #[prost(fixed32, tag = "6")]
+    pub number: u32,
+    #[prost(fixed32, tag = "7")]
+    pub yours: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/course/examples/tables.rs
+++ b/crates/course/examples/tables.rs
@@ -240,7 +240,7 @@
     tell("state\ttenants with a quota held, after 40 s", quota.len() as f64);
 
     // What the session brings.
-    let beat = packed(Word::Beat(Beat { digest: 7, ready: false, current: true, full: true, duty: 0 }));
+    let beat = packed(Word::Beat(Beat { digest: 7, current: true, full: true, ..Beat::default() }));
     time("Link::said, a beat", 1_000, |_| drop(hear(&mut link, at(2), &beat)));
     time("Link::said, the living, and Pick::live", 100, |_| {
         let brought = hear(&mut link, at(2), &live);
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -147,7 +147,7 @@
         self.shift(State::Coming(now));
         (self.heard, self.since, self.apart) = (now, now, false);
         self.out = vec![
-            Word::Hello(self.hello.clone()),
+            Word::Hello(Hello { current: self.caught, ..self.hello.clone() }),
             Word::Buckets(Buckets { hashes: self.ledger.buckets().to_vec(), back: false }),
         ];
         self.told_ready = !self.ready;
@@ -190,9 +190,8 @@
             let beat = Beat {
                 digest: self.ledger.digest(),
                 ready: self.ready,
-                current: false,
-                full: false,
-                duty: 0,
+                current: self.caught,
+                ..Beat::default()
             };
             self.out.push(Word::Beat(beat));
         }
