--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -32,6 +32,12 @@
     pub wire: Vec<(i64, usize, usize, u64, Word)>,
     /// Pairs that hear nothing of each other, until a moment.
     pub cuts: BTreeMap<(usize, usize), i64>,
+    /// Ways from one to another on which nothing comes through, until a moment.
+    pub ways: BTreeMap<(usize, usize), i64>,
+    /// Gateways that reach a process no longer, until a moment.
+    pub gate_cuts: BTreeMap<(usize, usize), i64>,
+    /// When the newest word that came from one to another was sent.
+    pub reached: BTreeMap<(usize, usize), i64>,
     pub chance: oorandom::Rand64,
     pub answers: BTreeMap<u64, (usize, Reply)>,
     pub calls: u64,
@@ -40,7 +46,8 @@
     session_wire: Vec<(i64, u64, bool, Word)>,
     /// Processes that stand still, until a moment.
     pub frozen: [i64; 6],
-    conns: u64,
+    /// Sessions that were opened so far.
+    pub conns: u64,
 }
 
 /// A gateway: its true link, and the connection that it has to a control process.
@@ -74,6 +81,9 @@
             nodes: nodes.collect(),
             wire: Vec::new(),
             cuts: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            gate_cuts: BTreeMap::new(),
+            reached: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             answers: BTreeMap::new(),
             calls: 0,
@@ -205,8 +215,14 @@
         }
     }
 
-    pub fn cut(&self, a: usize, b: usize) -> bool {
-        self.cuts.get(&(a.min(b), a.max(b))).is_some_and(|until| *until > self.now)
+    /// Whether nothing comes through from one to another.
+    pub fn cut(&self, from: usize, to: usize) -> bool {
+        let pair = self.cuts.get(&(from.min(to), from.max(to)));
+        [pair, self.ways.get(&(from, to))].into_iter().flatten().any(|until| *until > self.now)
+    }
+
+    fn gate_cut(&self, gate: usize, node: usize) -> bool {
+        self.gate_cuts.get(&(gate, node)).is_some_and(|until| *until > self.now)
     }
 
     pub fn step(&mut self) {
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -16,8 +16,13 @@
 const COMING: Span = Span::from_micros(1_400_000);
 /// One that was tried in vain is left alone for so long, times how often that was.
 const AGAIN: Span = Span::from_micros(350_000);
-/// So long one that is cut off from the core is stayed with, if no other is better.
+/// So long a control process that fell out of contact with the core is stayed with, if another may be better: cuts that
+/// are joined at once move nobody. One that is out of contact when it is come to is left as soon as it is synced.
 const APART: Span = Span::from_micros(1_500_000);
+/// One that was found out of contact is looked at again no sooner, twice as long each further time, up to the most.
+/// Danger: where all are, gateways would go round among them without end.
+const APART_AGAIN: Span = Span::from_micros(5_000_000);
+const APART_MOST: Span = Span::from_micros(20_000_000);
 /// A better control process is gone over to no sooner.
 const SETTLED: Span = Span::from_micros(3_000_000);
 
@@ -55,8 +60,11 @@
     heard: Moment,
     since: Moment,
     beat: Moment,
-    /// The control process is cut off from the core: it is gone from for another, if there is a better one.
-    apart: bool,
+    /// The control process is out of contact with the core: after this moment it is left for another, if there is one
+    /// that may be better.
+    apart: Option<Moment>,
+    /// Control processes that were out of contact when they were heard last: when, and how often in a row.
+    found_apart: BTreeMap<String, (Moment, u32)>,
     /// It has caught up with the core once: from then on it may serve.
     caught: bool,
     lived: bool,
@@ -80,7 +88,8 @@
             heard: Moment::default(),
             since: Moment::default(),
             beat: Moment::default(),
-            apart: false,
+            apart: None,
+            found_apart: BTreeMap::new(),
             caught: false,
             lived: false,
             provinces,
@@ -124,20 +133,61 @@
         }
     }
 
-    /// The control process to open a session with now, if any: near ones first, not tried lately.
-    pub fn next(&mut self, now: Moment, draw: u64) -> Option<String> {
-        if self.state != State::Away {
-            return None;
-        }
+    /// All control processes that are known.
+    fn controls(&self) -> BTreeSet<String> {
         let mut all: BTreeSet<String> = self.first.iter().chain(self.known.keys()).cloned().collect();
         if let Some(cast) = Cast::of(&self.ledger, NOW) {
             all.extend(cast.seats.into_iter().map(|seat| seat.ip));
         }
+        all
+    }
+
+    /// Whether it was out of contact when it was heard last, and is not to be looked at again yet.
+    fn is_apart(&self, now: Moment, ip: &str) -> bool {
+        let again = |times: u32| (APART_AGAIN * (1 << times.min(4)) / 2).min(APART_MOST);
+        self.found_apart.get(ip).is_some_and(|(found, times)| now - *found < again(*times))
+    }
+
+    /// Whether there is another control process that may be in contact with the core.
+    fn may_do_better(&self, now: Moment) -> bool {
+        let vain =
+            |ip: &str| self.tried.get(ip).is_some_and(|(tried, vain)| *vain > 0 && now - *tried < APART_MOST);
+        self.controls().iter().any(|ip| *ip != self.at && !self.is_apart(now, ip) && !vain(ip))
+    }
+
+    /// What the control process says of itself.
+    fn contact(&mut self, now: Moment, current: bool, patience: Span) {
+        if current {
+            self.apart = None;
+            self.found_apart.remove(&self.at);
+            return;
+        }
+        let times = self.found_apart.get(&self.at).map_or(0, |(_, times)| *times);
+        let times = times + u32::from(self.apart.is_none());
+        if self.apart.is_none() {
+            self.apart = Some(now + patience);
+            info!("event=control-apart control={}", self.at);
+        }
+        self.found_apart.insert(self.at.clone(), (now, times));
+    }
+
+    /// The control process to open a session with now, if any: not tried in vain, in contact, near ones first.
+    pub fn next(&mut self, now: Moment, draw: u64) -> Option<String> {
+        if self.state != State::Away {
+            return None;
+        }
+        let all = self.controls();
         let late = |ip: &String| {
-            self.tried.get(ip).is_some_and(|(tried, vain)| now - *tried < AGAIN * i64::from((*vain).min(6)))
+            self.tried.get(ip).is_some_and(|(tried, vain)| {
+                let vain = (*vain).min(6).max(u32::from(self.is_apart(now, ip)));
+                now - *tried < AGAIN * i64::from(vain)
+            })
         };
         let fresh: Vec<&String> = all.iter().filter(|ip| !late(ip)).collect();
-        let order = |ip: &String| (self.tried.get(ip).map_or(0, |(_, vain)| *vain), self.rank(ip));
+        let order = |ip: &String| {
+            let vain = self.tried.get(ip).map_or(0, |(_, vain)| *vain);
+            (vain, self.is_apart(now, ip), self.rank(ip))
+        };
         let best = fresh.iter().map(|ip| order(ip)).min()?;
         let best: Vec<&&String> = fresh.iter().filter(|ip| order(ip) == best).collect();
         let ip = best[(draw % best.len() as u64) as usize].to_string();
@@ -145,7 +195,7 @@
         self.tried.insert(ip.clone(), (now, vain + 1));
         self.at = ip.clone();
         self.shift(State::Coming(now));
-        (self.heard, self.since, self.apart) = (now, now, false);
+        (self.heard, self.since, self.apart) = (now, now, None);
         self.out = vec![
             Word::Hello(Hello { current: self.caught, ..self.hello.clone() }),
             Word::Buckets(Buckets { hashes: self.ledger.buckets().to_vec(), back: false }),
@@ -175,11 +225,14 @@
             State::Away => return false,
             State::Coming(since) if now - since > COMING => return true,
             _ if now - self.heard > SILENT => return true,
-            State::Synced if self.apart && now - self.since > APART => return true,
+            State::Synced if self.apart.is_some_and(|until| now >= until) && self.may_do_better(now) => {
+                return true;
+            }
             _ => {}
         }
         let better = self.known.keys().any(|ip| {
             self.rank(ip) < self.rank(&self.at)
+                && !self.is_apart(now, ip)
                 && self.tried.get(ip).is_none_or(|(tried, _)| now - *tried > SETTLED * 4)
         });
         if self.state == State::Synced && better && now - self.since > SETTLED {
@@ -200,14 +253,20 @@
 
     pub fn said(&mut self, now: Moment, word: Word, brought: &mut Brought) {
         self.heard = now;
-        match word {
+        match &word {
             Word::Hello(hello) => {
                 self.known.insert(hello.ip.clone(), hello.district.clone());
-                // Danger: an old configuration. One that has caught up once does no worse by staying a while.
-                self.apart = !hello.current;
-                brought.close |= self.apart && !self.caught;
+                self.contact(now, hello.current, Span::ZERO);
             }
-            Word::Beat(beat) => self.apart = !beat.current,
+            Word::Beat(beat) => self.contact(now, beat.current, APART),
+            _ => {}
+        }
+        // Danger: an old configuration taken for the newest. One that has caught up once does no worse by staying a while.
+        if self.apart.is_some() && !self.caught {
+            brought.close = true;
+            return;
+        }
+        match word {
             Word::Items(items) => {
                 for item in items.items.into_iter().filter_map(ItemWord::item) {
                     if self.ledger.merge(item.clone()) {
@@ -225,8 +284,11 @@
                     }
                     self.caught = true;
                     self.shift(State::Synced);
-                    if !self.apart {
-                        self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
+                    // One that is out of contact tells nothing of the others.
+                    for (ip, (_, vain)) in &mut self.tried {
+                        if self.apart.is_none() || *ip == self.at {
+                            *vain = 0;
+                        }
                     }
                 } else {
                     let hashes = self.ledger.buckets().to_vec();
