--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -12,6 +12,9 @@
 use kitepass_tenet::{Item, Kind};
 use std::collections::BTreeMap;
 
+/// A word on its way: when it comes, from whom, to whom, of which life, when it was sent.
+type Flight = (i64, usize, usize, u64, Word, i64);
+
 type Records = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub const SLACK: Slack = Slack { window: 5.0, excess: 0.1, margin: 20.0 };
@@ -24,12 +27,14 @@
     /// Records on the way to the disk, with the moment at which they are synced.
     pub syncing: Vec<(i64, u64, Records)>,
     pub back: i64,
+    /// Its last end was a loss of power.
+    pub dark: bool,
 }
 
 pub struct World {
     pub now: i64,
     pub nodes: Vec<Node>,
-    pub wire: Vec<(i64, usize, usize, u64, Word)>,
+    pub wire: Vec<Flight>,
     /// Pairs that hear nothing of each other, until a moment.
     pub cuts: BTreeMap<(usize, usize), i64>,
     /// Ways from one to another on which nothing comes through, until a moment.
@@ -46,6 +51,8 @@
     session_wire: Vec<(i64, u64, bool, Word)>,
     /// Processes that stand still, until a moment.
     pub frozen: [i64; 6],
+    /// Disks that take so long for each sync, milliseconds.
+    pub slow: [i64; 6],
     /// Sessions that were opened so far.
     pub conns: u64,
 }
@@ -75,6 +82,7 @@
             disk: BTreeMap::new(),
             syncing: Vec::new(),
             back: 0,
+            dark: false,
         });
         let mut world = World {
             now: 0,
@@ -91,6 +99,7 @@
             gates: Vec::new(),
             session_wire: Vec::new(),
             frozen: [0; 6],
+            slow: [0; 6],
             conns: 0,
         };
         (0..6).for_each(|n| world.start(n, true));
@@ -99,10 +108,11 @@
 
     /// Adds gateways, spread over the districts.
     pub fn gateways(&mut self, number: usize) {
+        let number = self.gates.len() + number;
         let provinces: BTreeMap<String, String> =
             self.nodes.iter().map(|n| (n.seat.district.clone(), n.seat.province.clone())).collect();
         let first: Vec<String> = [0, 2, 4].map(|n| format!("10.0.0.{n}")).into();
-        for gate in 0..number {
+        for gate in self.gates.len()..number {
             let seat = &self.nodes[gate % 6].seat;
             let hello = Hello {
                 station: format!("g{gate}"),
@@ -166,7 +176,9 @@
                 continue;
             };
             let (node, _) = self.gates[gate].at.unwrap();
-            if !up {
+            if self.gate_cut(gate, node) {
+                self.session_wire.push((due + 50, conn, up, word));
+            } else if !up {
                 let mut brought = Brought::default();
                 self.gates[gate].link.said(now, word, &mut brought);
                 if brought.close {
@@ -209,6 +221,7 @@
         }
         let node = &mut self.nodes[n];
         node.core = None;
+        node.dark = power;
         node.back = self.now + after;
         if wipe {
             node.disk.clear();
@@ -246,16 +259,18 @@
             }
         }
         let due: Vec<_> = self.wire.extract_if(.., |word| word.0 <= self.now).collect();
-        for (due, from, to, life, word) in due {
+        for (due, from, to, life, word, sent) in due {
             if self.frozen[to] > self.now {
-                self.wire.push((due + 50, from, to, life, word));
+                self.wire.push((due + 50, from, to, life, word, sent));
                 continue;
             }
-            if self.cut(from, to) || self.nodes[from].life != life {
+            // What a process had sent before it was killed still arrives; with its power such words are gone.
+            if self.cut(from, to) || self.nodes[from].life != life && self.nodes[from].dark {
                 continue;
             }
             let station = self.nodes[from].seat.station.clone();
             if let Some(core) = &mut self.nodes[to].core {
+                self.reached.insert((from, to), sent);
                 core.peer_said(at(self.now), &station, word);
             }
         }
@@ -292,11 +307,11 @@
                         // One connection: words do not overtake each other.
                         let last = self.wire.iter().filter(|w| (w.1, w.2) == (n, to)).map(|w| w.0).max();
                         let due = late.max(last.unwrap_or(0));
-                        self.wire.push((due, n, to, self.nodes[n].life, word));
+                        self.wire.push((due, n, to, self.nodes[n].life, word, self.now));
                     }
                 }
                 Act::Keep(ticket, records) => {
-                    let late = self.now + self.chance.rand_range(1..20) as i64;
+                    let late = self.now + self.slow[n] + self.chance.rand_range(1..20) as i64;
                     let last = self.nodes[n].syncing.last().map_or(0, |s| s.0);
                     self.nodes[n].syncing.push((late.max(last), ticket, records));
                 }
