--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -15,7 +15,8 @@
 impl Core {
     /// Reckons the contact anew, and parts from the core where it is lost.
     pub(super) fn judge_contact(&mut self, now: Moment) {
-        let casts: Vec<Cast> = self.cast().into_iter().chain(self.coming()).collect();
+        let era = self.era();
+        let casts: Vec<Cast> = era.into_iter().flat_map(|era| [Some(era.now), era.next]).flatten().collect();
         if let Some(state) = self.contact.judge(now, &casts) {
             info!("event=contact state={state:?} age-ms={:?}", self.contact.age(now).map(millis));
         }
@@ -97,10 +98,11 @@
     /// Seats of the cast, and the contact with each.
     pub fn seats(&self, now: Moment) -> Vec<SeatContact> {
         let of = |seat: Seat| {
-            let own = seat.station == self.me.station;
-            let peer = self.peers.get(&seat.station);
-            let heard = own || peer.is_some_and(|peer| now - peer.heard <= SILENT);
-            let as_of = if own { Some(now) } else { self.contact.as_of(&seat.station) };
+            let name = seat.name();
+            let own = name == self.name;
+            let said = |peer: &Peer| peer.name == name && now - peer.heard <= SILENT;
+            let heard = own || self.peers.values().any(said);
+            let as_of = if own { Some(now) } else { self.contact.as_of(&name) };
             SeatContact { seat, heard, age: as_of.map(|as_of| now - as_of) }
         };
         self.cast().map_or(Vec::new(), |cast| cast.seats.into_iter().map(of).collect())
@@ -122,10 +124,17 @@
             self.newest = now;
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
-        self.lost.remove(&station);
-        self.contact.came(now, &station, hello.life);
-        let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0, duty: 0 };
-        self.peers.insert(station.clone(), peer);
+        let name = Seat::from(hello).name();
+        self.lost.remove(&name);
+        self.leaving.remove(&name);
+        self.contact.came(now, &name, hello.life);
+        let peer =
+            Peer { hello: hello.clone(), name, heard: now, digest: 0, differs: 0, duty: 0, leaving: false };
+        if let Some(before) = self.peers.insert(station.clone(), peer) {
+            if before.name != self.peers[&station].name {
+                self.lost.insert(before.name, now);
+            }
+        }
         self.told.1 = Moment::default(); // it is to be told of the sessions here
         self.inquired = Moment::default();
         let controls = self.stops().into_iter().collect();
@@ -137,10 +146,22 @@
         self.peers.contains_key(station)
     }
 
+    /// Whether this life of it is the one that is known.
+    pub fn knows_life(&self, station: &str, life: u64) -> bool {
+        self.peers.get(station).is_some_and(|peer| peer.hello.life == life)
+    }
+
+    /// Bytes have come of a peer that are no whole word yet.
+    pub fn peer_alive(&mut self, now: Moment, station: &str) {
+        if let Some(peer) = self.peers.get_mut(station) {
+            peer.heard = now;
+        }
+    }
+
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
-        if self.peers.remove(station).is_some() {
+        if let Some(peer) = self.peers.remove(station) {
             info!("event=peer-lost station={station} why={why}");
-            self.lost.insert(station.to_owned(), now);
+            self.lost.insert(peer.name, now);
         }
     }
 
@@ -183,13 +204,20 @@
         Live { gateways: self.live.len() as u32, stations: self.live.clone(), controls, control_districts }
     }
 
+    /// Whether the seat of this name is heard; its own always is.
+    pub(super) fn hears(&self, name: &str) -> bool {
+        name == self.name || self.peers.values().any(|peer| peer.name == name)
+    }
+
     pub(super) fn beat(&mut self, now: Moment) {
         let current = self.standing == Standing::Current;
-        let duty = self.holds(now).unwrap_or(0);
+        let duty = self.acts(now).unwrap_or(0);
         let beat = Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
-        for station in self.peers.keys() {
-            let (number, yours) = self.contact.next(now, station);
-            let word = Word::Beat(Beat { number, yours, ..beat.clone() });
+        let leaving = self.standing == Standing::Leaving;
+        let digest = self.ledger.whole_digest();
+        for (station, peer) in &self.peers {
+            let (number, yours) = self.contact.next(now, &peer.name);
+            let word = Word::Beat(Beat { digest, leaving, number, yours, ..beat.clone() });
             self.acts.push(Act::Peer(station.clone(), word));
         }
         self.contact.sweep(now);
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -13,24 +13,29 @@
 use bytes::Bytes;
 pub use contact::{millis, SeatContact};
 use kitepass::{Moment, Span};
-use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
 use kitepass_bond::contact::{Contact, State as ContactState};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
+use kitepass_bond::register::{
+    Acceptor, Ballot, Bid, Call as Proposal, CallWord, Mark, Reserve, Restored, Seen,
+};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
 use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
-use log::{debug, info, warn};
-use record::{learn, record, unrecord};
+use log::{debug, error, info, warn};
+use orders::{Watched, Work};
+use record::{learn, record_vote, unrecord_vote};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 /// Time between two signs of life to each other control process and each session.
 const BEAT: Span = Span::from_micros(500_000);
 /// A peer or session that has said nothing for so long is given up.
 const SILENT: Span = Span::from_micros(1_500_000);
-/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
+/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere. Callers wait longer for
+/// large bodies, and so much more is borne for each MiB.
 const PATIENCE: Span = Span::from_micros(2_500_000);
+const PATIENCE_MIB: Span = Span::from_micros(1_000_000);
 /// After the last contact a look-up is answered for so long: what this process knows of the gateways is that old.
 const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
@@ -44,7 +49,9 @@
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
 const FULL: &[u8] = b"full";
-/// The record of whom this voter granted the duty last.
+/// The record of this folder's number, with which its seat is named.
+const FOLDER: &[u8] = b"folder";
+/// The record of whom this voter granted the duty last, by seat, and the edition of the cast in which it did.
 const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
@@ -85,10 +92,13 @@
 
 struct Peer {
     hello: Hello,
+    /// Its seat's name.
+    name: String,
     heard: Moment,
     digest: u64,
     differs: u32,
     duty: u64,
+    leaving: bool,
 }
 
 struct Session {
@@ -98,35 +108,23 @@
     differs: u32,
 }
 
-/// How far an order has come. [`Core::step`] alone changes it.
-#[derive(Debug)]
-enum Step {
-    /// Hearing what the others hold.
-    Reading(BTreeSet<String>),
-    /// Waiting for copies on disk.
-    Storing(BTreeSet<String>),
-}
-
-struct Work {
-    /// Who waits for the answer, if anybody.
-    caller: Option<u64>,
-    order: Order,
-    step: Step,
-    since: Moment,
-}
-
 enum Kept {
-    /// This process' own copy for an order.
-    Order(u64),
-    /// A copy for another process' order.
+    /// What was accepted for an order of a station, and what it is told then.
     Copy {
-        peer: String,
-        ticket: u64,
-        life: u64,
+        station: String,
+        stored: Stored,
+        reserve: Option<Reserve>,
+    },
+    /// A floor that covers what was promised to a station.
+    Promise {
+        station: String,
+        held: Held,
+        reserve: Reserve,
     },
     /// A vote that may be told.
     Vote {
-        who: String,
+        station: String,
+        vote: Vote,
         grant: Grant,
     },
     /// The record that makes this folder full.
@@ -134,8 +132,13 @@
     Nothing,
 }
 
+/// Whom a voter granted the duty, by seat, and in which cast.
+type Vote = (String, u64);
+
 pub struct Core {
     me: Seat,
+    /// This process' own seat.
+    name: String,
     life: u64,
     maiden: bool,
     founder: bool,
@@ -151,7 +154,10 @@
     asked: Moment,
     contact: Contact,
     peers: BTreeMap<String, Peer>,
+    /// Seats that are not heard, by name, and since when.
     lost: BTreeMap<String, Moment>,
+    /// Seats that said that they leave, by name.
+    leaving: BTreeSet<String>,
     sessions: BTreeMap<u64, Session>,
     table: Table,
     told: (u64, Moment, Vec<Member>),
@@ -159,16 +165,28 @@
     live: Vec<String>,
     voter: Voter,
     /// Whom the record on disk names.
-    recorded: String,
+    recorded: Vote,
     /// It did the duty when that was looked at last.
     held: bool,
     claimant: Claimant,
+    /// The term under which it has read what a majority holds, and acts.
+    acting: Option<u64>,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
     terms: BTreeMap<String, Terms>,
     slack: Slack,
     roster: Roster,
+    /// What this seat has promised and accepted.
+    acceptor: Acceptor,
+    /// The highest ballot heard of.
+    highest: Ballot,
     work: BTreeMap<u64, Work>,
+    /// Calls that are accepted somewhere and not known to be settled.
+    watch: BTreeMap<Mark, Watched>,
+    /// Calls that are denied, and under which ballot.
+    denied: BTreeMap<Mark, Ballot>,
+    /// By station, copies that wait for what this process lacks, asked for under a ticket.
+    pulls: BTreeMap<String, (u64, Store)>,
     keeping: BTreeMap<u64, Kept>,
     ticket: u64,
     beat: Moment,
@@ -179,7 +197,9 @@
 
 /// What a process is at its start.
 pub struct Start {
+    /// Its folder's number is taken from the records, or drawn if there are none.
     pub me: Seat,
+    /// Drawn anew each time.
     pub life: u64,
     /// The first start of the whole system, with an empty folder.
     pub maiden: bool,
@@ -193,34 +213,54 @@
 impl Core {
     pub fn new(now: Moment, start: Start) -> Core {
         let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
-        let mut recorded = String::new();
+        let (mut recorded, mut me, mut empty) = (Vote::default(), start.me, true);
+        let (mut acceptor, mut garbled) = (Acceptor::new(), Vec::new());
+        me.folder = 0;
         for (key, value) in &start.records {
+            empty &= key == FOLDER;
             if key == FULL {
                 full = true;
+            } else if key == FOLDER {
+                me.folder = value.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
             } else if key == VOTE {
-                recorded = String::from_utf8_lossy(value).into_owned();
+                recorded = unrecord_vote(value);
             } else if key == LIVE {
                 let stations = String::from_utf8_lossy(value);
                 stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
-            } else if let Some(item) = unrecord(key, value) {
-                ledger.merge(item);
+            } else if let Some((item, past)) = kitepass_tenet::unrecord(key, value) {
+                ledger.merge_with(item, &past);
+            } else if acceptor.restore(key, value) == Restored::Garbled {
+                // Danger: what it accepted may have been chosen by it. It is as good as lost, and comes anew.
+                error!("event=record-garbled key={:?}", String::from_utf8_lossy(key));
+                garbled.push((key.clone(), Vec::new()));
             }
         }
+        let is_garbled = !garbled.is_empty();
+        garbled.extend(acceptor.settle_all(&ledger));
+        // The folder of a version that had no numbers stays the seat that it was.
+        let drawn = (start.records.is_empty() || is_garbled).then(|| start.life.max(1));
+        full &= !is_garbled;
+        me.folder = drawn.unwrap_or(me.folder);
         let mut terms = BTreeMap::new();
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
-        let empty = start.records.is_empty();
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
-        info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
+        let name = me.name();
+        let seated = Era::of(&ledger).and_then(|era| era.seats(&name));
+        // Danger: a vote of an earlier stay in the cast says nothing of what those granted who stood there meanwhile.
+        let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
+        let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
+        info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
         let mut chance = oorandom::Rand64::new(u128::from(start.life));
-        Core {
-            contact: Contact::new(&start.me.station, chance.rand_u64() as u32),
-            voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
+        let mut core = Core {
+            contact: Contact::new(&name, chance.rand_u64() as u32),
+            voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
             held: false,
             chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
-            me: start.me,
+            me,
+            name,
             life: start.life,
             ledger,
             checker: Checker::new(),
@@ -233,22 +273,37 @@
             asked: now,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             sessions: BTreeMap::new(),
             table,
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
             claimant: Claimant::new(DUTY, start.life),
+            acting: None,
             counts: None,
             terms,
             slack: start.slack,
             roster: Roster::default(),
+            acceptor,
+            highest: Ballot::default(),
             work: BTreeMap::new(),
+            watch: BTreeMap::new(),
+            denied: BTreeMap::new(),
+            pulls: BTreeMap::new(),
             keeping: BTreeMap::new(),
             ticket: 0,
             beat: now,
             inquired: Moment::default(),
             acts: Vec::new(),
+        };
+        if let Some(folder) = drawn {
+            // First of all records, so that whatever else is on disk is on disk under this number.
+            core.keep_records(vec![(FOLDER.to_vec(), folder.to_be_bytes().to_vec())], Kept::Nothing);
         }
+        if !garbled.is_empty() {
+            core.keep_records(garbled, Kept::Nothing);
+        }
+        core
     }
 
     pub fn hello(&self) -> Hello {
@@ -262,6 +317,7 @@
             front: String::new(),
             current: self.standing == Standing::Current,
             full: self.full,
+            folder: self.me.folder,
         }
     }
 
@@ -290,11 +346,6 @@
         self.ticket
     }
 
-    fn keep(&mut self, items: &[Item], why: Kept) {
-        let records = items.iter().map(record).collect();
-        self.keep_records(records, why);
-    }
-
     fn keep_records(&mut self, records: Vec<(Vec<u8>, Vec<u8>)>, why: Kept) {
         let ticket = self.ticket();
         self.keeping.insert(ticket, why);
@@ -315,11 +366,11 @@
     pub fn peer_said(&mut self, now: Moment, station: &str, word: Word) -> Vec<String> {
         let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         peer.heard = now;
-        let life = peer.hello.life;
+        let (life, name) = (peer.hello.life, peer.name.clone());
         match &word {
-            Word::Beat(beat) => self.contact.heard(now, station, beat.number, beat.yours),
+            Word::Beat(beat) => self.contact.heard(now, &name, beat.number, beat.yours),
             Word::Held(held) if (held.life, held.ticket) == (self.life, self.inquiry) => {
-                self.contact.answered(now, station, self.asked);
+                self.contact.answered(now, &name, self.asked);
             }
             _ => {}
         }
@@ -330,39 +381,33 @@
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
-                peer.duty = beat.duty;
-                peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
+                (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
+                peer.differs = if beat.digest == self.ledger.whole_digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.send(station, Word::Buckets(self.buckets(true)));
+                    let hashes = self.ledger.whole_buckets().to_vec();
+                    self.send(station, Word::Buckets(Buckets { hashes, back: true }));
                 }
             }
             Word::Live(live) => return live.controls,
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
             }
             Word::Buckets(buckets) => {
                 let items: Vec<ItemWord> =
-                    self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
+                    self.ledger.whole_differing(&buckets.hashes).map(ItemWord::from).collect();
                 self.send(station, Word::Items(Items { items }));
             }
-            Word::Store(store) => self.copy(station, store),
+            Word::Store(store) => self.copy(now, station, store),
+            Word::Decided(decided) => self.decided(&decided),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
-            Word::Stored(stored) if stored.full && stored.life == self.life => {
-                self.stored(now, stored.ticket, station)
-            }
-            Word::Inquire(inquire) => {
-                let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
-                let founded = self.cast().is_some();
-                let (ticket, life) = (inquire.ticket, inquire.life);
-                let held = Held { ticket, items, full: self.full, founded, life };
-                self.send(station, Word::Held(held));
-            }
-            Word::Held(held) => self.held(now, station, held),
-            Word::Claim(claim) => self.vote(now, station, &claim),
-            Word::Grant(grant) => self.granted(now, station, &grant),
+            Word::Stored(stored) if stored.life == self.life => self.stored(now, &name, stored),
+            Word::Inquire(inquire) => self.inquired(now, station, &inquire),
+            Word::Held(held) => self.held(now, &name, held),
+            Word::Claim(claim) => self.vote(now, station, &name, &claim),
+            Word::Grant(grant) => self.granted(now, &name, &grant),
             Word::Sessions(sessions) => {
                 self.table.hear(now, station, life, &sessions);
             }
@@ -374,6 +419,7 @@
             Word::Totals(totals) => self.totals(totals),
             _ => {}
         }
+        self.pursue(now);
         Vec::new()
     }
 
@@ -392,8 +438,11 @@
             _ => {}
         }
         self.claim(now);
-        let late: Vec<u64> =
-            self.work.iter().filter(|(_, work)| now - work.since > PATIENCE).map(|(id, _)| *id).collect();
+        self.settle(now);
+        self.pursue(now);
+        let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
+        let is_late = |work: &Work| now - work.since > patience(&work.order);
+        let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
         for id in late {
             warn!("event=order-late order={}", self.work[&id].order.name());
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
--- a/crates/bond/src/contact.rs
+++ b/crates/bond/src/contact.rs
@@ -38,6 +38,7 @@
 }
 
 pub struct Contact {
+    /// Its own seat's name; all others go by theirs, too.
     me: String,
     state: State,
     /// The moment after which a majority is known to have heard this process, as reckoned last.
@@ -114,8 +115,8 @@
 
     /// The moment after which a majority of a cast, this process included, heard this process.
     fn majority(&self, now: Moment, cast: &Cast) -> Option<Moment> {
-        let of = |station: &str| if station == self.me { Some(now) } else { self.as_of(station) };
-        let mut all: Vec<Moment> = cast.seats.iter().filter_map(|seat| of(&seat.station)).collect();
+        let of = |name: String| if name == self.me { Some(now) } else { self.as_of(&name) };
+        let mut all: Vec<Moment> = cast.seats.iter().filter_map(|seat| of(seat.name())).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.get(cast.majority() - 1).copied()
     }
