--- a/crates/accord/src/command.rs
+++ b/crates/accord/src/command.rs
@@ -141,12 +141,13 @@
         help: "\
 usage: accord members [--at ADDR,..] [--json]
 
-The seats of the core, and whether the process that was asked hears of each; its own standing; the gateways with
-a session, where they take clients, and whether they are ready. Standings:
+The seats of the core, whether the process that was asked hears of each, and how long ago each is known to have
+heard that process; its own standing, and how long ago a majority is known to have heard it; the gateways with a
+session, where they take clients, and whether they are ready. Standings:
   blank    it knows of no core
   behind   it has yet to hear what was acknowledged while it was away
-  current  it has caught up: it takes calls and gateways
-  apart    it had, and hears too few of the core now
+  current  it has caught up, and is in contact with a majority: it takes calls and gateways
+  apart    it had caught up, and no majority heard it in the last 2 s: it sends callers and gateways on
   leaving  it ends
 ",
         run: members,
@@ -546,7 +547,7 @@
     let mut core = vec![row(&["core", "address", "district", "heard", "standing"])];
     for seat in list("core") {
         let own = seat["station"] == told["asked"];
-        let stands = if own { format!("{standing}, {duty}") } else { "-".to_owned() };
+        let stands = if own { format!("{standing}, {duty}") } else { contact(&seat) };
         core.push(vec![
             text(&seat["station"]),
             text(&seat["ip"]),
@@ -572,7 +573,21 @@
         }
     };
     let (core, gateways) = (part(&core, "no core is known"), part(&gateways, "no gateway has a session"));
-    say(&format!("asked {asked}: {standing}, {duty}\n\n{core}\n{gateways}"))
+    let contact = match contact(&told).as_str() {
+        "-" => String::new(),
+        contact => format!(", {contact} by a majority"),
+    };
+    say(&format!("asked {asked}: {standing}, {duty}{contact}\n\n{core}\n{gateways}"))
+}
+
+/// How long ago the process that was asked was heard, by a seat or by a majority. Older processes tell nothing of it.
+fn contact(told: &Json) -> String {
+    match (told["contact"].as_bool(), told["contact-age-ms"].as_i64()) {
+        (None, _) => "-".to_owned(),
+        (Some(true), Some(age)) => format!("heard {:.1} s ago", age as f64 / 1000.0),
+        (Some(_), Some(age)) => format!("out of contact, heard {:.1} s ago", age as f64 / 1000.0),
+        (Some(_), None) => "out of contact, never heard".to_owned(),
+    }
 }
 
 /// Rows in columns; the last column of a row is as long as it is.
--- a/crates/accord/tests/commands.rs
+++ b/crates/accord/tests/commands.rs
@@ -210,6 +210,21 @@
     assert!(out.contains("c-2   10.0.0.2  d-2       no     -\n"), "{out}");
     assert!(out.contains("g-1      10.0.0.9:80  d-2       yes\n"), "{out}");
 
+    // One that is out of contact says as of when it was heard, by a majority and by each.
+    let apart = members.replace(
+        "\"standing\":\"current\",",
+        "\"standing\":\"apart\",\"contact\":false,\"contact-age-ms\":2300,",
+    );
+    let apart = apart.replace("\"heard\":false", "\"heard\":true,\"contact\":true,\"contact-age-ms\":440");
+    let (desk_apart, thread_apart) = stand_in(vec![answer("200 OK", "", &apart)]);
+    let (_, out, _) = told(&accord(&["members", "--at", &desk_apart.to_string()]));
+    assert!(
+        out.contains("asked c-1: apart, duty steward, out of contact, heard 2.3 s ago by a majority\n"),
+        "{out}"
+    );
+    assert!(out.contains("c-2   10.0.0.2  d-2       yes    heard 0.4 s ago\n"), "{out}");
+    thread_apart.join().expect("asked once");
+
     std::fs::remove_file(&out_file.0).expect("made above");
     let (code, out, error) = told(&accord(&["get", "--at", &desk, "--out", out_file.path()]));
     assert!(code == 0 && out.is_empty(), "{out}{error}");
