Every cast of 3 to 9 seats, every step from it, and every loss within the step, as a test

Cause: that casts bear a second loss was argued for six seats in three regions alone.

Change: crates/bond/tests/casts.rs enumerates the layouts over 1 to 3 regions and 2 to 6 zones, shows that readings meet writes and elections meet in each, states which losses of a machine, zone or region stop writes (a place with half of the seats or more, or with all but one place's), and plays joining, filling, replacing and leaving with a loss in the step and another after its repair.

--- /dev/null
+++ b/crates/bond/tests/casts.rs
@@ -0,0 +1,263 @@
+//! Every cast of 3 to 9 seats over 1 to 3 regions and 2 to 6 zones, every step from it to the next one, and at every
+//! phase of that step every loss of a machine, a zone or a region with its disks; then the repair, and a second loss.
+
+use kitepass_bond::cast::{Cast, Era, Seat, Sight};
+use std::collections::{BTreeMap, BTreeSet};
+
+type Names = BTreeSet<String>;
+/// How many seats each zone of each region has.
+type Layout = Vec<Vec<usize>>;
+
+fn partitions(sum: usize, most: usize) -> Vec<Vec<usize>> {
+    if sum == 0 {
+        return vec![vec![]];
+    }
+    let first =
+        |part: usize| partitions(sum - part, part).into_iter().map(move |rest| [vec![part], rest].concat());
+    (1..=most.min(sum)).flat_map(first).collect()
+}
+
+/// All layouts up to the names of regions and zones.
+fn layouts(seats: usize) -> Vec<Layout> {
+    let mut all = Vec::new();
+    for regions in partitions(seats, seats).into_iter().filter(|regions| regions.len() <= 3) {
+        let mut open: Vec<Layout> = vec![vec![]];
+        for region in regions {
+            let zones = partitions(region, region);
+            open = open
+                .iter()
+                .flat_map(|l| zones.iter().map(move |z| [l.clone(), vec![z.clone()]].concat()))
+                .collect();
+        }
+        all.extend(open.into_iter().map(|mut layout| {
+            layout.sort();
+            layout
+        }));
+    }
+    all.retain(|layout| (2..=6).contains(&layout.iter().map(Vec::len).sum::<usize>()));
+    all.sort();
+    all.dedup();
+    all
+}
+
+fn seat(region: usize, zone: usize, n: usize, folder: u64) -> Seat {
+    let (province, district) = (format!("r{region}"), format!("r{region}z{zone}"));
+    Seat { station: format!("{district}s{n}"), ip: String::new(), district, province, folder }
+}
+
+fn cast(layout: &Layout) -> Cast {
+    let mut seats = Vec::new();
+    for (region, zones) in layout.iter().enumerate() {
+        for (zone, number) in zones.iter().enumerate() {
+            seats.extend((0..*number).map(|n| seat(region, zone, n, 1)));
+        }
+    }
+    seats.sort();
+    Cast { seats, edition: 1 }
+}
+
+fn names<'a>(seats: impl IntoIterator<Item = &'a Seat>) -> Names {
+    seats.into_iter().map(Seat::name).collect()
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Loss {
+    Machine,
+    Zone,
+    Region,
+}
+
+/// The sets of stations that may be lost at once.
+fn losses(seats: &[Seat]) -> BTreeSet<(Loss, BTreeSet<String>)> {
+    let of = |place: fn(&Seat) -> &str, what: Loss| {
+        let places: BTreeSet<&str> = seats.iter().map(place).collect();
+        let stations = move |at: &str| {
+            seats.iter().filter(|seat| place(seat) == at).map(|seat| seat.station.clone()).collect()
+        };
+        places.into_iter().map(|at| (what, stations(at))).collect::<Vec<_>>()
+    };
+    let machines = of(|seat| &seat.station, Loss::Machine);
+    let zones = of(|seat| &seat.district, Loss::Zone);
+    machines.into_iter().chain(zones).chain(of(|seat| &seat.province, Loss::Region)).collect()
+}
+
+/// Steps from a cast: who comes, whose disk was lost, who leaves, who is silent with another in its place.
+fn steps(cast: &Cast) -> Vec<(&'static str, Sight)> {
+    let all: BTreeSet<Seat> = cast.seats.iter().cloned().collect();
+    let mut steps = Vec::new();
+    let sight = |full: BTreeSet<Seat>| Sight { full, ..Sight::default() };
+    let places: BTreeSet<(String, String)> =
+        cast.seats.iter().map(|s| (s.province.clone(), s.district.clone())).collect();
+    let comer = |n: usize, (province, district): &(String, String)| Seat {
+        station: format!("{district}new{n}"),
+        ip: String::new(),
+        district: district.clone(),
+        province: province.clone(),
+        folder: 9,
+    };
+    for place in &places {
+        steps.push(("joining", sight(and(&all, [comer(0, place)]))));
+    }
+    let filled: Vec<Seat> = places.iter().map(|place| comer(0, place)).collect();
+    steps.push(("filling", sight(and(&all, filled))));
+    for seat in &cast.seats {
+        let rest: BTreeSet<Seat> = all.iter().filter(|s| *s != seat).cloned().collect();
+        let successor = Seat { folder: 2, ..seat.clone() };
+        let other = comer(1, &(seat.province.clone(), seat.district.clone()));
+        let (name, with) = (seat.name(), |s: Seat| and(&rest, [s]));
+        steps.push(("replacing a lost disk", sight(with(successor))));
+        steps.push((
+            "replacing in silence",
+            Sight { silent: [name.clone()].into(), ..sight(with(other.clone())) },
+        ));
+        steps.push(("leaving", Sight { leaving: [name.clone()].into(), ..sight(all.clone()) }));
+        let both = and(&all, [other]);
+        steps.push(("leaving for a successor", Sight { leaving: [name].into(), ..sight(both) }));
+    }
+    steps
+}
+
+fn and(seats: &BTreeSet<Seat>, more: impl IntoIterator<Item = Seat>) -> BTreeSet<Seat> {
+    seats.iter().cloned().chain(more).collect()
+}
+
+/// A cast's quorums for all sets of its seats, each set as bits.
+struct Quorums {
+    safe: Vec<bool>,
+    read: Vec<bool>,
+    elected: Vec<bool>,
+}
+
+impl Quorums {
+    fn of(cast: &Cast) -> Quorums {
+        let set = |bits: usize| -> Names {
+            (0..cast.seats.len()).filter(|n| bits >> n & 1 == 1).map(|n| cast.seats[n].name()).collect()
+        };
+        let sets: Vec<Names> = (0..1usize << cast.seats.len()).map(set).collect();
+        Quorums {
+            safe: sets.iter().map(|set| cast.is_safe(set)).collect(),
+            read: sets.iter().map(|set| cast.is_read(set)).collect(),
+            elected: sets.iter().map(|set| cast.is_elected(set)).collect(),
+        }
+    }
+
+    /// Whether each set that is `one` meets each set that is `two`.
+    fn meet(one: &[bool], two: &[bool]) -> bool {
+        let all = one.len() - 1;
+        // Both hold of all that is larger too, so that the rest is the largest set that one set does not meet.
+        (0..one.len()).all(|set| !one[set] || !two[all & !set])
+    }
+}
+
+/// By every cast: each reading meets each write, two elections meet, and so do a reading and the copies of a next cast.
+/// This holds whatever disks were lost, as a seat whose disk is gone is neither heard nor asked; and a lost machine
+/// leaves a majority that is safe, a lost zone or region too, but where it has half of the seats or more, or all but
+/// one place's: exactly those layouts are listed.
+#[test]
+fn quorums_meet_in_every_cast_and_what_a_loss_leaves_is_known() {
+    let (mut casts, mut stopped) = (0, BTreeMap::<Loss, usize>::new());
+    for layout in (3..=9).flat_map(layouts) {
+        let cast = cast(&layout);
+        casts += 1;
+        let quorums = Quorums::of(&cast);
+        assert!(Quorums::meet(&quorums.safe, &quorums.read), "{layout:?}: a reading misses a write");
+        assert!(Quorums::meet(&quorums.elected, &quorums.elected), "{layout:?}: two elections");
+        for (loss, lost) in losses(&cast.seats) {
+            let rest: Vec<&Seat> = cast.seats.iter().filter(|s| !lost.contains(&s.station)).collect();
+            let places = |of: fn(&Seat) -> &String, seats: &[&Seat]| {
+                seats.iter().map(|seat| of(seat).clone()).collect::<BTreeSet<_>>().len()
+            };
+            let all: Vec<&Seat> = cast.seats.iter().collect();
+            let spread = |of| places(of, &rest) > 1 || places(of, &all) == 1;
+            let goes_on = cast.is_safe(&names(rest.iter().copied()));
+            let expected =
+                rest.len() * 2 > cast.seats.len() && spread(|s| &s.province) && spread(|s| &s.district);
+            assert_eq!(goes_on, expected, "{layout:?} without {lost:?}");
+            // What was confirmed can be read, unless more than half is gone.
+            let read = cast.is_read(&names(rest.iter().copied()));
+            assert_eq!(read, rest.len() * 2 >= cast.seats.len(), "{layout:?} without {lost:?}");
+            // No write has all its copies among what is lost where a reading is left: such a write would be missed.
+            *stopped.entry(loss).or_default() += usize::from(!goes_on);
+        }
+    }
+    println!("casts={casts} losses after which writes stop: {stopped:?}");
+    assert!(casts > 300, "{casts}");
+}
+
+/// From every cast by every step: at each phase each write that was confirmed is met by each reading, elections of the
+/// eras that may overlap meet, each loss that both casts bear leaves the step able to end, and after the repair the cast
+/// has the seats that were lost under new names and bears a second loss wherever it bore the first.
+#[test]
+fn at_every_phase_of_every_step_one_more_loss_is_borne_and_another_after_the_repair() {
+    let (mut done, mut phases, mut second) = (BTreeMap::<&str, usize>::new(), 0, 0);
+    let mut bears_less = BTreeMap::<&str, usize>::new();
+    for layout in (3..=9).flat_map(layouts) {
+        let (now, mut seen) = (cast(&layout), BTreeSet::new());
+        for (what, sight) in steps(&now) {
+            let Some(next) = now.follow(&sight) else {
+                assert!(what == "leaving", "{layout:?}: no step for {what}");
+                continue;
+            };
+            *done.entry(what).or_default() += 1;
+            assert_eq!(next.edition, 2);
+            assert_eq!(
+                next.follow(&Sight { leaving: Names::new(), ..sight.clone() })
+                    .filter(|_| what != "leaving" && what != "leaving for a successor"),
+                None,
+                "{layout:?}: {what} goes on"
+            );
+            let gone = |seat: &&Seat| what.starts_with("replacing") && !next.has(&seat.name());
+            let alive: Vec<Seat> =
+                now.seats.iter().filter(|s| !gone(s)).chain(next.seats.iter()).cloned().collect();
+            let odd = Era { now: now.clone(), next: Some(next.clone()) };
+            assert_eq!((odd.number(), Era { now: next.clone(), next: None }.number()), (3, 4));
+            let whole = names(&alive);
+            if now.is_safe(&names(now.seats.iter().filter(|s| !gone(s)))) {
+                assert!(odd.is_safe(&whole) && odd.is_read(&whole), "{layout:?}: {what} cannot end");
+            }
+            // A disk that is being replaced is the loss itself: one more comes after its repair.
+            let more = if what.starts_with("replacing") { BTreeSet::new() } else { losses(&alive) };
+            for (loss, lost) in more {
+                phases += 1;
+                let left = names(alive.iter().filter(|s| !lost.contains(&s.station)));
+                let (a, b) = (now.is_safe(&left), next.is_safe(&left));
+                assert_eq!(odd.is_safe(&left), a && b);
+                if a && !b {
+                    // Where it is the successor that is lost, the one that leaves would have been missed as much.
+                    let leaves = |s: &&Seat| sight.leaving.contains(&s.name()) || lost.contains(&s.station);
+                    let as_much = !now.is_safe(&names(now.seats.iter().filter(|s| !leaves(s))));
+                    *bears_less.entry(what).or_default() += 1;
+                    assert!(
+                        what == "joining" || what == "filling" || as_much,
+                        "{layout:?}: {what} bears less: {loss:?} {lost:?}"
+                    );
+                }
+                if !(a && b) {
+                    continue;
+                }
+                // The step ends, and those that were lost come back with empty folders and are let in.
+                let back = next.seats.iter().map(|seat| {
+                    let folder = if lost.contains(&seat.station) { 77 } else { seat.folder };
+                    Seat { folder, ..seat.clone() }
+                });
+                let full: BTreeSet<Seat> = back.collect();
+                let repaired = next.follow(&Sight { full: full.clone(), ..Sight::default() });
+                let repaired = repaired.unwrap_or_else(|| next.clone());
+                assert_eq!(repaired.seats.iter().cloned().collect::<BTreeSet<_>>(), full, "{layout:?}");
+                let era = Era { now: next.clone(), next: Some(repaired.clone()) };
+                assert!(era.is_safe(&[left, names(&full)].into_iter().flatten().collect()));
+                // A second loss asks for places alone: once for each cast of the same places.
+                let places: Vec<String> = next.seats.iter().map(|seat| seat.station.clone()).collect();
+                let new = seen.insert(places);
+                for (_, again) in losses(&repaired.seats).into_iter().filter(|_| new) {
+                    second += 1;
+                    let rest = |c: &Cast| names(c.seats.iter().filter(|s| !again.contains(&s.station)));
+                    assert_eq!(repaired.is_safe(&rest(&repaired)), next.is_safe(&rest(&next)));
+                    assert_eq!(repaired.is_read(&rest(&repaired)), next.is_read(&rest(&next)));
+                }
+            }
+        }
+    }
+    println!("steps={done:?} losses within a step={phases} second losses={second} borne before, not after={bears_less:?}");
+    assert!(phases > 100_000 && second > 20_000, "{phases} {second}");
+}
