--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -45,6 +45,13 @@
         self.peers.get(station).is_some_and(|peer| peer.hello.life == life)
     }
 
+    /// Bytes have come of a peer that are no whole word yet.
+    pub fn peer_alive(&mut self, now: Moment, station: &str) {
+        if let Some(peer) = self.peers.get_mut(station) {
+            peer.heard = now;
+        }
+    }
+
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
         if let Some(peer) = self.peers.remove(station) {
             info!("event=peer-lost station={station} why={why}");
