The duty's holder reads before it acts, casts follow from that reading, and leaving tells the others

Cause: the holder acted on list, counts and cast as soon as votes were in; the next cast was worked out before the reading of its own order, and what was confirmed by the cast before needed not be on the disks that put the next in force; a process that ended said nothing, so that its seat stood for ever or until 8 s of silence and a successor.

Change: an explicit service, Idle, Reading, Acting, with one function for its changes; `Core::acts` is asked by the list, the counts and the cast. `Next` and `Now` are worked out after a reading under the duty. A copy of `Now` counts only of one that has asked the holder, after the word, for all that it lacks, and has it on disk. On SIGTERM the process gives the duty back, says in its beats that it leaves, answers on as a seat, and ends once its orders are through and its seat is gone or cannot go, at the latest after 2 s. Tests of long words have the new fields.

--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -45,6 +45,16 @@
         self.founded();
     }
 
+    /// A write whose copy counts only of one that lacks nothing of what its sender holds: asks for that first.
+    pub(super) fn transfer(&mut self, peer: &str, store: Store) {
+        let ticket = self.ticket();
+        // One for each peer: a later one takes the place of an earlier one.
+        self.transfers.retain(|_, (from, _)| from != peer);
+        self.transfers.insert(ticket, (peer.to_owned(), store));
+        let word = Inquire { ticket, hashes: self.ledger.buckets().to_vec(), life: self.life };
+        self.send(peer, Word::Inquire(word));
+    }
+
     pub(super) fn held(&mut self, now: Moment, name: &str, held: Held) {
         self.take(held.items.into_iter().filter_map(ItemWord::item).collect());
         // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a reading
@@ -52,6 +62,9 @@
         if !held.full || !held.founded || held.life != self.life {
             return;
         }
+        if let Some((peer, store)) = self.transfers.remove(&held.ticket) {
+            return self.copy(&peer, store); // what came is on its way to disk, in order before this
+        }
         if held.ticket == self.inquiry {
             self.caught.insert(name.to_owned());
             self.catch_up();
--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -50,13 +50,46 @@
         if self.claimant.heard(now, from, grant, era.number(), |votes| era.is_elected(votes)) {
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term} era={}", era.number());
-            self.roster.begin(term);
-            self.counts = Some((term, Counts::new(self.slack)));
+            self.serve(Service::Reading(term));
+            self.begin(now, None, Order::Lead);
             self.beat(now);
         }
     }
 
-    /// The term under which this process does the duty now.
+    fn serve(&mut self, to: Service) {
+        if self.service == to {
+            return;
+        }
+        match to {
+            Service::Idle => {
+                warn!("event=duty-lost");
+                self.counts = None;
+            }
+            Service::Reading(_) => self.counts = None,
+            Service::Acting(term) => {
+                info!("event=duty-acts term={term}");
+                self.roster.begin(term);
+                self.counts = Some((term, Counts::new(self.slack)));
+            }
+        }
+        self.service = to;
+    }
+
+    /// All that was acknowledged before the duty was won is known here by now.
+    pub(super) fn lead(&mut self, now: Moment) {
+        if let (Service::Reading(term), Some(held)) = (self.service, self.holds(now)) {
+            if term == held {
+                self.serve(Service::Acting(term));
+            }
+        }
+    }
+
+    /// The term under which this process acts now: it holds the duty, and has read under it.
+    pub fn acts(&self, now: Moment) -> Option<u64> {
+        self.holds(now).filter(|term| self.service == Service::Acting(*term))
+    }
+
+    /// The term under which this process holds the duty now.
     pub fn holds(&self, now: Moment) -> Option<u64> {
         self.claimant.holds(now)
     }
@@ -70,7 +103,7 @@
 
     /// A whole reading of the platform's list.
     pub fn list_read(&mut self, now: Moment, entries: Vec<crate::roster::Entry>) {
-        if self.holds(now).is_none() {
+        if self.acts(now).is_none() {
             return;
         }
         let news = self.roster.read(now, entries, &self.ledger);
@@ -83,7 +116,7 @@
     }
 
     pub(super) fn add(&mut self, now: Moment, adds: &Adds) -> Option<Totals> {
-        self.holds(now)?;
+        self.acts(now)?;
         let (terms, live) = (&self.terms, &self.live);
         let (_, counts) = self.counts.as_mut()?;
         Some(counts.add(now, adds, live, |tenant| terms.get(tenant).copied()))
@@ -110,15 +143,19 @@
             let (station, name) = (self.me.station.clone(), self.name.clone());
             self.vote(now, &station, &name, &claim);
         }
-        let holds = self.holds(now);
-        if std::mem::replace(&mut self.held, holds.is_some()) && holds.is_none() {
-            warn!("event=duty-lost");
+        match (self.holds(now), self.service) {
+            (None, _) => self.serve(Service::Idle),
+            (Some(_), Service::Acting(_)) => self.recast(now),
+            // The reading was cut short.
+            (Some(_), Service::Reading(_)) if !self.works_on(&[Order::Lead]) => {
+                self.begin(now, None, Order::Lead);
+            }
+            _ => {}
         }
-        if holds.is_none() {
-            self.counts = None;
-            return;
-        }
-        self.recast(now);
+    }
+
+    fn works_on(&self, orders: &[Order]) -> bool {
+        self.work.values().any(|work| orders.contains(&work.order))
     }
 
     /// What it sees of the stations, for the next cast.
@@ -138,27 +175,54 @@
     }
 
     /// Whoever does the duty brings in what follows from what it sees: newcomers come, and seats go that are
-    /// superseded, leave, or were replaced in their silence.
+    /// superseded, leave, or were replaced in their silence. One that an earlier holder left half-way is ended first.
     pub(super) fn recast(&mut self, now: Moment) {
-        let busy = self.work.values().any(|work| matches!(work.order, Order::Next(_) | Order::Now(_)));
-        let Some(era) = self.era().filter(|_| !busy) else { return };
-        if let Some(next) = era.next {
-            return self.begin(now, None, Order::Next(next)); // an earlier one was cut short
-        }
+        let Some(era) = self.era().filter(|_| !self.works_on(&[Order::Next, Order::Now])) else { return };
         let sight = self.sight(now, &era.now);
-        if let Some(next) = era.now.follow(&sight) {
-            info!("event=recast seats={} edition={}", next.seats.len(), next.edition);
-            self.begin(now, None, Order::Next(next));
+        if era.next.is_some() || era.now.follow(&sight).is_some() {
+            self.begin(now, None, Order::Next);
         }
     }
 
-    /// The process ends: nothing new is taken, and the duty is free at once.
+    /// The item that brings the next cast in, or puts it in force, after a reading.
+    pub(super) fn cast_item(&mut self, now: Moment, name: &str) -> Option<Item> {
+        // Danger: one that has lost the duty meanwhile would go on beside who does it now.
+        self.acts(now)?;
+        let era = self.era()?;
+        let cast = match (era.next, name) {
+            (Some(next), _) => next,
+            (None, NEXT) => {
+                // Danger: worked out before the reading it would follow from a cast that is not in force any more.
+                let sight = self.sight(now, &era.now);
+                era.now.follow(&sight)?
+            }
+            (None, _) => return None,
+        };
+        info!("event=recast step={name} seats={} edition={}", cast.seats.len(), cast.edition);
+        Some(cast.item(name))
+    }
+
+    /// The process ends: nothing new is taken, the duty is free at once, and the others are told, so that its seat goes.
     pub fn leave(&mut self, now: Moment) {
         if let Some(claim) = self.claimant.release(now) {
-            self.send_all(&Word::Claim(claim));
+            self.send_all(&Word::Claim(claim.clone()));
+            let (station, name) = (self.me.station.clone(), self.name.clone());
+            self.vote(now, &station, &name, &claim);
         }
+        self.serve(Service::Idle);
         self.shift(Standing::Leaving);
         let ids: Vec<u64> = self.sessions.keys().copied().collect();
         ids.into_iter().for_each(|id| self.acts.push(Act::Close(id)));
+        self.beat(now);
+    }
+
+    /// Whether one that leaves may end: what it took on is through, and its seat is gone, or will not go.
+    pub fn has_left(&self) -> bool {
+        let alone = Sight { leaving: [self.name.clone()].into(), ..Sight::default() };
+        let goes = |era: Era| era.has(&self.name) && (era.next.is_some() || era.now.follow(&alone).is_some());
+        self.standing == Standing::Leaving
+            && self.work.is_empty()
+            && self.keeping.is_empty()
+            && !self.era().is_some_and(goes)
     }
 }
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -101,6 +101,17 @@
     differs: u32,
 }
 
+/// How far one has come with the duty. [`Core::serve`] alone changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Another's, or nobody's.
+    Idle,
+    /// Won under a term. Danger: whoever acts on what it knew before would bring an older list, count or cast back.
+    Reading(u64),
+    /// It has read under that term what was acknowledged, and acts.
+    Acting(u64),
+}
+
 /// How far an order has come, by names of seats. [`Core::step`] alone changes it.
 #[derive(Debug)]
 enum Step {
@@ -169,8 +180,9 @@
     voter: Voter,
     /// Whom the record on disk names.
     recorded: Vote,
-    /// It did the duty when that was looked at last.
-    held: bool,
+    service: Service,
+    /// Writes that count as copies once this process has asked their sender for all that it lacks, by that ticket.
+    transfers: BTreeMap<u64, (String, Store)>,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
@@ -236,7 +248,8 @@
         let mut core = Core {
             voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
-            held: false,
+            service: Service::Idle,
+            transfers: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(start.life)),
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
@@ -364,6 +377,7 @@
                     self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
                 self.send(station, Word::Items(Items { items }));
             }
+            Word::Store(store) if store.whole => self.transfer(station, store),
             Word::Store(store) => self.copy(station, store),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
             Word::Stored(stored) if stored.full && stored.life == self.life => {
@@ -422,8 +436,4 @@
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
         }
     }
-
-    pub fn is_idle(&self) -> bool {
-        self.work.is_empty() && self.keeping.is_empty()
-    }
 }
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -45,11 +45,10 @@
         match &work.step {
             Step::Reading(heard) if self.is_read(heard) => self.decide(now, id),
             Step::Storing(copies) if self.is_safe(copies) => {
-                let order = work.order.clone();
+                let next = work.order == Order::Next;
                 self.end(id, Reply::Done);
-                if let Order::Next(cast) = order {
-                    // Both casts have it: from here on it is the one in force.
-                    self.begin(now, None, Order::Now(cast));
+                if next {
+                    self.begin(now, None, Order::Now);
                 }
             }
             _ => {}
@@ -78,10 +77,23 @@
                 let value = on.then(|| Bytes::from_static(b"1"));
                 vec![Item { kind: Kind::Evacuation, name: zone.as_str().into(), edition, value }]
             }
-            Order::Next(cast) => vec![cast.item(NEXT)],
-            Order::Now(cast) => vec![cast.item(NOW)],
+            Order::Lead => {
+                self.end(id, Reply::Done);
+                return self.lead(now);
+            }
+            order @ (Order::Next | Order::Now) => {
+                let name = if *order == Order::Next { NEXT } else { NOW };
+                match self.cast_item(now, name) {
+                    Some(item) => vec![item],
+                    None => return self.end(id, Reply::Done),
+                }
+            }
         };
+        let Some(work) = self.work.get(&id) else { return };
         let by_call = matches!(work.order, Order::Patch(_));
+        // Danger: from here on readings by the new cast alone are enough, so what was confirmed by the one before must be
+        // on each of the disks that make it the one in force.
+        let whole = work.order == Order::Now;
         let mut news = Vec::new();
         for item in &items {
             // Of a call an equal version has no effect, even where it says something else.
@@ -98,7 +110,7 @@
         self.step(id, Step::Storing(BTreeSet::new()));
         self.keep(&known, Kept::Order(id));
         let items = known.iter().map(ItemWord::from).collect();
-        self.send_all(&Word::Store(Store { ticket: id, items, life: self.life }));
+        self.send_all(&Word::Store(Store { ticket: id, items, life: self.life, whole }));
         self.spread(&news);
         self.proceed(now, id);
     }
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -1,6 +1,5 @@
 //! What callers ask of a control process, as values; decoded from their calls, run by the core.
 
-use kitepass_bond::cast::Cast;
 use kitepass_tenet::Item;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -12,9 +11,12 @@
         zone: String,
         on: bool,
     },
-    /// The core's own: bring a cast in, and put it in force.
-    Next(Cast),
-    Now(Cast),
+    /// The core's own. Whoever won the duty reads what was acknowledged before it acts on it.
+    Lead,
+    /// The cast that follows is worked out after a reading, and brought in.
+    Next,
+    /// The one that is being brought in is put in force, after another reading.
+    Now,
 }
 
 impl Order {
@@ -32,8 +34,9 @@
             Order::Patch(_) => "patch",
             Order::Evacuate { on: true, .. } => "evacuate-start",
             Order::Evacuate { on: false, .. } => "evacuate-end",
-            Order::Next(_) => "cast-next",
-            Order::Now(_) => "cast-now",
+            Order::Lead => "lead",
+            Order::Next => "cast-next",
+            Order::Now => "cast-now",
         }
     }
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -47,8 +47,8 @@
 const VALID: f64 = 1.0;
 /// The log on disk is compacted past so many bytes.
 const LOG: u64 = 4 * 1024 * 1024;
-/// After SIGTERM orders under way have so long.
-const GRACE: Span = Span::from_micros(700_000);
+/// After SIGTERM orders under way, and the core that takes the seat out, have so long.
+const GRACE: Span = Span::from_micros(2_000_000);
 
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -243,7 +243,7 @@
                 leaves = Some(now);
             }
             self.act();
-            if leaves.is_some_and(|since| now - since > GRACE || self.core.is_idle()) {
+            if leaves.is_some_and(|since| now - since > GRACE || self.core.has_left()) {
                 info!("event=end");
                 return Ok(());
             }
@@ -540,7 +540,7 @@
         let (input, mut at) = (std::mem::take(&mut conn.wire.input), 0);
         // Danger: over a slow line a word of many MiB takes longer than a silence is borne.
         match &conn.role {
-            Role::Peer { station } if !input.is_empty() => self.core.peer_alive(now, station),
+            Role::Peer { station, .. } if !input.is_empty() => self.core.peer_alive(now, station),
             Role::Session if !input.is_empty() => self.core.session_alive(now, id),
             _ => {}
         }
@@ -636,7 +636,7 @@
     // The platform's list.
 
     fn fetch(&mut self, now: Moment) {
-        if self.core.holds(now).is_none() || self.reading.is_some() || now - self.read < READING {
+        if self.core.acts(now).is_none() || self.reading.is_some() || now - self.read < READING {
             return;
         }
         let Some(carrier) = self.settings.carrier.as_ref().map(|carrier| carrier.address) else { return };
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -196,6 +196,9 @@
     /// The asker's life. Tickets begin anew in each: an answer that repeats another life's is not for this one.
     #[prost(fixed64, tag = "3")]
     pub life: u64,
+    /// A copy counts only of one that has asked the sender, after this word, for all that it lacks, and has it on disk.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/bond/tests/frames.rs
+++ b/crates/bond/tests/frames.rs
@@ -6,8 +6,8 @@
 
 fn long(bytes: usize) -> Word {
     let value = Some(vec![7; bytes].into());
-    let item = ItemWord { kind: 1, name: "n".into(), edition: 1, value };
-    Word::Store(Store { ticket: 3, items: vec![item] })
+    let item = ItemWord { kind: 1, name: "n".into(), edition: 1, value, ..ItemWord::default() };
+    Word::Store(Store { ticket: 3, items: vec![item], ..Store::default() })
 }
 
 fn packed(words: &[Word]) -> Vec<u8> {
