--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -23,7 +23,10 @@
     pub(super) fn vote(&mut self, now: Moment, station: &str, who: &str, claim: &Claim) {
         let era = self.era();
         self.voter.seat(now, era.as_ref().and_then(|era| era.seats(&self.name)));
-        let mut grant = self.voter.vote(now, who, claim, era.as_ref().map_or(0, Era::number));
+        // Danger: a cast that was accepted here may be decided; a holder that counts by the one before would be granted on.
+        let fence = self.undecided_cast().map_or(0, |_| self.era_number() | 1);
+        let number = era.as_ref().map_or(0, Era::number).max(fence);
+        let mut grant = self.voter.vote(now, who, claim, number);
         // Danger: a seat that lost its disk may have been replaced; only those of the cast count, and only full.
         grant.granted &= self.full && era.as_ref().is_some_and(|era| era.has(&self.name));
         let vote = (who.to_owned(), era.map_or(0, |era| era.now.edition));
@@ -51,7 +54,7 @@
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term} era={}", era.number());
             self.serve(Service::Reading(term));
-            self.begin(now, None, Order::Lead);
+            self.begin(now, None, Order::Survey);
             self.beat(now);
         }
     }
@@ -75,21 +78,23 @@
         self.service = to;
     }
 
-    /// All that was acknowledged before the duty was won is known here by now.
-    pub(super) fn lead(&mut self, now: Moment) {
+    /// It has read what a majority holds. Danger: one that acted as soon as the votes are in would go by what was in
+    /// force before its term.
+    pub(super) fn surveyed(&mut self, now: Moment) {
         if let (Service::Reading(term), Some(held)) = (self.service, self.holds(now)) {
             if term == held {
                 self.serve(Service::Acting(term));
+                self.beat(now);
             }
         }
     }
 
-    /// The term under which this process acts now: it holds the duty, and has read under it.
+    /// The term under which this process does the duty now, and has read a majority.
     pub fn acts(&self, now: Moment) -> Option<u64> {
         self.holds(now).filter(|term| self.service == Service::Acting(*term))
     }
 
-    /// The term under which this process holds the duty now.
+    /// The term under which this process holds the duty's lease now.
     pub fn holds(&self, now: Moment) -> Option<u64> {
         self.claimant.holds(now)
     }
@@ -110,7 +115,7 @@
         if !news.is_empty() {
             debug!("event=list news={}", news.len());
             let items = news.iter().map(ItemWord::from).collect();
-            self.take(news);
+            self.take(news.into_iter().map(|item| (item, Vec::new())).collect());
             self.send_all(&Word::Items(Items { items }));
         }
     }
@@ -147,17 +152,13 @@
             (None, _) => self.serve(Service::Idle),
             (Some(_), Service::Acting(_)) => self.recast(now),
             // The reading was cut short.
-            (Some(_), Service::Reading(_)) if !self.works_on(&[Order::Lead]) => {
-                self.begin(now, None, Order::Lead);
+            (Some(_), Service::Reading(_)) if !self.work.values().any(|w| w.order == Order::Survey) => {
+                self.begin(now, None, Order::Survey);
             }
             _ => {}
         }
     }
 
-    fn works_on(&self, orders: &[Order]) -> bool {
-        self.work.values().any(|work| orders.contains(&work.order))
-    }
-
     /// What it sees of the stations, for the next cast.
     fn sight(&mut self, now: Moment, cast: &Cast) -> Sight {
         let full = self.peers.values().filter(|peer| peer.hello.full).map(|peer| Seat::from(&peer.hello));
@@ -174,34 +175,26 @@
         Sight { full, leaving: self.leaving.clone(), silent }
     }
 
+    /// Whether a cast is being brought in or put in force from here.
+    pub(super) fn recasts(&self) -> bool {
+        let brings = |order: &Order| matches!(order, Order::Next(_) | Order::Fill(_) | Order::Now(_));
+        self.work.values().any(|work| brings(&work.order))
+    }
+
     /// Whoever does the duty brings in what follows from what it sees: newcomers come, and seats go that are
-    /// superseded, leave, or were replaced in their silence. One that an earlier holder left half-way is ended first.
+    /// superseded, leave, or were replaced in their silence.
     pub(super) fn recast(&mut self, now: Moment) {
-        let Some(era) = self.era().filter(|_| !self.works_on(&[Order::Next, Order::Now])) else { return };
+        let Some(era) = self.era().filter(|_| !self.recasts()) else { return };
+        if let Some(next) = era.next {
+            return self.begin(now, None, Order::Fill(next)); // an earlier one was cut short
+        }
         let sight = self.sight(now, &era.now);
-        if era.next.is_some() || era.now.follow(&sight).is_some() {
-            self.begin(now, None, Order::Next);
+        if let Some(next) = era.now.follow(&sight) {
+            info!("event=recast seats={} edition={}", next.seats.len(), next.edition);
+            self.begin(now, None, Order::Next(next));
         }
     }
 
-    /// The item that brings the next cast in, or puts it in force, after a reading.
-    pub(super) fn cast_item(&mut self, now: Moment, name: &str) -> Option<Item> {
-        // Danger: one that has lost the duty meanwhile would go on beside who does it now.
-        self.acts(now)?;
-        let era = self.era()?;
-        let cast = match (era.next, name) {
-            (Some(next), _) => next,
-            (None, NEXT) => {
-                // Danger: worked out before the reading it would follow from a cast that is not in force any more.
-                let sight = self.sight(now, &era.now);
-                era.now.follow(&sight)?
-            }
-            (None, _) => return None,
-        };
-        info!("event=recast step={name} seats={} edition={}", cast.seats.len(), cast.edition);
-        Some(cast.item(name))
-    }
-
     /// The process ends: nothing new is taken, the duty is free at once, and the others are told, so that its seat goes.
     pub fn leave(&mut self, now: Moment) {
         if let Some(claim) = self.claimant.release(now) {
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -1,5 +1,7 @@
 //! What callers ask of a control process, as values; decoded from their calls, run by the core.
 
+use kitepass_bond::cast::Cast;
+use kitepass_bond::register::Call as Proposal;
 use kitepass_tenet::Item;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -11,12 +13,14 @@
         zone: String,
         on: bool,
     },
-    /// The core's own. Whoever won the duty reads what was acknowledged before it acts on it.
-    Lead,
-    /// The cast that follows is worked out after a reading, and brought in.
-    Next,
-    /// The one that is being brought in is put in force, after another reading.
-    Now,
+    /// The core's own: a call that somebody accepted is brought to its end.
+    Settle(Proposal),
+    /// The one that does the duty reads what a majority holds.
+    Survey,
+    /// A cast is brought in, all that was decided before is read, and it is put in force.
+    Next(Cast),
+    Fill(Cast),
+    Now(Cast),
 }
 
 impl Order {
@@ -24,6 +28,7 @@
     pub fn bytes(&self) -> usize {
         match self {
             Order::Patch(items) => items.iter().map(Item::bytes).sum(),
+            Order::Settle(call) => call.bytes(),
             _ => 0,
         }
     }
@@ -34,9 +39,11 @@
             Order::Patch(_) => "patch",
             Order::Evacuate { on: true, .. } => "evacuate-start",
             Order::Evacuate { on: false, .. } => "evacuate-end",
-            Order::Lead => "lead",
-            Order::Next => "cast-next",
-            Order::Now => "cast-now",
+            Order::Settle(_) => "settle",
+            Order::Survey => "survey",
+            Order::Next(_) => "cast-next",
+            Order::Fill(_) => "cast-fill",
+            Order::Now(_) => "cast-now",
         }
     }
 }
@@ -47,6 +54,8 @@
     Body(Vec<u8>),
     /// Nothing of it was taken, and why.
     Invalid(String),
+    /// Another content has taken the version of one of its items: no part of it ever takes effect.
+    Conflict(String),
     /// Another control process may do it.
     Elsewhere(&'static str),
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -740,6 +740,7 @@
                         match reply {
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
+                            Reply::Conflict(why) => self.answer(id, 409, "text/plain", why.as_bytes(), None),
                             Reply::Invalid(why) => self.answer(id, 400, "text/plain", why.as_bytes(), None),
                             Reply::Elsewhere(why) => {
                                 self.answer(id, 503, "text/plain", why.as_bytes(), Some(1));
