--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -23,7 +23,10 @@
     pub(super) fn vote(&mut self, now: Moment, station: &str, who: &str, claim: &Claim) {
         let era = self.era();
         self.voter.seat(now, era.as_ref().and_then(|era| era.seats(&self.name)));
-        let mut grant = self.voter.vote(now, who, claim, era.as_ref().map_or(0, Era::number));
+        // Danger: a cast that was accepted here may be decided; a holder that counts by the one before would be granted on.
+        let fence = self.undecided_cast().map_or(0, |_| self.era_number() | 1);
+        let number = era.as_ref().map_or(0, Era::number).max(fence);
+        let mut grant = self.voter.vote(now, who, claim, number);
         // Danger: a seat that lost its disk may have been replaced; only those of the cast count, and only full.
         grant.granted &= self.full && era.as_ref().is_some_and(|era| era.has(&self.name));
         let vote = (who.to_owned(), era.map_or(0, |era| era.now.edition));
@@ -50,24 +53,45 @@
         if self.claimant.heard(now, from, grant, era.number(), |votes| era.is_elected(votes)) {
             let term = self.claimant.holds(now).unwrap_or_default();
             info!("event=duty term={term} era={}", era.number());
+            self.serve(Service::Reading(term));
+            self.begin(now, None, Order::Survey);
             self.beat(now);
         }
     }
 
+    fn serve(&mut self, to: Service) {
+        if self.service == to {
+            return;
+        }
+        match to {
+            Service::Idle => {
+                warn!("event=duty-lost");
+                self.counts = None;
+            }
+            Service::Reading(_) => self.counts = None,
+            Service::Acting(term) => {
+                info!("event=duty-acts term={term}");
+                self.roster.begin(term);
+                self.counts = Some((term, Counts::new(self.slack)));
+            }
+        }
+        self.service = to;
+    }
+
     /// It has read what a majority holds. Danger: one that acted as soon as the votes are in would go by what was in
     /// force before its term.
     pub(super) fn surveyed(&mut self, now: Moment) {
-        let Some(term) = self.holds(now).filter(|term| self.acting != Some(*term)) else { return };
-        info!("event=duty-acts term={term}");
-        self.acting = Some(term);
-        self.roster.begin(term);
-        self.counts = Some((term, Counts::new(self.slack)));
-        self.beat(now);
+        if let (Service::Reading(term), Some(held)) = (self.service, self.holds(now)) {
+            if term == held {
+                self.serve(Service::Acting(term));
+                self.beat(now);
+            }
+        }
     }
 
     /// The term under which this process does the duty now, and has read a majority.
     pub fn acts(&self, now: Moment) -> Option<u64> {
-        self.holds(now).filter(|term| self.acting == Some(*term))
+        self.holds(now).filter(|term| self.service == Service::Acting(*term))
     }
 
     /// The term under which this process holds the duty's lease now.
@@ -124,16 +148,14 @@
             let (station, name) = (self.me.station.clone(), self.name.clone());
             self.vote(now, &station, &name, &claim);
         }
-        let holds = self.holds(now);
-        if std::mem::replace(&mut self.held, holds.is_some()) && holds.is_none() {
-            warn!("event=duty-lost");
-        }
-        if holds.is_none() {
-            (self.acting, self.counts) = (None, None);
-        } else if self.acts(now).is_some() {
-            self.recast(now);
-        } else if !self.work.values().any(|work| work.order == Order::Survey) {
-            self.begin(now, None, Order::Survey);
+        match (self.holds(now), self.service) {
+            (None, _) => self.serve(Service::Idle),
+            (Some(_), Service::Acting(_)) => self.recast(now),
+            // The reading was cut short.
+            (Some(_), Service::Reading(_)) if !self.work.values().any(|w| w.order == Order::Survey) => {
+                self.begin(now, None, Order::Survey);
+            }
+            _ => {}
         }
     }
 
@@ -153,14 +175,16 @@
         Sight { full, leaving: self.leaving.clone(), silent }
     }
 
+    /// Whether a cast is being brought in or put in force from here.
+    pub(super) fn recasts(&self) -> bool {
+        let brings = |order: &Order| matches!(order, Order::Next(_) | Order::Fill(_) | Order::Now(_));
+        self.work.values().any(|work| brings(&work.order))
+    }
+
     /// Whoever does the duty brings in what follows from what it sees: newcomers come, and seats go that are
     /// superseded, leave, or were replaced in their silence.
     pub(super) fn recast(&mut self, now: Moment) {
-        let busy = self
-            .work
-            .values()
-            .any(|work| matches!(work.order, Order::Next(_) | Order::Fill(_) | Order::Now(_)));
-        let Some(era) = self.era().filter(|_| !busy) else { return };
+        let Some(era) = self.era().filter(|_| !self.recasts()) else { return };
         if let Some(next) = era.next {
             return self.begin(now, None, Order::Fill(next)); // an earlier one was cut short
         }
@@ -171,13 +195,27 @@
         }
     }
 
-    /// The process ends: nothing new is taken, and the duty is free at once.
+    /// The process ends: nothing new is taken, the duty is free at once, and the others are told, so that its seat goes.
     pub fn leave(&mut self, now: Moment) {
         if let Some(claim) = self.claimant.release(now) {
-            self.send_all(&Word::Claim(claim));
+            self.send_all(&Word::Claim(claim.clone()));
+            let (station, name) = (self.me.station.clone(), self.name.clone());
+            self.vote(now, &station, &name, &claim);
         }
+        self.serve(Service::Idle);
         self.shift(Standing::Leaving);
         let ids: Vec<u64> = self.sessions.keys().copied().collect();
         ids.into_iter().for_each(|id| self.acts.push(Act::Close(id)));
+        self.beat(now);
+    }
+
+    /// Whether one that leaves may end: what it took on is through, and its seat is gone, or will not go.
+    pub fn has_left(&self) -> bool {
+        let alone = Sight { leaving: [self.name.clone()].into(), ..Sight::default() };
+        let goes = |era: Era| era.has(&self.name) && (era.next.is_some() || era.now.follow(&alone).is_some());
+        self.standing == Standing::Leaving
+            && self.work.is_empty()
+            && self.keeping.is_empty()
+            && !self.era().is_some_and(goes)
     }
 }
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -280,6 +280,11 @@
             return;
         }
         let Some(work) = self.work.get(&id) else { return };
+        // Danger: copies under a ballot of an earlier era, counted by a later cast, are not met by readings of the earlier
+        // one: two could be chosen for one number.
+        if matches!(work.step, Step::Storing(_) | Step::Denying(..)) && work.ballot.era < self.era_number() {
+            return self.read(now, id);
+        }
         match &work.step {
             Step::Reading(heard) if self.is_read(heard) => self.decide(now, id),
             Step::Storing(copies) if self.is_safe(copies) && is_safe_in_its_cast(work, copies) => {
@@ -306,7 +311,10 @@
         let seen: Seen =
             work.seen.iter().filter(live).map(|(mark, accepted)| (*mark, accepted.clone())).collect();
         let Some(call) = work.call.clone() else {
-            let open = seen.values().filter(|(_, call)| !self.is_settled(call));
+            // What puts the cast in force that this reading is for is not waited for: it waits for this.
+            let awaits =
+                |call: &Proposal| matches!(work.order, Order::Fill(_)) && puts_in_force(call).is_some();
+            let open = seen.values().filter(|(_, call)| !self.is_settled(call) && !awaits(call));
             let open: BTreeSet<Mark> = open.map(|(_, call)| call.mark()).collect();
             if open.is_empty() {
                 return self.read_out(now, id);
@@ -368,8 +376,10 @@
     fn propose(&mut self, now: Moment, id: u64, call: Proposal) {
         let Some(work) = self.work.get(&id) else { return };
         info!("event=write order={} items={}", work.order.name(), call.items().len());
-        let puts_in_force = call.items().iter().any(|item| item.kind == Kind::Cast && &*item.name == NOW);
-        let whole = if puts_in_force { self.ledger.whole_buckets().to_vec() } else { Vec::new() };
+        let whole = match puts_in_force(&call) {
+            Some(_) => self.ledger.whole_buckets().to_vec(),
+            None => Vec::new(),
+        };
         let again = matches!(work.order, Order::Settle(_));
         let store = Store { items: call.words(), whole, again, ..Store::default() };
         self.store(now, id, Step::Storing(BTreeSet::new()), store);
@@ -565,7 +575,13 @@
         }
         for call in calls {
             debug!("event=settle items={}", call.items().len());
-            self.begin(now, None, Order::Settle(call));
+            match puts_in_force(&call) {
+                // Danger: proposed again as it is, by one that has not read all that was decided under the cast before, it
+                // would be in force on seats that lack some of that.
+                Some(cast) if !self.recasts() => self.begin(now, None, Order::Fill(cast)),
+                Some(_) => {}
+                None => self.begin(now, None, Order::Settle(call)),
+            }
         }
     }
 
@@ -598,6 +614,12 @@
     }
 }
 
+/// The cast that a call puts in force, if it does that.
+fn puts_in_force(call: &Proposal) -> Option<Cast> {
+    let item = call.items().iter().find(|item| item.kind == Kind::Cast && &*item.name == NOW)?;
+    Cast::from_item(item)
+}
+
 /// Danger: a cast that cannot work would be brought in: what it needs for a write must have stored it.
 fn is_safe_in_its_cast(work: &Work, copies: &BTreeSet<String>) -> bool {
     let items = work.call.iter().flat_map(|call| call.items().iter());
