What copies differ in goes in pieces of whole buckets, each checked by a digest

Cause: Held and Items between control processes are one word, whatever they hold; an archive that outgrows a word can never be caught up with.

Change: Ledger::piece works out whole buckets that differ, in order, up to a bound, with a bit for each that differs and a digest over the hashes of all it covers; piece_digest tells a piece that did not come whole. Inquire has from, Held has from, next, differs and digest. Not wired into the core yet.

--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -161,7 +161,7 @@
     pub life: u64,
 }
 
-/// Asks a control process for all that it holds and the asker does not.
+/// Asks a control process for what it holds and the asker does not, in pieces: see [`Held`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Inquire {
     #[prost(uint64, tag = "1")]
@@ -171,6 +171,9 @@
     /// The asker's life: see [`Store`].
     #[prost(fixed64, tag = "3")]
     pub life: u64,
+    /// The bucket to go on with; 0 at first.
+    #[prost(uint32, tag = "10")]
+    pub from: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -187,6 +190,17 @@
     /// The asker's life, as it was told.
     #[prost(fixed64, tag = "5")]
     pub life: u64,
+    /// The buckets from this one up to `next` are covered: what differs in them is here, as it was held in one moment.
+    /// Whoever has taken it asks on at `next`, until that is past the last bucket.
+    #[prost(uint32, tag = "10")]
+    pub from: u32,
+    #[prost(uint32, tag = "11")]
+    pub next: u32,
+    /// See `tenet::Piece`.
+    #[prost(bytes = "vec", tag = "12")]
+    pub differs: Vec<u8>,
+    #[prost(fixed64, tag = "13")]
+    pub digest: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/tenet/src/ledger.rs
+++ b/crates/tenet/src/ledger.rs
@@ -1,11 +1,15 @@
 //! All items known, with hashes that tell where two copies of a ledger differ.
 
+mod pieces;
+
 use crate::item::{Item, Kind};
 use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
+pub use pieces::Piece;
+
 /// How many buckets the items are spread over for comparing copies.
 pub const BUCKETS: usize = 256;
 
--- /dev/null
+++ b/crates/tenet/src/ledger/pieces.rs
@@ -0,0 +1,69 @@
+//! What two copies differ in, in pieces: whole buckets, in order, as many as fit. A piece is worked out in one turn, so
+//! that whoever has merged it holds all that the other held of these buckets then; buckets that came before a break are
+//! equal after it and not sent again.
+
+use super::{Ledger, BUCKETS};
+use crate::item::Item;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One piece: what differs in the buckets from the one that was asked for up to `next`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Piece<'a> {
+    pub items: Vec<&'a Item>,
+    /// The first bucket that is not covered; [`BUCKETS`] when all are.
+    pub next: usize,
+    /// A bit for each covered bucket that differs: all that is held in it is among the items.
+    pub differs: Vec<u8>,
+    /// Over the hashes of the covered buckets, as they are here.
+    pub digest: u64,
+}
+
+fn bit(differs: &[u8], bucket: usize) -> bool {
+    differs.get(bucket / 8).is_some_and(|byte| byte >> (bucket % 8) & 1 == 1)
+}
+
+fn digest(hashes: impl Iterator<Item = u64>) -> u64 {
+    xxh3_64(&hashes.flat_map(u64::to_le_bytes).collect::<Vec<u8>>())
+}
+
+impl Ledger {
+    /// The items of buckets that differ from another copy's, from a bucket on: whole buckets of at most `most` bytes in
+    /// all, but one that differs at least. A bucket that `theirs` is too short for differs.
+    pub fn piece(&self, theirs: &[u64], from: usize, most: usize) -> Piece<'_> {
+        let from = from.min(BUCKETS);
+        let is_other = |bucket: usize| theirs.get(bucket) != Some(&self.buckets[bucket]);
+        let mut sizes = [0; BUCKETS];
+        for kept in self.kept() {
+            sizes[kept.bucket] += kept.item.bytes();
+        }
+        let (mut next, mut size, mut differs) = (from, 0, vec![0; BUCKETS / 8]);
+        while next < BUCKETS {
+            if is_other(next) {
+                if size > 0 && size + sizes[next] > most {
+                    break;
+                }
+                size += sizes[next];
+                differs[next / 8] |= 1 << (next % 8);
+            }
+            next += 1;
+        }
+        let is_in = |bucket| (from..next).contains(&bucket) && bit(&differs, bucket);
+        let items = self.kept().filter(|kept| is_in(kept.bucket)).map(|kept| &kept.item).collect();
+        let digest = digest(self.buckets[from..next].iter().copied());
+        if differs.iter().all(|byte| *byte == 0) {
+            differs = Vec::new();
+        }
+        Piece { items, next, differs, digest }
+    }
+
+    /// What [`Piece::digest`] must be if a piece has come whole. `self` holds the piece's items and nothing else; `sent`
+    /// are the hashes that the piece was worked out against.
+    pub fn piece_digest(&self, sent: &[u64], from: usize, next: usize, differs: &[u8]) -> u64 {
+        let covered = from.min(BUCKETS)..next.min(BUCKETS);
+        let hash = |bucket: usize| match bit(differs, bucket) {
+            true => self.buckets[bucket],
+            false => sent.get(bucket).copied().unwrap_or_default(),
+        };
+        digest(covered.map(hash))
+    }
+}
--- a/crates/tenet/src/lib.rs
+++ b/crates/tenet/src/lib.rs
@@ -13,7 +13,7 @@
 pub use call::{read_back, read_back_as_call, read_call, Checker};
 pub use item::{Item, Kind};
 pub use judge::judge;
-pub use ledger::{Ledger, BUCKETS};
+pub use ledger::{Ledger, Piece, BUCKETS};
 pub use reading::{Limits, Line, Mail, Route, Tenant};
 pub use refusal::Refusal;
 pub use view::View;
