Control processes read each other piece by piece, each piece checked, and ask on

Cause: the answer to an inquiry was one word with all that differs.

Change: an answer brings at most 512 KiB of whole buckets that differ; the asker checks it by its digest, takes it in and asks on. One counts as heard only when its last bucket has come; a piece that is not whole is logged (event=held-differs) and asked for again. Copies that differ after two beats are put right by the same reading.

--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -20,6 +20,7 @@
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
         self.lost.remove(&station);
+        self.unread(&station);
         let peer = Peer { hello: hello.clone(), heard: now, digest: 0, differs: 0, duty: 0 };
         self.peers.insert(station.clone(), peer);
         self.told.1 = Moment::default(); // it is to be told of the sessions here
@@ -41,6 +42,7 @@
     }
 
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
+        self.unread(station);
         if self.peers.remove(station).is_some() {
             info!("event=peer-lost station={station} why={why}");
             self.lost.insert(station.to_owned(), now);
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -11,13 +11,14 @@
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
 use bytes::Bytes;
+use catching::Reader;
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
-use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
+use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant, BUCKETS};
 use log::{debug, info, warn};
 use record::{learn, record, unrecord};
 use std::collections::{BTreeMap, BTreeSet};
@@ -144,7 +145,10 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
+    /// The ticket under which it catches up, or 0.
     inquiry: u64,
+    /// Readings of others under way, by ticket and station.
+    readers: BTreeMap<(u64, String), Reader>,
     peers: BTreeMap<String, Peer>,
     lost: BTreeMap<String, Moment>,
     sessions: BTreeMap<u64, Session>,
@@ -223,6 +227,7 @@
             newest: now,
             caught: BTreeSet::new(),
             inquiry: 0,
+            readers: BTreeMap::new(),
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -317,30 +322,19 @@
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.send(station, Word::Buckets(self.buckets(true)));
+                    self.repair(now, station);
                 }
             }
             Word::Live(live) => return live.controls,
             Word::Items(items) => {
                 self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
             }
-            Word::Buckets(buckets) => {
-                let items: Vec<ItemWord> =
-                    self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
-                self.send(station, Word::Items(Items { items }));
-            }
             Word::Store(store) => self.copy(station, store),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
             Word::Stored(stored) if stored.full && stored.life == self.life => {
                 self.stored(now, stored.ticket, station)
             }
-            Word::Inquire(inquire) => {
-                let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
-                let founded = self.cast().is_some();
-                let (ticket, life) = (inquire.ticket, inquire.life);
-                let held = Held { ticket, items, full: self.full, founded, life };
-                self.send(station, Word::Held(held));
-            }
+            Word::Inquire(inquire) => self.inquired(station, &inquire),
             Word::Held(held) => self.held(now, station, held),
             Word::Claim(claim) => self.vote(now, station, &claim),
             Word::Grant(grant) => self.granted(now, station, &grant),
@@ -367,17 +361,19 @@
         match self.standing {
             Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
                 self.inquired = now;
-                self.inquire();
+                self.inquire(now);
                 self.found(now);
             }
             // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
             Standing::Current if !self.hears_enough() => {
                 self.caught.clear();
+                self.inquiry = 0;
                 self.shift(Standing::Apart);
                 self.beat(now);
             }
             _ => {}
         }
+        self.forget_readers(now);
         self.claim(now);
         let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
         let is_late = |work: &Work| now - work.since > patience(&work.order);
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -22,8 +22,7 @@
         let id = self.ticket();
         let step = Step::Reading(self.full.then(|| self.me.station.clone()).into_iter().collect());
         self.work.insert(id, Work { caller, order, step, since: now });
-        let word = Inquire { ticket: id, hashes: self.ledger.buckets().to_vec(), life: self.life };
-        self.send_all(&Word::Inquire(word));
+        self.ask_all(now, id);
         self.proceed(now, id);
     }
 
