--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -61,8 +61,7 @@
     pub(super) fn founded(&mut self) {
         if self.standing == Standing::Blank && self.cast().is_some() {
             self.shift(Standing::Behind);
-            if self.maiden && self.cast().is_some_and(|cast| cast.has(&self.me.station) && cast.edition == 1)
-            {
+            if self.maiden && self.cast().is_some_and(|cast| cast.has(&self.name) && cast.edition == 1) {
                 self.keep_records(vec![(FULL.to_vec(), vec![1])], Kept::Full);
             }
         }
@@ -137,7 +136,7 @@
         let mut given = Ledger::new();
         items.iter().for_each(|item| _ = given.merge(item.clone()));
         let (from, next) = (held.from as usize, held.next as usize);
-        let digest = given.piece_digest(&reader.hashes, from, next, &held.differs);
+        let digest = piece_digest(given.buckets(), &reader.hashes, from, next, &held.differs);
         self.take(items);
         reader.at = now;
         // Danger: a piece that is short of an item, by whatever fault, would pass for all that the other holds.
@@ -156,16 +155,17 @@
         Took::Part
     }
 
-    pub(super) fn held(&mut self, now: Moment, station: &str, mut held: Held) {
+    /// `name` is the seat of the process at `station`.
+    pub(super) fn held(&mut self, now: Moment, station: &str, name: &str, mut held: Held) {
         if self.took(now, station, &mut held) != Took::Whole || !held.full || !held.founded {
             return;
         }
         if held.ticket == self.inquiry {
-            self.caught.insert(station.to_owned());
+            self.caught.insert(name.to_owned());
             self.catch_up();
         } else if let Some(work) = self.work.get_mut(&held.ticket) {
             if let Step::Reading(heard) = &mut work.step {
-                heard.insert(station.to_owned());
+                heard.insert(name.to_owned());
                 self.proceed(now, held.ticket);
             }
         }
@@ -175,7 +175,7 @@
     pub(super) fn catch_up(&mut self) {
         let mut heard = self.caught.clone();
         if self.full {
-            heard.insert(self.me.station.clone());
+            heard.insert(self.name.clone());
         }
         let apart = self.standing == Standing::Apart && !self.hears_enough();
         if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
@@ -233,13 +233,7 @@
         if !self.founder || self.standing != Standing::Blank || alone || quiet < GATHER {
             return;
         }
-        let seat = |hello: &Hello| Seat {
-            station: hello.station.clone(),
-            ip: hello.ip.clone(),
-            district: hello.district.clone(),
-            province: hello.province.clone(),
-        };
-        let mut seats: Vec<Seat> = self.peers.values().map(|peer| seat(&peer.hello)).collect();
+        let mut seats: Vec<Seat> = self.peers.values().map(|peer| Seat::from(&peer.hello)).collect();
         seats.push(self.me.clone());
         seats.sort();
         let cast = Cast { seats, edition: 1 };
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -79,7 +79,7 @@
     /// One of another process, until it has said who it is.
     Stranger,
     /// Another control process speaks here.
-    Peer { station: String },
+    Peer { station: String, life: u64 },
     /// A gateway's session, both ways.
     Session,
     /// The platform's list.
@@ -176,6 +176,7 @@
             ip: settings.ip.to_string(),
             district: settings.district.clone(),
             province: settings.province.clone(),
+            folder: 0,
         };
         let founder = settings.first_stops.first().is_some_and(|stop| stop.ip() == IpAddr::V4(settings.ip));
         let life = life(&settings.station);
@@ -539,7 +540,7 @@
         let (input, mut at) = (std::mem::take(&mut conn.wire.input), 0);
         // Danger: over a slow line a word of many MiB takes longer than a silence is borne.
         match &conn.role {
-            Role::Peer { station } if !input.is_empty() => self.core.peer_alive(now, station),
+            Role::Peer { station, .. } if !input.is_empty() => self.core.peer_alive(now, station),
             Role::Session if !input.is_empty() => self.core.session_alive(now, id),
             _ => {}
         }
@@ -564,7 +565,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match (&conn.role, word) {
             (Role::Stranger, Word::Hello(hello)) if hello.control => {
-                conn.role = Role::Peer { station: hello.station.clone() };
+                conn.role = Role::Peer { station: hello.station.clone(), life: hello.life };
                 self.ips.insert(hello.station.clone(), hello.ip.clone());
                 self.stops.insert(hello.ip.clone(), now);
                 self.core.peer_came(now, &hello);
@@ -573,9 +574,10 @@
                 conn.role = Role::Session;
                 self.core.session_came(now, id, hello);
             }
-            (Role::Peer { station }, word) => {
+            (Role::Peer { station, life }, word) => {
                 let station = station.clone();
-                if !self.core.knows(&station) {
+                // Danger: what an earlier life said would count for the seat of this one, which may have another folder.
+                if !self.core.knows_life(&station, *life) {
                     conn.ends = true;
                     return;
                 }
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -66,6 +66,7 @@
                 ip: format!("10.0.0.{n}"),
                 district: district.to_string(),
                 province: district[..1].to_owned(),
+                folder: 0,
             },
             core: None,
             life: 0,
@@ -230,7 +231,7 @@
                     let Some(hello) = self.nodes[a].core.as_ref().map(Core::hello) else { continue };
                     let cut = self.cut(a, b);
                     let Some(core) = self.nodes[b].core.as_mut().filter(|_| a != b && !cut) else { continue };
-                    if !core.knows(&hello.station) {
+                    if !core.knows_life(&hello.station, hello.life) {
                         core.peer_came(at(self.now), &hello);
                     }
                 }
@@ -247,7 +248,8 @@
                 continue;
             }
             let station = self.nodes[from].seat.station.clone();
-            if let Some(core) = &mut self.nodes[to].core {
+            // The receiver's connection is of one life: once another has said hello, what the earlier one said is dropped.
+            if let Some(core) = self.nodes[to].core.as_mut().filter(|core| core.knows_life(&station, life)) {
                 core.peer_said(at(self.now), &station, word);
             }
         }
--- a/crates/tenet/tests/pieces.rs
+++ b/crates/tenet/tests/pieces.rs
@@ -2,7 +2,7 @@
 //! passes for one.
 
 use bytes::Bytes;
-use kitepass_tenet::{Item, Kind, Ledger, BUCKETS};
+use kitepass_tenet::{piece_digest, Item, Kind, Ledger, BUCKETS};
 
 fn ledger(chance: &mut oorandom::Rand64, most: u64) -> Ledger {
     let mut ledger = Ledger::new();
@@ -36,13 +36,16 @@
             assert!(beside <= MOST, "seed {seed}: {beside} bytes beside the largest item");
             let mut given = Ledger::new();
             piece.items.iter().for_each(|item| _ = given.merge((*item).clone()));
-            assert_eq!(given.piece_digest(&sent, from, piece.next, &piece.differs), piece.digest);
+            assert_eq!(piece_digest(given.buckets(), &sent, from, piece.next, &piece.differs), piece.digest);
             // With any one item missing, or old, it does not pass.
             if let Some(doubted) = piece.items.iter().find(|item| item.kind != Kind::Backend) {
                 let mut short = Ledger::new();
                 let others = piece.items.iter().filter(|item| *item != doubted);
                 others.for_each(|item| _ = short.merge((*item).clone()));
-                assert_ne!(short.piece_digest(&sent, from, piece.next, &piece.differs), piece.digest);
+                assert_ne!(
+                    piece_digest(short.buckets(), &sent, from, piece.next, &piece.differs),
+                    piece.digest
+                );
             }
             let next = piece.next;
             let items: Vec<Item> = piece.items.into_iter().cloned().collect();
