Sessions are told in turns within one bound; signs of life go past long words

Cause: each gateway that came had all that it lacked queued at once (150 of a region: 388 MB, docs/CAPACITY.md); a word of 14 MiB to five peers and a change to a hundred sessions were packed and kept once for each; a beat waited behind megabytes, and both ends would take each other for lost.

Change: bond::feed tells who is told what next: pieces of 256 KiB, the next once the one before has left, 8 MiB on their way to all together. bond::frame::Outbox keeps words that wait for a connection, shares what goes to many, and lets beats, claims, grants and counts past. A piece for a process that has over 1 MiB to take already is held back; it asks again. Calls that are still read hold 48 MiB together (503 beyond), a call may come to 20 MiB as items (413 beyond).

Not run: a slow line, and 413 by items.

--- a/crates/accord/examples/slopes.rs
+++ b/crates/accord/examples/slopes.rs
@@ -18,6 +18,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::process::{Command, ExitCode};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Gateways, routes, tenants, backends; the last is the size to plan for.
@@ -99,7 +100,7 @@
     Peer { from: usize, to: usize, frame: Vec<u8> },
     Up { gate: usize, session: u64, frame: Vec<u8> },
     Down { gate: usize, session: u64, word: Word },
-    Items { gate: usize, session: u64, items: Rc<Vec<Item>> },
+    Items { gate: usize, session: u64, items: Arc<[Item]> },
     Kept(usize, u64),
     Tick(usize),
     Come(usize),
@@ -255,7 +256,7 @@
                     self.edge.got(frame.len());
                     let (words, bytes) = &mut self.news[1];
                     (*words, *bytes) = (*words + 1.0, *bytes + frame.len() as f64);
-                    self.set(NEAR, Due::Items { gate, session, items: Rc::new(items) });
+                    self.set(NEAR, Due::Items { gate, session, items });
                 }
             }
             Act::Keep(ticket, _) => self.set(SYNC, Due::Kept(n, ticket)),
@@ -451,7 +452,8 @@
                 self.heard(gate, word)
             }
             Due::Items { gate, session, items } if self.gates[gate].session == session => {
-                self.merged(gate, &items)
+                self.merged(gate, &items);
+                self.run_core(self.gates[gate].node, |core, now| core.left(now, session));
             }
             Due::Up { .. } | Due::Down { .. } | Due::Items { .. } => {}
             Due::Kept(n, ticket) => self.run_core(n, |core, now| core.kept(now, ticket)),
--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -52,8 +52,12 @@
 
     pub(super) fn spread(&mut self, news: &[Item]) {
         news.iter().for_each(|item| learn(&mut self.terms, item));
-        for session in self.sessions.keys().filter(|_| !news.is_empty()) {
-            self.acts.push(Act::Items(*session, news.to_vec()));
+        if news.is_empty() || self.sessions.is_empty() {
+            return;
+        }
+        let news: Arc<[Item]> = news.into();
+        for session in self.sessions.keys() {
+            self.acts.push(Act::Items(*session, news.clone()));
         }
     }
 
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -15,6 +15,7 @@
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
 use kitepass_bond::count::{Counts, Slack, Terms};
+use kitepass_bond::feed::Feeds;
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::session::Table;
 use kitepass_bond::words::*;
@@ -51,6 +52,10 @@
 /// that come back for all, and give each too large a part of every quota.
 const LIVE: &[u8] = b"live";
 
+/// Bytes on their way to gateways that are told what they lack, all together, and of one piece.
+const MOST_FED: usize = 8 * 1024 * 1024;
+const FED: usize = 256 * 1024;
+
 /// What a control process wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -58,8 +63,8 @@
     Peer(String, Word),
     /// To a gateway, by its session's number.
     Session(u64, Word),
-    /// Items to a gateway's session, in as many words as they need.
-    Items(u64, Vec<Item>),
+    /// Items to a gateway's session, in as many words as they need. Sessions that are told the same share them.
+    Items(u64, Arc<[Item]>),
     /// To a caller, by the number that it asked under.
     Answer(u64, Reply),
     /// To be kept on disk, and told as [`Core::kept`] with the ticket.
@@ -166,6 +171,8 @@
     /// Seats that said that they leave, by name.
     leaving: BTreeSet<String>,
     sessions: BTreeMap<u64, Session>,
+    /// Sessions that are told what they lack.
+    feeds: Feeds,
     table: Table,
     told: (u64, Moment, Vec<Member>),
     /// Gateways that count as live, reckoned once a beat.
@@ -260,6 +267,7 @@
             lost: BTreeMap::new(),
             leaving: BTreeSet::new(),
             sessions: BTreeMap::new(),
+            feeds: Feeds::new(MOST_FED),
             table,
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
@@ -409,6 +417,7 @@
             _ => {}
         }
         self.forget_readers(now);
+        self.feed(now);
         self.claim(now);
         let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
         let is_late = |work: &Work| now - work.since > patience(&work.order);
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -25,6 +25,8 @@
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
         if let Some(session) = self.sessions.remove(&id) {
             info!("event=session-lost station={} why={why}", session.hello.station);
+            self.feeds.lost(id);
+            self.feed(now);
             self.tell(now);
         }
     }
@@ -46,11 +48,8 @@
                 }
             }
             Word::Buckets(buckets) => {
-                let items: Vec<Item> = self.ledger.differing(&buckets.hashes).cloned().collect();
-                self.acts.push(Act::Items(id, items));
-                if !buckets.back {
-                    self.acts.push(Act::Session(id, Word::Buckets(self.buckets(true))));
-                }
+                self.feeds.ask(id, buckets.hashes, !buckets.back);
+                self.feed(now);
             }
             // Repair: what a gateway was told by one that is lost.
             Word::Items(items) => {
@@ -68,6 +67,34 @@
         }
     }
 
+    /// Whether something is on its way to a session that [`Core::left`] is to be told of.
+    pub fn is_fed(&self, id: u64) -> bool {
+        self.feeds.is_told(id)
+    }
+
+    /// What was on its way to a session has left, or nearly.
+    pub fn left(&mut self, now: Moment, id: u64) {
+        self.feeds.left(id);
+        self.feed(now);
+    }
+
+    /// Tells the next of those that came what they lack, as far as there is room.
+    pub(super) fn feed(&mut self, now: Moment) {
+        while let Some(turn) = self.feeds.next(now) {
+            let piece = self.ledger.piece(&turn.hashes, turn.from, FED);
+            let goes_on = (piece.next < BUCKETS).then_some(piece.next);
+            let items: Arc<[Item]> = piece.items.into_iter().cloned().collect();
+            let (id, back, bytes) = (turn.id, turn.back, items.iter().map(Item::bytes).sum());
+            self.feeds.told(now, turn, bytes, goes_on);
+            if !items.is_empty() {
+                self.acts.push(Act::Items(id, items));
+            }
+            if goes_on.is_none() && back {
+                self.acts.push(Act::Session(id, Word::Buckets(self.buckets(true))));
+            }
+        }
+    }
+
     /// Gateways that a client may be sent to.
     pub fn lookup(
         &self,
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -6,7 +6,7 @@
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::Seat;
 use kitepass_bond::count::Slack;
-use kitepass_bond::frame::{Assembler, MOST_FRAME};
+use kitepass_bond::frame::{Assembler, Outbox, Packed, MOST_FRAME};
 use kitepass_bond::words::{self, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_recall::Store;
@@ -16,12 +16,14 @@
 use kitepass_strand::process::{life, Signals};
 use kitepass_strand::wire::{cause, Wire};
 use kitepass_strand::{Errno, OwnedFd};
+use kitepass_tenet::Item;
 use log::{debug, error, info, warn};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// Bytes of an operator's call. Danger: a caller that never ends.
 const MOST_CALL: usize = 16 * 1024 * 1024;
@@ -32,8 +34,19 @@
 const MOST_TURNS: usize = 16;
 /// So long after a refusal that did not wait for the call's end its rest is read off and dropped.
 const DRAIN: Span = Span::from_micros(10_000_000);
-/// Bytes that may wait for a peer or caller that does not read; beyond that it is given up.
-const MOST_UNSENT: usize = 32 * 1024 * 1024;
+/// Bytes of all calls that are still being read.
+const MOST_CALLS: usize = 3 * MOST_CALL;
+/// Bytes of a call as items: short entries grow, as each item names its fields. It must fit in one word.
+const MOST_ITEMS: usize = 20 * 1024 * 1024;
+/// Bytes that may wait for a peer or gateway that does not read; beyond that it is given up.
+const MOST_UNSENT: usize = 64 * 1024 * 1024;
+/// With no more than so much still to go a gateway is told its next piece.
+const LOW: usize = 64 * 1024;
+/// Bytes of answers that may wait for a caller before its next call is looked at.
+const MOST_HELD: usize = 256 * 1024;
+/// With so much still to go to a process it is told no further piece of what it lacks: it asks again. Danger: on a slow
+/// line what is asked for again would pile up.
+const BUSY: usize = 1024 * 1024;
 /// A caller that is idle for so long is closed.
 const IDLE: Span = Span::from_micros(30_000_000);
 const TICK: Span = Span::from_micros(100_000);
@@ -103,6 +116,7 @@
 struct Conn {
     wire: Wire,
     assembler: Assembler,
+    outbox: Outbox,
     role: Role,
     at: Moment,
     ends: bool,
@@ -110,7 +124,19 @@
 
 impl Conn {
     fn new(wire: Wire, role: Role, at: Moment) -> Conn {
-        Conn { wire, assembler: Assembler::default(), role, at, ends: false }
+        let (assembler, outbox) = (Assembler::default(), Outbox::default());
+        Conn { wire, assembler, outbox, role, at, ends: false }
+    }
+}
+
+impl Conn {
+    /// Bytes that are still to go.
+    fn unsent(&self) -> usize {
+        self.wire.unsent() + self.outbox.waiting()
+    }
+
+    fn say(&mut self, word: Packed, urgent: bool) {
+        self.outbox.say(word, urgent, &mut self.wire.output);
     }
 }
 
@@ -141,6 +167,8 @@
     piece: Vec<u8>,
     /// Connections with more to read than one turn took.
     again: Vec<u64>,
+    /// Sessions whose last piece has left.
+    left: Vec<u64>,
     signals: Signals,
     watch: Watch,
 }
@@ -207,6 +235,7 @@
             read: Moment::default(),
             piece: vec![0; 64 * 1024],
             again: Vec::new(),
+            left: Vec::new(),
             signals: Signals::default(),
             watch,
         })
@@ -219,13 +248,14 @@
         let mut leaves: Option<Moment> = None;
         loop {
             let wait = TICK - (self.clock.now() - ticked).min(TICK);
-            let wait = if self.again.is_empty() { wait } else { Span::ZERO };
+            let wait = if self.again.is_empty() && self.left.is_empty() { wait } else { Span::ZERO };
             self.poll.wait(Some(wait), &mut ready).context(SystemSnafu { what: "waiting" })?;
             for ready in ready.drain(..) {
                 self.ready(&ready)?;
             }
             std::mem::take(&mut self.again).into_iter().for_each(|id| self.serve(id, None));
             let now = self.clock.now();
+            std::mem::take(&mut self.left).into_iter().for_each(|id| self.core.left(now, id));
             if now - ticked >= TICK {
                 ticked = now;
                 self.core.tick(now);
@@ -353,12 +383,23 @@
 
     fn flush(&mut self, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        match conn.wire.flush() {
+        let flushed = loop {
+            let unsent = conn.wire.unsent();
+            conn.outbox.feed(&mut conn.wire.output, unsent);
+            let flushed = conn.wire.flush();
+            if flushed != Ok(true) || conn.outbox.waiting() == 0 {
+                break flushed;
+            }
+        };
+        match flushed {
             Ok(true) if matches!(&conn.role, Role::Caller(caller) if caller.drains) => {
                 let _ = conn.wire.end(); // the answer is whole: its reader need not wait for more
             }
             Ok(true) if conn.ends => self.lose(id, "done"),
-            Ok(_) if conn.wire.unsent() > MOST_UNSENT => self.lose(id, "does-not-read"),
+            Ok(_) if conn.unsent() <= LOW && self.core.is_fed(id) => self.left.push(id),
+            // A caller is answered one call at a time, and an answer may be as long as the configuration.
+            Ok(_) if matches!(conn.role, Role::Caller(_)) => {}
+            Ok(_) if conn.unsent() > MOST_UNSENT => self.lose(id, "does-not-read"),
             Ok(_) => {}
             Err(error) => self.lose(id, cause(error)),
         }
@@ -394,6 +435,13 @@
             if caller.waits || *ends {
                 return Ok(());
             }
+            // Danger: answers to calls that come one behind the other would pile up for one that does not read.
+            if wire.unsent() > MOST_HELD {
+                wire.flush().map_err(cause)?;
+                if wire.unsent() > MOST_HELD {
+                    return Ok(()); // once there is room again it goes on
+                }
+            }
             if caller.call.is_none() {
                 match caller.reader.next(Which::Request, &mut wire.input, MOST_HEAD) {
                     Ok(None) => return Ok(()),
@@ -426,6 +474,11 @@
                 return Ok(());
             }
             if !whole {
+                if caller.bytes.len() > MOST_HELD && self.calls_held() > MOST_CALLS {
+                    // Danger: eight long calls at once would take more memory than a small machine has.
+                    self.cut_short(id);
+                    self.answer(id, 503, "text/plain", b"too many long calls at once", Some(1));
+                }
                 return Ok(());
             }
             let call = caller.call.take().expect("set above");
@@ -434,19 +487,31 @@
         }
     }
 
+    fn calls_held(&self) -> usize {
+        let bytes = |conn: &Conn| if let Role::Caller(caller) = &conn.role { caller.bytes.len() } else { 0 };
+        self.conns.values().map(bytes).sum()
+    }
+
+    /// A call that has not come whole is read no further: what still comes of it is dropped.
+    fn cut_short(&mut self, id: u64) {
+        if let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get_mut(&id) {
+            (caller.closes, caller.drains) = (true, true);
+            (caller.bytes, caller.refused) = (Vec::new(), self.clock.now());
+        }
+    }
+
     /// A call beyond the limit is refused before anything is made of it.
     fn too_long(&mut self, id: u64) {
-        let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get_mut(&id) else { return };
-        (caller.closes, caller.drains) = (true, true);
-        (caller.bytes, caller.refused) = (Vec::new(), self.clock.now());
-        info!("event=call-too-long most={MOST_CALL}");
-        self.answer(id, 413, "text/plain", b"a call of more than 16 MiB", None);
+        self.cut_short(id);
+        info!("event=call-too-long most={MOST_CALL} most_items={MOST_ITEMS}");
+        self.answer(id, 413, "text/plain", b"a call of more than 16 MiB, or 20 MiB as items", None);
     }
 
     fn run_call(&mut self, now: Moment, id: u64, call: Call, body: &[u8]) {
         let order = match call {
             Call::Order(order) => order,
             Call::Patch => match self.core.read_call(body) {
+                Ok(order) if order.bytes() > MOST_ITEMS => return self.too_long(id),
                 Ok(order) => order,
                 Err(why) => {
                     info!("event=unread-call why={why:?}");
@@ -713,26 +778,36 @@
 
     /// Carries out what the core wants done.
     fn act(&mut self) {
-        let mut touched = std::collections::BTreeSet::new();
+        let mut batches = Batches::default();
+        let (mut touched, mut long) = (BTreeSet::new(), Long::default());
         while !self.core.acts.is_empty() {
             for act in std::mem::take(&mut self.core.acts) {
                 match act {
                     Act::Peer(station, word) => {
                         let id = self.ips.get(&station).and_then(|ip| self.out.get(ip)).copied();
                         if let Some((id, conn)) = id.and_then(|id| Some((id, self.conns.get_mut(&id)?))) {
-                            words::pack(word, &mut conn.wire.output);
+                            let piece = matches!(&word, Word::Held(held) if !held.items.is_empty());
+                            if piece && conn.unsent() > BUSY {
+                                debug!("event=held-back station={station} unsent={}", conn.unsent());
+                                continue;
+                            }
+                            let urgent = is_urgent(&word);
+                            let packed = long.of(word);
+                            conn.say(packed, urgent);
                             touched.insert(id);
                         }
                     }
                     Act::Session(id, word) => {
                         if let Some(conn) = self.conns.get_mut(&id) {
-                            words::pack(word, &mut conn.wire.output);
+                            conn.say(Packed::new(word.clone()), is_urgent(&word));
                             touched.insert(id);
                         }
                     }
                     Act::Items(id, items) => {
                         if let Some(conn) = self.conns.get_mut(&id) {
-                            words::pack_items(items.iter(), &mut conn.wire.output);
+                            for packed in batches.of(&items) {
+                                conn.say(packed, false);
+                            }
                             touched.insert(id);
                         }
                     }
@@ -762,3 +837,40 @@
         touched.into_iter().for_each(|id| self.flush(id));
     }
 }
+
+/// Words that must not wait behind a long one.
+fn is_urgent(word: &Word) -> bool {
+    matches!(word, Word::Beat(_) | Word::Claim(_) | Word::Grant(_) | Word::Adds(_) | Word::Totals(_))
+}
+
+/// The items that were packed last: what goes to many sessions is packed, and kept, once.
+#[derive(Default)]
+struct Batches(Option<(Arc<[Item]>, Vec<Packed>)>);
+
+impl Batches {
+    fn of(&mut self, items: &Arc<[Item]>) -> Vec<Packed> {
+        if let Some((_, packed)) = self.0.as_ref().filter(|(last, _)| Arc::ptr_eq(last, items)) {
+            return packed.clone();
+        }
+        let packed: Vec<Packed> = words::batches(items.iter()).into_iter().map(Packed::new).collect();
+        self.0 = Some((items.clone(), packed.clone()));
+        packed
+    }
+}
+
+/// The last long word that was packed: what goes to many is packed, and kept, once.
+#[derive(Default)]
+struct Long(Option<(Word, Packed)>);
+
+impl Long {
+    fn of(&mut self, word: Word) -> Packed {
+        if let Some((_, packed)) = self.0.as_ref().filter(|(last, _)| *last == word) {
+            return packed.clone();
+        }
+        let packed = Packed::new(word.clone());
+        if matches!(packed, Packed::Long(_)) {
+            self.0 = Some((word, packed.clone()));
+        }
+        packed
+    }
+}
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -164,6 +164,10 @@
             };
             let (node, _) = self.gates[gate].at.unwrap();
             if !up {
+                if let Some(core) = self.nodes[node].core.as_mut().filter(|_| matches!(word, Word::Items(_)))
+                {
+                    core.left(now, conn);
+                }
                 let mut brought = Brought::default();
                 self.gates[gate].link.said(now, word, &mut brought);
                 if brought.close {
--- a/crates/bond/src/frame.rs
+++ b/crates/bond/src/frame.rs
@@ -5,8 +5,10 @@
 //! No frame tells how long its word will be: what a receiver keeps grows with what has come, never with a claim.
 
 use crate::words::{Parcel, Word};
+use bytes::Bytes;
 use prost::Message;
 use snafu::Snafu;
+use std::collections::VecDeque;
 
 /// The most bytes of one frame behind its head. Danger: a peer that lies about a length must not make us keep memory
 /// for it, and a word of many MiB in one frame would hold up all that goes behind it.
@@ -29,21 +31,93 @@
     Garbled { cause: String },
 }
 
+/// A word as it is sent.
+#[derive(Clone, Debug)]
+pub enum Packed {
+    /// One frame, with its head.
+    Short(Bytes),
+    /// The message of a word that goes in pieces. Copies share it.
+    Long(Bytes),
+}
+
+impl Packed {
+    pub fn new(word: Word) -> Packed {
+        let parcel = Parcel { word: Some(word) };
+        let length = parcel.encoded_len();
+        if length > MOST_FRAME {
+            return Packed::Long(parcel.encode_to_vec().into());
+        }
+        let mut frame = Vec::with_capacity(4 + length);
+        frame.extend_from_slice(&(length as u32).to_be_bytes());
+        parcel.encode_raw(&mut frame);
+        Packed::Short(frame.into())
+    }
+
+    fn len(&self) -> usize {
+        match self {
+            Packed::Short(bytes) | Packed::Long(bytes) => bytes.len(),
+        }
+    }
+
+    /// Appends the next frame; whether it was the last.
+    fn frame(&mut self, into: &mut Vec<u8>) -> bool {
+        match self {
+            Packed::Short(frame) => into.extend_from_slice(frame),
+            Packed::Long(bytes) => {
+                let piece = bytes.split_to(bytes.len().min(MOST_FRAME));
+                let kind = if bytes.is_empty() { LAST } else { PIECE };
+                into.extend_from_slice(&(piece.len() as u32 | kind).to_be_bytes());
+                into.extend_from_slice(&piece);
+                return bytes.is_empty();
+            }
+        }
+        true
+    }
+}
+
 /// Appends a word in as many frames as it needs.
 pub fn pack(word: Word, into: &mut Vec<u8>) {
-    let parcel = Parcel { word: Some(word) };
-    let length = parcel.encoded_len();
-    if length <= MOST_FRAME {
-        into.extend_from_slice(&(length as u32).to_be_bytes());
-        return parcel.encode_raw(into);
+    let mut packed = Packed::new(word);
+    while !packed.frame(into) {}
+}
+
+/// Words that wait for a connection with room. Signs of life go past them. Danger: behind a word of many MiB on a slow
+/// line both ends would take each other for lost.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    queue: VecDeque<Packed>,
+    bytes: usize,
+}
+
+impl Outbox {
+    /// Takes a word; `urgent` ones go at once, the others in their order.
+    pub fn say(&mut self, mut word: Packed, urgent: bool, into: &mut Vec<u8>) {
+        let at_once = self.queue.is_empty() && into.len() < MOST_FRAME;
+        if matches!(word, Packed::Short(_)) && (urgent || at_once) {
+            word.frame(into);
+            return;
+        }
+        self.bytes += word.len();
+        self.queue.push_back(word);
+    }
+
+    /// Hands over the next frames, for as long as there is room behind so many unsent bytes.
+    pub fn feed(&mut self, into: &mut Vec<u8>, unsent: usize) {
+        let begun = into.len();
+        while unsent + into.len() - begun < MOST_FRAME {
+            let Some(word) = self.queue.front_mut() else { return };
+            let before = word.len();
+            let ended = word.frame(into);
+            self.bytes -= if ended { before } else { before - word.len() };
+            if ended {
+                self.queue.pop_front();
+            }
+        }
     }
-    let whole = parcel.encode_to_vec();
-    into.reserve(length + length.div_ceil(MOST_FRAME) * 4);
-    let last = (length - 1) / MOST_FRAME;
-    for (n, piece) in whole.chunks(MOST_FRAME).enumerate() {
-        let kind = if n == last { LAST } else { PIECE };
-        into.extend_from_slice(&(piece.len() as u32 | kind).to_be_bytes());
-        into.extend_from_slice(piece);
+
+    /// Bytes that wait.
+    pub fn waiting(&self) -> usize {
+        self.bytes
     }
 }
 
--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`words`] | the messages |
 //! | [`frame`] | how they go over a connection, long ones in pieces |
 //! | [`cast`] | who the core is, and how many copies make a write safe and a reading whole |
+//! | [`feed`] | who of many that came is told what it lacks next, in bounds |
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
 //! | [`register`] | one number, one content: the ballots by which a change is decided |
 //! | [`session`] | who is a member: the sessions of each control process, and how long a lost one counts |
@@ -13,6 +14,7 @@
 
 pub mod cast;
 pub mod count;
+pub mod feed;
 pub mod frame;
 pub mod lease;
 pub mod register;
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -399,16 +399,22 @@
 
 /// Appends items in as many words as they need.
 pub fn pack_items<'a>(items: impl Iterator<Item = &'a Item>, into: &mut Vec<u8>) {
-    let (mut batch, mut size) = (Vec::new(), 0);
+    batches(items).into_iter().for_each(|word| pack(word, into));
+}
+
+/// Items in as many words as they need.
+pub fn batches<'a>(items: impl Iterator<Item = &'a Item>) -> Vec<Word> {
+    let (mut batch, mut size, mut words) = (Vec::new(), 0, Vec::new());
     for item in items {
         size += item.bytes();
         batch.push(ItemWord::from(item));
         if size > BATCH {
-            pack(Word::Items(Items { items: std::mem::take(&mut batch) }), into);
+            words.push(Word::Items(Items { items: std::mem::take(&mut batch) }));
             size = 0;
         }
     }
     if !batch.is_empty() {
-        pack(Word::Items(Items { items: batch }), into);
+        words.push(Word::Items(Items { items: batch }));
     }
+    words
 }
--- a/crates/tenet/src/item.rs
+++ b/crates/tenet/src/item.rs
@@ -47,9 +47,9 @@
 }
 
 impl Item {
-    /// About how many bytes it takes on the wire and on disk.
+    /// Bytes that it takes on the wire at most, without older versions.
     pub fn bytes(&self) -> usize {
-        self.name.len() + self.value.as_ref().map_or(0, |value| value.len()) + 16
+        self.name.len() + self.value.as_ref().map_or(0, |value| value.len()) + 32
     }
 
     /// Whether the item is set, not dropped.
