A gateway that was alone for long begins anew; it gives back backends alone, and is caught up by digest

Cause: a gateway that was away gave back whatever it held, also of the configuration; it was caught up once it had been told something, whatever it held by then; with tombstones that end, what it holds of old would stay for good.

Change: after half an hour without holding what a control process in touch holds, and after eight repairs that left a difference, a gateway begins anew from nothing while it goes by what it holds, and swaps whole once it has caught up. It has caught up the first time only when its hashes are the other's; else it asks again (event=told-differs). It gives back, and control processes take from it, backends alone. While it is told, and while it waits for that, it is not given up.

--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -37,7 +37,8 @@
         match word {
             Word::Beat(beat) => {
                 let was = std::mem::replace(&mut session.ready, beat.ready);
-                session.differs = if beat.digest == self.ledger.digest() { 0 } else { session.differs + 1 };
+                let agrees = beat.digest == self.ledger.digest() || self.feeds.has(id);
+                session.differs = if agrees { 0 } else { session.differs + 1 };
                 // One beat may have crossed with news.
                 if session.differs >= 2 {
                     session.differs = 0;
@@ -51,9 +52,11 @@
                 self.feeds.ask(id, buckets.hashes, !buckets.back);
                 self.feed(now);
             }
-            // Repair: what a gateway was told by one that is lost.
+            // Repair: what a gateway was told by one that is lost. Danger: of the configuration a gateway that was away
+            // would bring back what has been dropped, and the drop forgotten.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                let items = items.items.into_iter().filter_map(ItemWord::item);
+                self.take(items.filter(|item| item.kind == Kind::Backend).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
--- a/crates/bond/src/feed.rs
+++ b/crates/bond/src/feed.rs
@@ -84,6 +84,11 @@
         feed.state = State::Told { bytes, since: now, more: goes_on.is_some() };
     }
 
+    /// Whether it is being told, or waits for its turn.
+    pub fn has(&self, id: u64) -> bool {
+        self.feeds.contains_key(&id)
+    }
+
     /// Whether something is on its way to it.
     pub fn is_told(&self, id: u64) -> bool {
         matches!(self.feeds.get(&id), Some(Feed { state: State::Told { .. }, .. }))
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -14,6 +14,14 @@
 const MOST_DROPPED: usize = 4_096;
 /// A session that is not up by then is given up.
 const COMING: Span = Span::from_micros(1_400_000);
+/// One that is up and tells nothing of what is lacked for so long is given up: many may wait for their turn.
+const TELLING: Span = Span::from_micros(10_000_000);
+/// So long without being told all by a control process in touch with the core a gateway keeps what it holds; after that it
+/// begins anew. Danger: what was dropped meanwhile may be forgotten, and then nobody would tell it so. The core forgets
+/// no sooner than twice this after all of it knew.
+const ALONE: Span = Span::from_micros(1_800_000_000);
+/// After so many repairs that left a difference it begins anew: something is held here that the core lets go of.
+const MOST_DIFFERING: u32 = 8;
 /// One that was tried in vain is left alone for so long, times how often that was.
 const AGAIN: Span = Span::from_micros(350_000);
 /// So long one that is cut off from the core is stayed with, if no other is better.
@@ -27,6 +35,8 @@
     Away,
     /// A connection is on its way, since a moment.
     Coming(Moment),
+    /// It is up, and tells what is lacked here; since the last of it.
+    Telling(Moment),
     /// All that the control process holds has come.
     Synced,
 }
@@ -45,7 +55,17 @@
 pub struct Link {
     hello: Hello,
     state: State,
+    /// What is gone by.
     pub ledger: Ledger,
+    /// A new beginning from nothing, in the ledger's place once it is whole; until then the ledger is gone by.
+    anew: Option<(Ledger, Moment)>,
+    /// When it last held what a control process in touch with the core held.
+    told: Moment,
+    /// Longest time without that: [`ALONE`], but for tests.
+    alone: Span,
+    /// The control process is to be asked again for what is lacked.
+    asks: bool,
+    differing: u32,
     first: Vec<String>,
     /// Control processes by address, with district.
     known: BTreeMap<String, String>,
@@ -73,6 +93,11 @@
             hello,
             state: State::Away,
             ledger: Ledger::new(),
+            anew: None,
+            told: Moment::default(),
+            alone: ALONE,
+            asks: false,
+            differing: 0,
             first,
             known: BTreeMap::new(),
             tried: BTreeMap::new(),
@@ -96,10 +121,13 @@
     }
 
     fn shift(&mut self, to: State) {
-        if self.state != to {
+        if let (State::Telling(since), State::Telling(now)) = (&mut self.state, to) {
+            *since = now;
+        } else if self.state != to {
             let name = match to {
                 State::Away => "away",
                 State::Coming(_) => "coming",
+                State::Telling(_) => "telling",
                 State::Synced => "synced",
             };
             debug!("event=link state={name} control={}", self.at);
@@ -107,6 +135,32 @@
         }
     }
 
+    /// For tests: so long it may be alone.
+    pub fn set_alone(&mut self, alone: Span) {
+        self.alone = alone;
+    }
+
+    /// What the session is about: a new beginning, or the ledger.
+    fn held(&self) -> &Ledger {
+        self.anew.as_ref().map_or(&self.ledger, |(anew, _)| anew)
+    }
+
+    fn begin_anew(&mut self, now: Moment, why: &str) {
+        info!("event=anew why={why} items={}", self.ledger.len());
+        self.anew = Some((Ledger::new(), now));
+        self.differing = 0;
+    }
+
+    /// What was begun anew is whole, and stands in the ledger's place from here on. What is not in it is gone.
+    fn swap(&mut self, brought: &mut Brought) {
+        let Some((anew, _)) = self.anew.take() else { return };
+        let old = std::mem::replace(&mut self.ledger, anew);
+        let is_new = |item: &&Item| old.get(item.kind, &item.name) != Some(*item);
+        brought.items.extend(self.ledger.all().filter(is_new).cloned());
+        let is_gone = |item: &&Item| item.stands() && self.ledger.get(item.kind, &item.name).is_none();
+        brought.items.extend(old.all().filter(is_gone).map(|item| Item { value: None, ..item.clone() }));
+    }
+
     /// Caught up with the core, and told of the other gateways.
     pub fn is_caught_up(&self) -> bool {
         self.caught && self.lived
@@ -144,11 +198,16 @@
         let vain = self.tried.get(&ip).map_or(0, |(_, vain)| *vain);
         self.tried.insert(ip.clone(), (now, vain + 1));
         self.at = ip.clone();
+        let begun = self.anew.as_ref().map_or(self.told, |(_, begun)| *begun);
+        if self.caught && now - begun > self.alone {
+            self.begin_anew(now, "alone");
+        }
+        self.asks = false;
         self.shift(State::Coming(now));
         (self.heard, self.since, self.apart) = (now, now, false);
         self.out = vec![
             Word::Hello(self.hello.clone()),
-            Word::Buckets(Buckets { hashes: self.ledger.buckets().to_vec(), back: false }),
+            Word::Buckets(Buckets { hashes: self.held().buckets().to_vec(), back: false }),
         ];
         self.told_ready = !self.ready;
         Some(ip)
@@ -175,7 +234,8 @@
             State::Away => return false,
             State::Coming(since) if now - since > COMING => return true,
             _ if now - self.heard > SILENT => return true,
-            State::Synced if self.apart && now - self.since > APART => return true,
+            State::Telling(since) if now - since > TELLING => return true,
+            State::Telling(_) | State::Synced if self.apart && now - self.since > APART => return true,
             _ => {}
         }
         let better = self.known.keys().any(|ip| {
@@ -185,9 +245,13 @@
         if self.state == State::Synced && better && now - self.since > SETTLED {
             return true;
         }
+        if std::mem::take(&mut self.asks) {
+            let hashes = self.held().buckets().to_vec();
+            self.out.push(Word::Buckets(Buckets { hashes, back: false }));
+        }
         if now - self.beat >= BEAT || self.ready != self.told_ready {
             (self.beat, self.told_ready) = (now, self.ready);
-            let beat = Beat { digest: self.ledger.digest(), ready: self.ready, ..Beat::default() };
+            let beat = Beat { digest: self.held().digest(), ready: self.ready, ..Beat::default() };
             self.out.push(Word::Beat(beat));
         }
         false
@@ -207,30 +271,38 @@
                 // Danger: an old configuration. One that has caught up once does no worse by staying a while.
                 self.apart = !hello.current;
                 brought.close |= self.apart && !self.caught;
+                self.shift(State::Telling(now));
+            }
+            Word::Beat(beat) => {
+                self.apart = !beat.current;
+                // What stands here is what stands there: words come in order.
+                if !self.apart && self.anew.is_none() && beat.digest == self.ledger.digest() {
+                    self.told = now;
+                }
             }
-            Word::Beat(beat) => self.apart = !beat.current,
             Word::Items(items) => {
+                if matches!(self.state, State::Telling(_)) {
+                    self.shift(State::Telling(now));
+                }
                 for item in items.items.into_iter().filter_map(ItemWord::item) {
-                    if self.ledger.merge(item.clone()) {
-                        brought.items.push(item);
+                    match &mut self.anew {
+                        Some((anew, _)) => _ = anew.merge(item),
+                        None if self.ledger.merge(item.clone()) => brought.items.push(item),
+                        None => {}
                     }
                 }
             }
             Word::Buckets(buckets) => {
-                // What this gateway was told by one that is lost, and the core may not have.
-                let back: Vec<Item> = self.ledger.differing(&buckets.hashes).cloned().collect();
+                // Of backends what one told that is lost; whoever reads the list puts right what is wrong in it. Danger:
+                // of the configuration an old item could come back that way. The core has all of it: it is told here
+                // only once it is decided.
+                let differing = self.held().differing(&buckets.hashes);
+                let back: Vec<Item> = differing.filter(|item| item.kind == Kind::Backend).cloned().collect();
                 self.out_items.extend(back);
                 if buckets.back {
-                    if self.state != State::Synced {
-                        info!("event=synced control={} items={}", self.at, self.ledger.len());
-                    }
-                    self.caught = true;
-                    self.shift(State::Synced);
-                    if !self.apart {
-                        self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
-                    }
+                    self.told_all(now, buckets.hashes == self.held().buckets(), brought);
                 } else {
-                    let hashes = self.ledger.buckets().to_vec();
+                    let hashes = self.held().buckets().to_vec();
                     self.out.push(Word::Buckets(Buckets { hashes, back: false }));
                 }
                 brought.ready_changed = true;
@@ -247,6 +319,32 @@
         }
     }
 
+    /// The control process has told all that it holds; `agrees` if what is held here is that and nothing else.
+    fn told_all(&mut self, now: Moment, agrees: bool, brought: &mut Brought) {
+        self.differing = if agrees { 0 } else { self.differing + 1 };
+        let is_first = !self.caught || self.anew.is_some();
+        // Danger: whoever serves by what it was told in part serves by less than was acknowledged.
+        if is_first && !agrees {
+            info!("event=told-differs control={} times={}", self.at, self.differing);
+            self.asks = true;
+            return;
+        }
+        self.swap(brought);
+        if self.state != State::Synced {
+            info!("event=synced control={} items={}", self.at, self.ledger.len());
+        }
+        self.caught = true;
+        self.shift(State::Synced);
+        if !self.apart {
+            self.told = if agrees { now } else { self.told };
+            self.tried.values_mut().for_each(|(_, vain)| *vain = 0);
+            if self.differing >= MOST_DIFFERING {
+                self.begin_anew(now, "differs");
+                self.asks = true;
+            }
+        }
+    }
+
     /// Whether any backend is known.
     pub fn has_backends(&self) -> bool {
         self.ledger.each(Kind::Backend).any(|item| item.value.is_some())
