--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -55,8 +55,8 @@
             // Repair: what a gateway was told by one that is lost. Danger: of the configuration a gateway that was away
             // would bring back what has been dropped, and the drop forgotten.
             Word::Items(items) => {
-                let items = items.items.into_iter().filter_map(ItemWord::item);
-                self.take(items.filter(|item| item.kind == Kind::Backend).collect());
+                let items = items.items.into_iter().filter_map(ItemWord::entry);
+                self.take(items.filter(|(item, _)| item.kind == Kind::Backend).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -701,7 +701,7 @@
     // The platform's list.
 
     fn fetch(&mut self, now: Moment) {
-        if self.core.holds(now).is_none() || self.reading.is_some() || now - self.read < READING {
+        if self.core.acts(now).is_none() || self.reading.is_some() || now - self.read < READING {
             return;
         }
         let Some(carrier) = self.settings.carrier.as_ref().map(|carrier| carrier.address) else { return };
@@ -815,6 +815,7 @@
                         match reply {
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
+                            Reply::Conflict(why) => self.answer(id, 409, "text/plain", why.as_bytes(), None),
                             Reply::Invalid(why) => self.answer(id, 400, "text/plain", why.as_bytes(), None),
                             Reply::Elsewhere(why) => {
                                 self.answer(id, 503, "text/plain", why.as_bytes(), Some(1));
