--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -203,7 +203,7 @@
         if self.full {
             heard.insert(self.name.clone());
         }
-        let apart = self.standing == Standing::Apart && !self.hears_enough();
+        let apart = self.contact.state() == ContactState::Out;
         if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
             return;
         }
@@ -219,10 +219,11 @@
 
     /// Asks all whose answer is not on its way already.
     pub(super) fn inquire(&mut self, now: Moment) {
-        // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Apart from
-        // the core that is not so: what it heard then may be old by now, and the ticket is a new one.
+        // What was heard stays heard: copies merge, and nothing known is forgotten. Out of contact that is not so: see
+        // `ask_core`, which has the ticket be a new one.
         if self.inquiry == 0 {
-            self.inquiry = self.ticket();
+            // An answer may be to the first question under this ticket: it proves no more than that one was heard.
+            (self.inquiry, self.asked) = (self.ticket(), now);
         }
         let inquire = self.word_of(self.inquiry, self.era_number());
         let waits = |station: &String| {
