Drops end: forgotten once all seats have held them for an hour, and nothing that was away brings them back

Change: whoever does the duty lets a drop of a route, tenant or line go once every seat of the casts that count has agreed with it, all on disk and nothing undecided, and an hour of its steady time has passed since (bond::tomb; beats say `kept`). Control processes take what others hold only from seats, and unasked only backends and casts. A process that holds what it held before it was away for over half of that, and has no seat, begins anew from nothing (event=anew); one that has a seat was waited for. Gateways are told what is forgotten.

--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -106,20 +106,24 @@
 
     /// Takes a piece in, whatever it belongs to, and asks on. What the first answer told comes back once all that the other
     /// held then is known here.
-    fn took(&mut self, now: Moment, station: &str, mut held: Held) -> Option<Held> {
+    fn took(&mut self, now: Moment, station: &str, name: &str, mut held: Held) -> Option<Held> {
         let items = std::mem::take(&mut held.items);
-        let items: Vec<_> = items.into_iter().filter_map(ItemWord::entry).collect();
+        let mut items: Vec<_> = items.into_iter().filter_map(ItemWord::entry).collect();
+        // Danger: one that stands outside of the cast may hold what was dropped and forgotten.
+        let trusts = self.trusts(name);
         // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a
         // reading that was never made.
         let key = (held.ticket, station.to_owned());
         let reader = if held.life == self.life { self.readers.remove(&key) } else { None };
         let Some(mut reader) = reader else {
+            items.retain(|(item, _)| trusts || item.kind == Kind::Cast);
             self.take(items);
             return None;
         };
         if held.from != reader.from {
             // It was asked for twice, and came twice.
             self.readers.insert(key, reader);
+            items.retain(|(item, _)| trusts || item.kind == Kind::Cast);
             self.take(items);
             return None;
         }
@@ -127,7 +131,13 @@
         items.iter().for_each(|(item, past)| _ = given.merge_with(item.clone(), past));
         let (from, next) = (held.from as usize, held.next as usize);
         let digest = piece_digest(given.whole_buckets(), &reader.hashes, from, next, &held.differs);
+        if !trusts {
+            items.retain(|(item, _)| item.kind == Kind::Cast);
+        }
         self.take(items);
+        if !trusts {
+            return None;
+        }
         let whole = next > from && digest == held.digest;
         let (ticket, told) = (held.ticket, held.digest);
         let first = reader.first.take().unwrap_or(held);
@@ -161,7 +171,12 @@
     /// `name` is the seat of the process at `station`.
     pub(super) fn held(&mut self, now: Moment, station: &str, name: &str, held: Held) {
         let own = station == self.me.station && held.life == self.life;
-        let Some(held) = (if own { Some(held) } else { self.took(now, station, held) }) else { return };
+        let held = if own { Some(held) } else { self.took(now, station, name, held) };
+        // A cast may have come in which it has no seat: then what was read is not held any more.
+        if self.prove(now) {
+            return;
+        }
+        let Some(held) = held else { return };
         if self.pulled(now, held.ticket, &held) || !held.full || !held.founded {
             return;
         }
@@ -234,8 +249,10 @@
     }
 
     /// A copy that still differs after two beats is read, and one that is read already is not asked again.
-    pub(super) fn repair(&mut self, now: Moment, station: &str) {
-        if !self.readers.iter().any(|((_, s), reader)| s == station && !reader.is_overdue(now)) {
+    pub(super) fn repair(&mut self, now: Moment, station: &str, name: &str) {
+        if self.trusts(name)
+            && !self.readers.iter().any(|((_, s), reader)| s == station && !reader.is_overdue(now))
+        {
             let ticket = self.ticket();
             let inquire = self.word_of(ticket, self.era_number());
             self.ask(now, station, inquire);
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -217,13 +217,14 @@
         let duty = self.acts(now).unwrap_or(0);
         let beat = Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
         let leaving = self.standing == Standing::Leaving;
-        let digest = self.ledger.whole_digest();
+        let (digest, kept) = (self.ledger.whole_digest(), self.is_kept());
         for (station, peer) in &self.peers {
             let (number, yours) = self.contact.next(now, &peer.name);
-            let word = Word::Beat(Beat { digest, leaving, number, yours, ..beat.clone() });
+            let word = Word::Beat(Beat { digest, leaving, number, yours, kept, ..beat.clone() });
             self.acts.push(Act::Peer(station.clone(), word));
         }
         self.contact.sweep(now);
+        self.bury(now);
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
             self.peers.iter().filter(|(_, p)| silent(p.heard)).map(|(s, _)| s.clone()).collect();
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod record;
 mod sessions;
+mod tombs;
 
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
@@ -23,6 +24,7 @@
     Acceptor, Ballot, Bid, Call as Proposal, CallWord, Mark, Reserve, Restored, Seen,
 };
 use kitepass_bond::session::Table;
+use kitepass_bond::tomb::Tombs;
 use kitepass_bond::words::*;
 use kitepass_tenet::{piece_digest, Checker, Item, Kind, Ledger, Tenant, BUCKETS};
 use log::{debug, error, info, warn};
@@ -60,6 +62,8 @@
 /// that come back for all, and give each too large a part of every quota.
 const LIVE: &[u8] = b"live";
 
+/// A drop is forgotten once all of the core has held it on disk for so long.
+const AGE: Span = Span::from_micros(3_600_000_000);
 /// Bytes on their way to gateways that are told what they lack, all together, and of one piece.
 const MOST_FED: usize = 8 * 1024 * 1024;
 const FED: usize = 256 * 1024;
@@ -206,6 +210,15 @@
     denied: BTreeMap<Mark, Ballot>,
     /// By station, copies that wait for what this process lacks, asked for under a ticket.
     pulls: BTreeMap<String, (u64, Store)>,
+    /// Drops that may be forgotten one day, for whoever does the duty; how long that takes, and when they were looked
+    /// through last.
+    tombs: Tombs,
+    age: Span,
+    looked: Moment,
+    /// When this process was in touch with the core last.
+    touched: Moment,
+    /// It holds what it held before it was away for long, and has yet to be found in the cast.
+    unproven: bool,
     keeping: BTreeMap<u64, Kept>,
     ticket: u64,
     beat: Moment,
@@ -270,6 +283,7 @@
         let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
         info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
         let mut chance = oorandom::Rand64::new(u128::from(start.life));
+        let is_held = !ledger.is_empty();
         let mut core = Core {
             contact: Contact::new(&name, chance.rand_u64() as u32),
             voter: Voter::new(now, start.maiden && empty, recalled, seated),
@@ -310,6 +324,11 @@
             watch: BTreeMap::new(),
             denied: BTreeMap::new(),
             pulls: BTreeMap::new(),
+            tombs: Tombs::new(AGE),
+            age: AGE,
+            looked: now,
+            touched: now,
+            unproven: is_held,
             keeping: BTreeMap::new(),
             ticket: 0,
             beat: now,
@@ -323,6 +342,7 @@
         if !garbled.is_empty() {
             core.keep_records(garbled, Kept::Nothing);
         }
+        core.prove(now);
         core
     }
 
@@ -404,18 +424,23 @@
                 (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
                 peer.differs = if beat.digest == self.ledger.whole_digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
+                self.agreed(now, &name, &beat);
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.repair(now, station);
+                    self.repair(now, station, &name);
                 }
             }
             Word::Live(live) => return live.controls,
+            // Backends as whoever does the duty reads them, and the first cast. Danger: whatever else is told unasked could
+            // be what was dropped and forgotten.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
+                let items = items.items.into_iter().filter_map(ItemWord::entry);
+                self.take(items.filter(|(i, _)| matches!(i.kind, Kind::Backend | Kind::Cast)).collect());
             }
             Word::Store(store) => self.copy(now, station, store),
             Word::Decided(decided) => self.decided(&decided),
+            Word::Forget(forget) if self.trusts(&name) => self.forget(forget.due()),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
             Word::Stored(stored) if stored.life == self.life => self.stored(now, &name, stored),
             Word::Inquire(inquire) => self.inquired(now, station, &inquire),
@@ -452,6 +477,7 @@
             _ => {}
         }
         self.forget_readers(now);
+        self.touch(now);
         self.feed(now);
         self.claim(now);
         self.settle(now);
--- /dev/null
+++ b/crates/accord/tests/stream.rs
@@ -0,0 +1,248 @@
+//! Catching up with much, in the world in memory: away for 1,000 changes, killed in the middle of it, with an empty disk, two
+//! at once, with changes that go on; many gateways at once; and drops that are forgotten, which nothing brings back.
+
+mod world;
+
+use kitepass_accord::core::Standing;
+use kitepass_accord::order::{Order, Reply};
+use kitepass_bond::words::Word;
+use kitepass_tenet::{Item, Kind, Ledger};
+use std::collections::{BTreeMap, BTreeSet};
+use world::{at, World};
+
+const LINE: &str = r#"{"checkpoint":"/c"}"#;
+/// A process that comes back, to 2 MB more than it holds, is caught up within this, milliseconds.
+const CAUGHT_UP: i64 = 8_000;
+
+/// A line of about 2 KB: a thousand of them are some pieces.
+fn long(edition: u64) -> String {
+    format!(r#"{{"checkpoint":"/c{edition}{}"}}"#, "c".repeat(2_000))
+}
+
+/// Eight callers that send change after change, each to one of some processes, until so many are acknowledged; and what
+/// each name stands at by then.
+struct Callers {
+    open: Vec<(u64, String, u64)>,
+    newest: u64,
+    stands: BTreeMap<String, u64>,
+    done: usize,
+}
+
+impl Callers {
+    fn new() -> Callers {
+        Callers { open: Vec::new(), newest: 0, stands: BTreeMap::new(), done: 0 }
+    }
+
+    fn step(&mut self, world: &mut World, to: &[usize]) {
+        while self.open.len() < 8 {
+            self.newest += 1;
+            let name = format!("l{}", self.newest % 1_000);
+            let n = to[world.chance.rand_range(0..to.len() as u64) as usize];
+            let call = world.patch(n, &name, self.newest, Some(&long(self.newest)));
+            self.open.push((call, name, self.newest));
+        }
+        world.step();
+        let (stands, done) = (&mut self.stands, &mut self.done);
+        self.open.retain(|(call, name, edition)| match world.answers.get(call) {
+            None => true,
+            Some((_, reply)) => {
+                if *reply == Reply::Done {
+                    *done += 1;
+                    stands.insert(name.clone(), *edition);
+                }
+                false
+            }
+        });
+    }
+}
+
+fn ledger(world: &World, n: usize) -> Option<(&Ledger, Standing, bool)> {
+    let core = world.nodes[n].core.as_ref()?;
+    Some((core.ledger(), core.standing(), core.holds(at(world.now)).is_some()))
+}
+
+/// Whoever is current, or does the duty, holds what was acknowledged before.
+fn knows(world: &World, n: usize, stands: &BTreeMap<String, u64>) -> bool {
+    let Some((ledger, standing, holds)) = ledger(world, n) else { return false };
+    let edition = |name: &str| ledger.get(Kind::Line, name).map_or(0, |item| item.edition);
+    let all = stands.iter().all(|(name, stood)| edition(name) >= *stood);
+    assert!(all || standing != Standing::Current && !holds, "s{n} is {standing:?} with an old state");
+    standing == Standing::Current
+}
+
+#[test]
+fn away_for_a_thousand_changes_two_catch_up_in_time_while_changes_go_on() {
+    for (seed, wiped, kills) in [(1, false, 0), (2, true, 0), (3, false, 3), (4, true, 3)] {
+        let mut world = World::new(seed);
+        world.run(4_000);
+        let (mut callers, away) = (Callers::new(), [1, 4]);
+        for n in away {
+            world.kill(n, true, wiped, 1_000_000);
+        }
+        world.run(3_000);
+        while callers.done < 1_000 {
+            callers.step(&mut world, &[0, 2, 3, 5]);
+        }
+        let stood = callers.stands.clone();
+        // They come back; some are killed in the middle of catching up, at different moments.
+        for kill in 0..=kills {
+            away.iter().for_each(|n| world.nodes[*n].back = world.now);
+            let until = world.now + 200 + 150 * kill;
+            while kill < kills && world.now < until {
+                callers.step(&mut world, &[0, 2, 3, 5]);
+                away.iter().for_each(|n| _ = knows(&world, *n, &stood));
+            }
+            if kill < kills {
+                away.iter().for_each(|n| world.kill(*n, kill % 2 == 0, false, 300));
+            }
+        }
+        let since = world.now;
+        loop {
+            callers.step(&mut world, &[0, 2, 3, 5]);
+            if away.iter().filter(|n| knows(&world, **n, &stood)).count() == 2 {
+                break;
+            }
+            assert!(world.now - since < CAUGHT_UP, "seed {seed}: behind after {} ms", world.now - since);
+        }
+        println!("seed {seed}: wiped {wiped}, kills {kills}: {} ms", world.now - since);
+        // Nobody was told by a piece that was not whole, and all agree in the end.
+        world.run(8_000);
+        assert_eq!(world.current(), 6, "seed {seed}");
+        let digests: BTreeSet<u64> = (0..6).map(|n| ledger(&world, n).unwrap().0.whole_digest()).collect();
+        assert_eq!(digests.len(), 1, "seed {seed}");
+    }
+}
+
+/// A region's gateways come back at once: what is on its way to them stays bounded, and all are told all of it.
+#[test]
+fn what_is_on_its_way_to_many_gateways_is_bounded() {
+    let mut world = World::new(7);
+    world.run(4_000);
+    let items = |from: u64| -> Vec<Item> {
+        let item = |n: u64| Item {
+            kind: Kind::Line,
+            name: format!("l{n}").into(),
+            edition: 1,
+            value: Some(long(n).into()),
+        };
+        (from..from + 500).map(item).collect()
+    };
+    for from in [0, 500] {
+        let call = world.ask(2, Order::Patch(items(from)));
+        world.run(1_500);
+        assert_eq!(world.answers[&call].1, Reply::Done);
+    }
+    world.gateways(60);
+    let (mut most, until) = (0, world.now + 20_000);
+    while world.now < until && !world.gates.iter().all(|gate| gate.link.is_caught_up()) {
+        world.step();
+        most = most.max(world.session_bytes());
+    }
+    let told = world.gates.iter().filter(|gate| gate.link.ledger.len() > 1_000).count();
+    assert_eq!(told, 60, "not all are told at {}", world.now);
+    // 60 of 2 MB each, at up to six processes with 8 MiB and a piece each.
+    println!(
+        "60 gateways: {most} bytes on their way at most, all told {} ms before the end",
+        until - world.now
+    );
+    assert!(most < 6 * (8 << 20) + 6 * (300 << 10), "{most} bytes on their way at once");
+}
+
+#[test]
+fn no_old_disk_copy_or_gateway_brings_back_what_was_dropped_and_forgotten() {
+    const AGE: i64 = 12_000;
+    for seed in 0..4 {
+        let mut world = World::new(seed);
+        world.gateways(12);
+        world.run(8_000);
+        world.set_age(AGE);
+        let call = world.patch(0, "x", 5, Some(LINE));
+        world.run(1_500);
+        assert_eq!(world.answers[&call].1, Reply::Done);
+        let stands = |ledger: &Ledger| ledger.get(Kind::Line, "x").is_some_and(Item::stands);
+        assert!(world.gates.iter().all(|gate| stands(&gate.link.ledger)), "seed {seed}");
+        // Old disks: of two that came back with empty ones, and have new seats since. An old gateway: cut off from all. An
+        // old copy: a process that is cut off from the others and keeps its seat.
+        let mut old = Vec::new();
+        for n in [3, 4] {
+            old.push((n, world.nodes[n].disk.clone()));
+            world.kill(n, true, true, 500);
+            world.run(8_000);
+            assert_eq!(world.current(), 6, "seed {seed}");
+        }
+        let gone = world.now + 1_000_000;
+        (0..6).for_each(|n| _ = world.gate_cuts.insert((0, n), gone));
+        (0..5).for_each(|n| _ = world.cuts.insert((n, 5), gone));
+        world.run(3_000);
+        let call = world.patch(1, "x", 6, None);
+        world.run(1_500);
+        assert_eq!(world.answers[&call].1, Reply::Done, "seed {seed}");
+        // As long as a seat does not know, all others do.
+        world.run(AGE + 8_000);
+        let knows = |ledger: &Ledger| ledger.get(Kind::Line, "x").is_some();
+        assert!((0..6).all(|n| knows(ledger(&world, n).unwrap().0)), "seed {seed}: too early");
+        assert!(stands(ledger(&world, 5).unwrap().0), "seed {seed}: it is cut off");
+        world.cuts.clear();
+        world.run(AGE - 2_000);
+        assert!((0..6).all(|n| knows(ledger(&world, n).unwrap().0)), "seed {seed}: too early");
+        assert!(!stands(ledger(&world, 5).unwrap().0), "seed {seed}: it was told");
+        world.run(8_000);
+        for n in 0..6 {
+            assert!(!knows(ledger(&world, n).unwrap().0), "seed {seed}: s{n} has not forgotten");
+        }
+        assert!(world.gates[1..].iter().all(|gate| !knows(&gate.link.ledger)), "seed {seed}");
+        assert!(stands(&world.gates[0].link.ledger), "seed {seed}: it goes by what it holds");
+        // The old ones come back, the disks in place of those that are in use.
+        for (n, disk) in old {
+            world.kill(n, true, true, 100);
+            world.nodes[n].disk = disk;
+        }
+        world.gate_cuts.clear();
+        let until = world.now + 30_000;
+        while world.now < until {
+            world.step();
+            for n in 0..6 {
+                let Some((ledger, standing, _)) = ledger(&world, n) else { continue };
+                let fresh = !matches!(n, 3 | 4) || standing == Standing::Current;
+                assert!(!fresh || !stands(ledger), "seed {seed}: back at s{n}, {standing:?}");
+            }
+            let back = world.gates[1..].iter().position(|gate| stands(&gate.link.ledger));
+            assert_eq!(back, None, "seed {seed}: back at a gateway");
+        }
+        assert_eq!(world.current(), 6, "seed {seed}: all are back");
+        assert!(!stands(&world.gates[0].link.ledger), "seed {seed}: the old gateway still goes by it");
+        assert!(world.gates[0].link.is_caught_up() && world.gates[0].at.is_some(), "seed {seed}");
+    }
+}
+
+/// A piece that is short of an item is not taken for all that the other holds.
+#[test]
+fn a_piece_that_is_not_whole_is_asked_for_again() {
+    let mut world = World::new(5);
+    world.run(4_000);
+    world.kill(2, true, false, 1_000_000);
+    world.run(2_000);
+    for n in 0..20 {
+        world.patch(0, &format!("l{n}"), 1, Some(LINE));
+    }
+    world.run(3_000);
+    world.nodes[2].back = world.now;
+    let mut spoilt = BTreeSet::new();
+    let until = world.now + 10_000;
+    while world.now < until {
+        world.step();
+        // The first answer of each loses an item on its way.
+        for (_, from, to, _, word, _) in &mut world.wire {
+            if let Word::Held(held) = word {
+                if *to == 2 && held.items.len() > 1 && spoilt.insert(*from) {
+                    held.items.pop();
+                }
+            }
+        }
+        if let Some((ledger, Standing::Current, _)) = ledger(&world, 2) {
+            assert!((0..20).all(|n| ledger.get(Kind::Line, &format!("l{n}")).is_some()));
+        }
+    }
+    assert!(spoilt.len() >= 3, "{spoilt:?}");
+    assert_eq!(world.current(), 6);
+}
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! lost, sides are cut off, processes are killed or stand still, power goes with what was not synced.
 #![allow(dead_code)] // each test file uses its part
 
-use kitepass::Moment;
+use kitepass::{Moment, Span};
 use kitepass_accord::core::{Act, Core, Standing, Start};
 use kitepass_accord::order::{Order, Reply};
 use kitepass_bond::cast::Seat;
@@ -53,6 +53,8 @@
     pub frozen: [i64; 6],
     /// Disks that take so long for each sync, milliseconds.
     pub slow: [i64; 6],
+    /// Drops are forgotten after so long, milliseconds, if it is not the usual time.
+    pub age: Option<i64>,
     /// Sessions that were opened so far.
     pub conns: u64,
 }
@@ -112,6 +114,7 @@
             session_wire: Vec::new(),
             frozen: [0; 6],
             slow: [0; 6],
+            age: None,
             conns: 0,
         };
         (0..6).for_each(|n| world.start(n, true));
@@ -211,6 +214,17 @@
         }
     }
 
+    /// Bytes of items that are on their way to gateways.
+    pub fn session_bytes(&self) -> usize {
+        let of = |word: &Word| match word {
+            Word::Items(items) => {
+                items.items.iter().map(|i| i.value.as_ref().map_or(0, |v| v.len()) + 32).sum()
+            }
+            _ => 0,
+        };
+        self.session_wire.iter().filter(|word| !word.2).map(|word| of(&word.3)).sum()
+    }
+
     fn session_send(&mut self, conn: u64, up: bool, word: Word) {
         let late = self.now + self.chance.rand_range(1..60) as i64;
         let last = self.session_wire.iter().filter(|w| (w.1, w.2) == (conn, up)).map(|w| w.0).max();
@@ -222,8 +236,30 @@
         node.life = self.chance.rand_u64();
         let records = node.disk.clone().into_iter().collect();
         let (me, life) = (node.seat.clone(), node.life);
-        node.core =
-            Some(Core::new(at(self.now), Start { me, life, maiden, founder: n == 0, records, slack: SLACK }));
+        let start = Start { me, life, maiden, founder: n == 0, records, slack: SLACK };
+        let mut core = Core::new(at(self.now), start);
+        self.age.into_iter().for_each(|age| core.set_age(Span::from_micros(age * 1000)));
+        node.core = Some(core);
+    }
+
+    /// Drops are forgotten after so long, milliseconds; gateways may be alone for half of it.
+    pub fn set_age(&mut self, age: i64) {
+        self.age = Some(age);
+        let span = Span::from_micros(age * 1000);
+        self.nodes.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_age(span));
+        let half = Span::from_micros(age * 500);
+        self.gates.iter_mut().for_each(|gate| gate.link.set_alone(half));
+    }
+
+    /// A process leaves in order, and stays away for so long.
+    pub fn leave(&mut self, n: usize, away: i64) {
+        let now = at(self.now);
+        if let Some(core) = &mut self.nodes[n].core {
+            core.leave(now);
+            self.act(n);
+        }
+        self.run(2_000);
+        self.kill(n, false, false, away);
     }
 
     /// A process is killed; with power lost, also what was not synced. It comes back `after` so long.
--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`lease`] | single duties: claimed of a majority, left before they end |
 //! | [`register`] | one number, one content: the ballots by which a change is decided |
 //! | [`session`] | who is a member: the sessions of each control process, and how long a lost one counts |
+//! | [`tomb`] | when a drop may be forgotten |
 //! | [`count`] | what tenants asked of all gateways, period by period, and how a quota is shared out |
 
 pub mod cast;
@@ -21,4 +22,5 @@
 pub mod lease;
 pub mod register;
 pub mod session;
+pub mod tomb;
 pub mod words;
--- a/crates/bond/src/register.rs
+++ b/crates/bond/src/register.rs
@@ -540,6 +540,16 @@
         }
     }
 
+    /// Forgets all calls, but for no promise. For a process that has no seat: nobody counts on what it accepted. Gives the
+    /// records that take theirs away.
+    pub fn forget_calls(&mut self) -> Vec<Record> {
+        let marks: Vec<Mark> = self.calls.keys().copied().collect();
+        marks.iter().for_each(|mark| self.remove(*mark));
+        let denied = std::mem::take(&mut self.denied);
+        let records = marks.into_iter().map(record_key).chain(denied.into_keys().map(denial_key));
+        records.map(|key| (key, Vec::new())).collect()
+    }
+
     /// The accepted, undecided calls that touch any of the keys, by their marks.
     pub fn touching(&self, keys: &[u64]) -> Vec<(Ballot, Call)> {
         let marks: BTreeSet<Mark> =
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,6 +1,7 @@
 //! The messages between the system's own processes; [`frame`](crate::frame) carries them.
 
 use crate::register::{Ballot, CallWord};
+use crate::tomb::Due;
 use bytes::Bytes;
 use kitepass_tenet::{Entry, Item, Kind, Version};
 use prost::Message;
@@ -13,7 +14,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Parcel {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub word: Option<Word>,
 }
 
@@ -50,6 +51,8 @@
     Live(Live),
     #[prost(message, tag = "15")]
     Decided(Decided),
+    #[prost(message, tag = "16")]
+    Forget(Forget),
 }
 
 /// Who speaks: the first word on each connection, from both ends.
@@ -109,6 +112,9 @@
     /// A control process that ends in order: its seat may go at once, before it is silent.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// A control process: all that it holds is on disk, and nothing is accepted there and undecided.
+    #[prost(bool, tag = "12")]
+    pub kept: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -321,6 +327,30 @@
     pub mark: Bytes,
 }
 
+/// Drops that are forgotten, each of exactly this version.
+#[derive(Clone, PartialEq, Message)]
+pub struct Forget {
+    #[prost(message, repeated, tag = "1")]
+    pub drops: Vec<ItemWord>,
+}
+
+impl Forget {
+    pub fn of(due: &[Due]) -> Forget {
+        let drop = |(kind, name, edition): &Due| ItemWord {
+            kind: *kind as u32,
+            name: name.to_string(),
+            edition: *edition,
+            ..ItemWord::default()
+        };
+        Forget { drops: due.iter().map(drop).collect() }
+    }
+
+    pub fn due(self) -> Vec<Due> {
+        let items = self.drops.into_iter().filter_map(ItemWord::item);
+        items.map(|item| (item.kind, item.name, item.edition)).collect()
+    }
+}
+
 /// A call is decided: who has accepted it takes it up.
 #[derive(Clone, PartialEq, Message)]
 pub struct Decided {
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -378,6 +378,14 @@
                 brought.live = Some((live.gateways as usize, live.stations));
                 brought.ready_changed = true;
             }
+            Word::Forget(forget) => {
+                for (kind, name, edition) in forget.due() {
+                    self.ledger.forget(kind, &name, edition);
+                    if let Some((anew, _)) = &mut self.anew {
+                        anew.forget(kind, &name, edition);
+                    }
+                }
+            }
             Word::Totals(totals) => brought.totals.push(totals),
             _ => {}
         }
--- a/crates/tenet/src/ledger.rs
+++ b/crates/tenet/src/ledger.rs
@@ -14,9 +14,9 @@
 /// How many buckets the items are spread over for comparing copies.
 pub const BUCKETS: usize = 256;
 
-/// All items known, dropped ones as tombstones. An item of the configuration is never taken out: without its tombstone
-/// a late copy of an old version would bring a dropped item back. Backends are: whoever reads the platform's list puts
-/// that right.
+/// All items known, dropped ones as tombstones. Danger: without its tombstone a late copy of an old version would bring a
+/// dropped item back. So one of the configuration is taken out only by [`Ledger::forget`], when no such copy is left;
+/// of backends that are gone the oldest are: whoever reads the platform's list puts that right.
 ///
 /// Merge is by item: the higher edition prevails; of equal editions that differ, the greater by (is set,
 /// bytes), so that all copies come to agree in whatever order they hear of them. For durable kinds the register
@@ -275,6 +275,19 @@
             .map(Kept::entry)
     }
 
+    /// Forgets that an item was dropped, if that is what is known of it and by this very version; whether it was.
+    pub fn forget(&mut self, kind: Kind, name: &str, edition: u64) -> bool {
+        let items = &mut self.items[place(kind)];
+        if items.get(name).is_none_or(|kept| kept.item.stands() || kept.item.edition != edition) {
+            return false;
+        }
+        if let Some(kept) = items.remove(name) {
+            self.buckets[kept.bucket] ^= kept.hash;
+            self.whole[kept.bucket] ^= kept.whole;
+        }
+        true
+    }
+
     /// Forgets the oldest dropped items of a kind, beyond so many. For kinds alone that somebody tells anew.
     pub fn forget_dropped(&mut self, kind: Kind, most: usize) {
         let items = &mut self.items[place(kind)];
