--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -6,7 +6,13 @@
     /// A gateway asks for a session. Danger: one that has not caught up would tell it an old configuration.
     pub fn session_came(&mut self, now: Moment, id: u64, hello: Hello) {
         self.acts.push(Act::Session(id, Word::Hello(self.hello())));
-        if !matches!(self.standing, Standing::Current | Standing::Apart) {
+        let may = match self.standing {
+            Standing::Current => self.is_in_contact(now) || hello.current,
+            // It had caught up once itself, and does no worse here while nobody better is to be found.
+            Standing::Apart => hello.current,
+            Standing::Blank | Standing::Behind | Standing::Leaving => false,
+        };
+        if !may {
             return self.acts.push(Act::Close(id));
         }
         info!("event=session station={} life={:x}", hello.station, hello.life);
@@ -15,6 +21,13 @@
         self.acts.push(Act::Session(id, word));
     }
 
+    /// Bytes have come of a gateway that are no whole word yet.
+    pub fn session_alive(&mut self, now: Moment, id: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.heard = now;
+        }
+    }
+
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
         if let Some(session) = self.sessions.remove(&id) {
             info!("event=session-lost station={} why={why}", session.hello.station);
@@ -28,6 +41,7 @@
         match word {
             Word::Beat(beat) => {
                 let was = std::mem::replace(&mut session.ready, beat.ready);
+                session.hello.current |= beat.current;
                 session.differs = if beat.digest == self.ledger.digest() { 0 } else { session.differs + 1 };
                 // One beat may have crossed with news.
                 if session.differs >= 2 {
@@ -47,7 +61,7 @@
             }
             // Repair: what a gateway was told by one that is lost.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
@@ -94,10 +108,4 @@
         let stands = self.ledger.each(Kind::Evacuation).filter(|item| item.value.is_some());
         stands.map(|item| item.name.to_string()).collect()
     }
-
-    /// Seats of the cast, and whether each is heard of now.
-    pub fn seats(&self) -> Vec<(Seat, bool)> {
-        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
-        self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
-    }
 }
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -12,6 +12,9 @@
 use kitepass_tenet::{Item, Kind};
 use std::collections::BTreeMap;
 
+/// A word on its way: when it comes, from whom, to whom, of which life, when it was sent.
+type Flight = (i64, usize, usize, u64, Word, i64);
+
 type Records = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub const SLACK: Slack = Slack { window: 5.0, excess: 0.1, margin: 20.0 };
@@ -24,14 +27,22 @@
     /// Records on the way to the disk, with the moment at which they are synced.
     pub syncing: Vec<(i64, u64, Records)>,
     pub back: i64,
+    /// Its last end was a loss of power.
+    pub dark: bool,
 }
 
 pub struct World {
     pub now: i64,
     pub nodes: Vec<Node>,
-    pub wire: Vec<(i64, usize, usize, u64, Word)>,
+    pub wire: Vec<Flight>,
     /// Pairs that hear nothing of each other, until a moment.
     pub cuts: BTreeMap<(usize, usize), i64>,
+    /// Ways from one to another on which nothing comes through, until a moment.
+    pub ways: BTreeMap<(usize, usize), i64>,
+    /// Gateways that reach a process no longer, until a moment.
+    pub gate_cuts: BTreeMap<(usize, usize), i64>,
+    /// When the newest word that came from one to another was sent.
+    pub reached: BTreeMap<(usize, usize), i64>,
     pub chance: oorandom::Rand64,
     pub answers: BTreeMap<u64, (usize, Reply)>,
     pub calls: u64,
@@ -40,7 +51,10 @@
     session_wire: Vec<(i64, u64, bool, Word)>,
     /// Processes that stand still, until a moment.
     pub frozen: [i64; 6],
-    conns: u64,
+    /// Disks that take so long for each sync, milliseconds.
+    pub slow: [i64; 6],
+    /// Sessions that were opened so far.
+    pub conns: u64,
 }
 
 /// A gateway: its true link, and the connection that it has to a control process.
@@ -49,6 +63,17 @@
     pub at: Option<(usize, u64)>,
 }
 
+/// As the store does: an empty value takes a record away.
+fn take(disk: &mut BTreeMap<Vec<u8>, Vec<u8>>, records: Records) {
+    for (key, value) in records {
+        if value.is_empty() {
+            disk.remove(&key);
+        } else {
+            disk.insert(key, value);
+        }
+    }
+}
+
 pub fn at(millis: i64) -> Moment {
     Moment::from_micros(millis * 1000)
 }
@@ -62,18 +87,23 @@
                 ip: format!("10.0.0.{n}"),
                 district: district.to_string(),
                 province: district[..1].to_owned(),
+                folder: 0,
             },
             core: None,
             life: 0,
             disk: BTreeMap::new(),
             syncing: Vec::new(),
             back: 0,
+            dark: false,
         });
         let mut world = World {
             now: 0,
             nodes: nodes.collect(),
             wire: Vec::new(),
             cuts: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            gate_cuts: BTreeMap::new(),
+            reached: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             answers: BTreeMap::new(),
             calls: 0,
@@ -81,6 +111,7 @@
             gates: Vec::new(),
             session_wire: Vec::new(),
             frozen: [0; 6],
+            slow: [0; 6],
             conns: 0,
         };
         (0..6).for_each(|n| world.start(n, true));
@@ -89,10 +120,11 @@
 
     /// Adds gateways, spread over the districts.
     pub fn gateways(&mut self, number: usize) {
+        let number = self.gates.len() + number;
         let provinces: BTreeMap<String, String> =
             self.nodes.iter().map(|n| (n.seat.district.clone(), n.seat.province.clone())).collect();
         let first: Vec<String> = [0, 2, 4].map(|n| format!("10.0.0.{n}")).into();
-        for gate in 0..number {
+        for gate in self.gates.len()..number {
             let seat = &self.nodes[gate % 6].seat;
             let hello = Hello {
                 station: format!("g{gate}"),
@@ -156,7 +188,9 @@
                 continue;
             };
             let (node, _) = self.gates[gate].at.unwrap();
-            if !up {
+            if self.gate_cut(gate, node) {
+                self.session_wire.push((due + 50, conn, up, word));
+            } else if !up {
                 let mut brought = Brought::default();
                 self.gates[gate].link.said(now, word, &mut brought);
                 if brought.close {
@@ -194,19 +228,26 @@
         for (_, _, records) in syncing {
             // Of what was written and not synced anything may be there after a loss of power, in any part.
             if !power || self.chance.rand_range(0..2) == 0 {
-                self.nodes[n].disk.extend(records);
+                take(&mut self.nodes[n].disk, records);
             }
         }
         let node = &mut self.nodes[n];
         node.core = None;
+        node.dark = power;
         node.back = self.now + after;
         if wipe {
             node.disk.clear();
         }
     }
 
-    pub fn cut(&self, a: usize, b: usize) -> bool {
-        self.cuts.get(&(a.min(b), a.max(b))).is_some_and(|until| *until > self.now)
+    /// Whether nothing comes through from one to another.
+    pub fn cut(&self, from: usize, to: usize) -> bool {
+        let pair = self.cuts.get(&(from.min(to), from.max(to)));
+        [pair, self.ways.get(&(from, to))].into_iter().flatten().any(|until| *until > self.now)
+    }
+
+    fn gate_cut(&self, gate: usize, node: usize) -> bool {
+        self.gate_cuts.get(&(gate, node)).is_some_and(|until| *until > self.now)
     }
 
     pub fn step(&mut self) {
@@ -223,23 +264,26 @@
                     let Some(hello) = self.nodes[a].core.as_ref().map(Core::hello) else { continue };
                     let cut = self.cut(a, b);
                     let Some(core) = self.nodes[b].core.as_mut().filter(|_| a != b && !cut) else { continue };
-                    if !core.knows(&hello.station) {
+                    if !core.knows_life(&hello.station, hello.life) {
                         core.peer_came(at(self.now), &hello);
                     }
                 }
             }
         }
         let due: Vec<_> = self.wire.extract_if(.., |word| word.0 <= self.now).collect();
-        for (due, from, to, life, word) in due {
+        for (due, from, to, life, word, sent) in due {
             if self.frozen[to] > self.now {
-                self.wire.push((due + 50, from, to, life, word));
+                self.wire.push((due + 50, from, to, life, word, sent));
                 continue;
             }
-            if self.cut(from, to) || self.nodes[from].life != life {
+            // What a process had sent before it was killed still arrives; with its power such words are gone.
+            if self.cut(from, to) || self.nodes[from].life != life && self.nodes[from].dark {
                 continue;
             }
             let station = self.nodes[from].seat.station.clone();
-            if let Some(core) = &mut self.nodes[to].core {
+            // The receiver's connection is of one life: once another has said hello, what the earlier one said is dropped.
+            if let Some(core) = self.nodes[to].core.as_mut().filter(|core| core.knows_life(&station, life)) {
+                self.reached.insert((from, to), sent);
                 core.peer_said(at(self.now), &station, word);
             }
         }
@@ -247,7 +291,7 @@
             let now = self.now;
             let synced: Vec<_> = self.nodes[n].syncing.extract_if(.., |s| s.0 <= now).collect();
             for (_, ticket, records) in synced {
-                self.nodes[n].disk.extend(records);
+                take(&mut self.nodes[n].disk, records);
                 if let Some(core) = &mut self.nodes[n].core {
                     core.kept(at(now), ticket);
                 }
@@ -276,11 +320,11 @@
                         // One connection: words do not overtake each other.
                         let last = self.wire.iter().filter(|w| (w.1, w.2) == (n, to)).map(|w| w.0).max();
                         let due = late.max(last.unwrap_or(0));
-                        self.wire.push((due, n, to, self.nodes[n].life, word));
+                        self.wire.push((due, n, to, self.nodes[n].life, word, self.now));
                     }
                 }
                 Act::Keep(ticket, records) => {
-                    let late = self.now + self.chance.rand_range(1..20) as i64;
+                    let late = self.now + self.slow[n] + self.chance.rand_range(1..20) as i64;
                     let last = self.nodes[n].syncing.last().map_or(0, |s| s.0);
                     self.nodes[n].syncing.push((late.max(last), ticket, records));
                 }
@@ -324,6 +368,12 @@
         self.ask(n, Order::Patch(vec![Item { kind: Kind::Line, name: name.into(), edition, value }]))
     }
 
+    /// One that is current.
+    pub fn current_one(&self) -> usize {
+        let is = |n: &Node| n.core.as_ref().is_some_and(|c| c.standing() == Standing::Current);
+        self.nodes.iter().position(is).expect("one is current")
+    }
+
     /// All that stand by and current.
     pub fn current(&self) -> usize {
         self.nodes
--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,27 +1,19 @@
-//! The messages between the system's own processes, and their frames: four bytes of length, then the message.
+//! The messages between the system's own processes; [`frame`](crate::frame) carries them.
 
+use crate::register::{Ballot, CallWord};
 use bytes::Bytes;
 use kitepass_tenet::{Entry, Item, Kind, Version};
 use prost::Message;
-use snafu::Snafu;
 use std::sync::Arc;
 
-/// The longest frame that is taken. Danger: a peer that lies about a length must not make us keep memory for it.
-pub const MOST: usize = 8 * 1024 * 1024;
+pub use crate::frame::{pack, Assembler};
+
 /// Items go in messages of about so many bytes, so that no one message holds a connection for long.
 const BATCH: usize = 256 * 1024;
 
-#[derive(Debug, Snafu, PartialEq, Eq)]
-pub enum Error {
-    #[snafu(display("a frame of {length} bytes, over the {MOST} that are taken"))]
-    TooLong { length: usize },
-    #[snafu(display("a frame that is no message: {cause}"))]
-    Garbled { cause: String },
-}
-
 #[derive(Clone, PartialEq, Message)]
 pub struct Parcel {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub word: Option<Word>,
 }
 
@@ -56,6 +48,8 @@
     Totals(Totals),
     #[prost(message, tag = "14")]
     Live(Live),
+    #[prost(message, tag = "15")]
+    Decided(Decided),
 }
 
 /// Who speaks: the first word on each connection, from both ends.
@@ -78,12 +72,17 @@
     /// Where clients reach it; empty for a control process.
     #[prost(string, tag = "7")]
     pub front: String,
-    /// A control process that may be relied on: it has caught up with enough of the core.
+    /// A control process that may be relied on: it has caught up with enough of the core, and is in contact with it. A
+    /// gateway: it has caught up once, so it has nothing to fear from one that is not current.
     #[prost(bool, tag = "8")]
     pub current: bool,
     /// Its folder holds what it has acknowledged.
     #[prost(bool, tag = "9")]
     pub full: bool,
+    /// A control process' folder, by the number that was drawn when it was first written: with the station it names the
+    /// seat. 0 for a gateway, and for a folder older than that.
+    #[prost(fixed64, tag = "10")]
+    pub folder: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -101,6 +100,15 @@
     /// The term under which it does the duty now, or 0.
     #[prost(uint64, tag = "5")]
     pub duty: u64,
+    /// Between control processes: a number that the sender gave to no other beat of its life, and the last one that it
+    /// heard of the other, or 0; see [`crate::contact`].
+    #[prost(fixed32, tag = "6")]
+    pub number: u32,
+    #[prost(fixed32, tag = "7")]
+    pub yours: u32,
+    /// A control process that ends in order: its seat may go at once, before it is silent.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -195,6 +203,26 @@
     pub ticket: u64,
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<ItemWord>,
+    /// The asker's life. Tickets begin anew in each: an answer that repeats another life's is not for this one.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// See [`Inquire`].
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// The ballot under which the call is proposed.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    /// Not the call is proposed but that it is denied: the items are left out, and these are its mark and its keys.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub denies: Bytes,
+    #[prost(fixed64, repeated, tag = "7")]
+    pub keys: Vec<u64>,
+    /// For a cast that is to be in force: what its writer holds, by buckets. Only who holds all of it is a copy.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub whole: Vec<u64>,
+    /// Somebody has accepted it before.
+    #[prost(bool, tag = "9")]
+    pub again: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -204,6 +232,18 @@
     /// The one that answers counts as a copy: its folder is full.
     #[prost(bool, tag = "2")]
     pub full: bool,
+    /// The asker's life, as it was told.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Nothing was accepted: see [`Held`].
+    #[prost(bool, tag = "4")]
+    pub refused: bool,
+    /// The higher ballot that was promised, where that is why.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    /// The ballot that this answers.
+    #[prost(message, optional, tag = "6")]
+    pub under: Option<Ballot>,
 }
 
 /// Asks a control process for all that it holds and the asker does not.
@@ -213,6 +253,21 @@
     pub ticket: u64,
     #[prost(fixed64, repeated, tag = "2")]
     pub hashes: Vec<u64>,
+    /// The asker's life: see [`Store`].
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// The era by whose casts the asker counts, as decided. Danger: one that knows of an older cast alone would take an
+    /// old majority for one in force.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Asks for the promise to accept nothing below this ballot for these keys. None: a reading alone.
+    #[prost(message, optional, tag = "5")]
+    pub ballot: Option<Ballot>,
+    #[prost(fixed64, repeated, tag = "6")]
+    pub keys: Vec<u64>,
+    /// All calls that are accepted and undecided are to be told, whatever their keys.
+    #[prost(bool, tag = "7")]
+    pub all: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -226,6 +281,37 @@
     /// The answerer knows of a core.
     #[prost(bool, tag = "4")]
     pub founded: bool,
+    /// The asker's life, as it was told.
+    #[prost(fixed64, tag = "5")]
+    pub life: u64,
+    /// No reading and no promise: the asker counts by an older era, or a higher ballot was promised.
+    #[prost(bool, tag = "6")]
+    pub refused: bool,
+    /// The highest ballot promised, where that is why.
+    #[prost(message, optional, tag = "7")]
+    pub ballot: Option<Ballot>,
+    /// Calls that are accepted here and undecided.
+    #[prost(message, repeated, tag = "8")]
+    pub calls: Vec<CallWord>,
+    /// Calls that are denied here.
+    #[prost(message, repeated, tag = "9")]
+    pub denied: Vec<Denied>,
+}
+
+/// A call, by its mark, that was refused for its content under a ballot.
+#[derive(Clone, PartialEq, Message)]
+pub struct Denied {
+    #[prost(message, required, tag = "1")]
+    pub ballot: Ballot,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub mark: Bytes,
+}
+
+/// A call is decided: who has accepted it takes it up.
+#[derive(Clone, PartialEq, Message)]
+pub struct Decided {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub mark: Bytes,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -241,6 +327,9 @@
     /// The claimant holds the duty under this term, and renews.
     #[prost(bool, tag = "5")]
     pub holds: bool,
+    /// The era by whose casts the claimant counts the votes: a voter that knows of a later one refuses.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -257,6 +346,9 @@
     /// Who holds it, by the voter.
     #[prost(string, tag = "5")]
     pub holder: String,
+    /// The voter's own era: a claimant that hears of a later one is behind.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -367,18 +459,11 @@
     pub control_districts: Vec<String>,
 }
 
-/// Appends a word with its frame.
-pub fn pack(word: Word, into: &mut Vec<u8>) {
-    let parcel = Parcel { word: Some(word) };
-    into.extend_from_slice(&(parcel.encoded_len() as u32).to_be_bytes());
-    parcel.encode_raw(into);
-}
-
 /// Appends items in as many words as they need.
 pub fn pack_items<'a>(items: impl Iterator<Item = &'a Item>, into: &mut Vec<u8>) {
     let (mut batch, mut size) = (Vec::new(), 0);
     for item in items {
-        size += item.name.len() + item.value.as_ref().map_or(0, |value| value.len()) + 16;
+        size += item.bytes();
         batch.push(ItemWord::from(item));
         if size > BATCH {
             pack(Word::Items(Items { items: std::mem::take(&mut batch) }), into);
@@ -389,50 +474,3 @@
         pack(Word::Items(Items { items: batch }), into);
     }
 }
-
-/// Takes the next whole word off the input's front, from `at` on, which is moved. A word of a kind that this
-/// version does not know is passed over.
-pub fn unpack(input: &[u8], at: &mut usize) -> Result<Option<Word>, Error> {
-    loop {
-        let rest = &input[*at..];
-        let Some(length) = rest.first_chunk::<4>() else { return Ok(None) };
-        let length = u32::from_be_bytes(*length) as usize;
-        if length > MOST {
-            return Err(Error::TooLong { length });
-        }
-        let Some(frame) = rest.get(4..4 + length) else { return Ok(None) };
-        *at += 4 + length;
-        let parcel = Parcel::decode(frame).map_err(|e| Error::Garbled { cause: e.to_string() })?;
-        if let Some(word) = parcel.word {
-            return Ok(Some(word));
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn words_are_the_same_wherever_they_are_cut_and_lies_are_refused() {
-        let add = Add { tenant: "a".into(), offered: 7, sent: 3, ..Add::default() };
-        let words = [
-            Word::Hello(Hello { station: "one".into(), life: 7, ..Hello::default() }),
-            Word::Adds(Adds { ticket: 3, station: "one".into(), adds: vec![add], life: 9, asks: false }),
-            Word::Beat(Beat { digest: 5, ready: true, ..Beat::default() }),
-        ];
-        let mut bytes = Vec::new();
-        words.iter().for_each(|word| pack(word.clone(), &mut bytes));
-        for cut in 0..=bytes.len() {
-            let (mut at, mut seen) = (0, Vec::new());
-            for input in [&bytes[..cut], &bytes] {
-                while let Some(word) = unpack(input, &mut at).unwrap() {
-                    seen.push(word);
-                }
-            }
-            assert_eq!(seen, words);
-        }
-        assert_eq!(unpack(&[255; 8], &mut 0), Err(Error::TooLong { length: u32::MAX as usize }));
-        assert!(matches!(unpack(&[0, 0, 0, 2, 255, 255], &mut 0), Err(Error::Garbled { .. })));
-    }
-}
