--- a/crates/bond/src/lib.rs
+++ b/crates/bond/src/lib.rs
@@ -14,6 +14,9 @@
 //! | [`tomb`] | when a drop may be forgotten |
 //! | [`count`] | what tenants asked of all gateways, period by period, and how a quota is shared out |
 
+#[cfg(test)]
+extern crate self as kitepass_bond;
+
 pub mod cast;
 pub mod contact;
 pub mod count;
