--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -108,6 +108,17 @@
     differs: u32,
 }
 
+/// How far one has come with the duty. [`Core::serve`] alone changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Another's, or nobody's.
+    Idle,
+    /// Won under a term. Danger: whoever acts on what it knew before would bring an older list, count or cast back.
+    Reading(u64),
+    /// It has read under that term what a majority holds, and acts.
+    Acting(u64),
+}
+
 enum Kept {
     /// What was accepted for an order of a station, and what it is told then.
     Copy {
@@ -166,11 +177,8 @@
     voter: Voter,
     /// Whom the record on disk names.
     recorded: Vote,
-    /// It did the duty when that was looked at last.
-    held: bool,
+    service: Service,
     claimant: Claimant,
-    /// The term under which it has read what a majority holds, and acts.
-    acting: Option<u64>,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
     terms: BTreeMap<String, Terms>,
@@ -255,7 +263,7 @@
             contact: Contact::new(&name, chance.rand_u64() as u32),
             voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
-            held: false,
+            service: Service::Idle,
             chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
@@ -279,7 +287,6 @@
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
             claimant: Claimant::new(DUTY, start.life),
-            acting: None,
             counts: None,
             terms,
             slack: start.slack,
@@ -448,8 +455,4 @@
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
         }
     }
-
-    pub fn is_idle(&self) -> bool {
-        self.work.is_empty() && self.keeping.is_empty()
-    }
 }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -48,8 +48,8 @@
 const VALID: f64 = 1.0;
 /// The log on disk is compacted past so many bytes.
 const LOG: u64 = 4 * 1024 * 1024;
-/// After SIGTERM orders under way have so long.
-const GRACE: Span = Span::from_micros(700_000);
+/// After SIGTERM orders under way, and the core that takes the seat out, have so long.
+const GRACE: Span = Span::from_micros(2_000_000);
 
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -246,7 +246,7 @@
                 leaves = Some(now);
             }
             self.act();
-            if leaves.is_some_and(|since| now - since > GRACE || self.core.is_idle()) {
+            if leaves.is_some_and(|since| now - since > GRACE || self.core.has_left()) {
                 info!("event=end");
                 return Ok(());
             }
