--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -7,19 +7,29 @@
 mod orders;
 mod record;
 mod sessions;
+mod tombs;
 
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
 use bytes::Bytes;
+use catching::Reader;
+pub use contact::{millis, SeatContact};
 use kitepass::{Moment, Span};
-use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
+use kitepass_bond::contact::{Contact, State as ContactState};
 use kitepass_bond::count::{Counts, Slack, Terms};
+use kitepass_bond::feed::Feeds;
 use kitepass_bond::lease::{Claimant, Voter};
+use kitepass_bond::register::{
+    Acceptor, Ballot, Bid, Call as Proposal, CallWord, Mark, Reserve, Restored, Seen,
+};
 use kitepass_bond::session::Table;
+use kitepass_bond::tomb::Tombs;
 use kitepass_bond::words::*;
-use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
-use log::{debug, info, warn};
-use record::{learn, record, unrecord};
+use kitepass_tenet::{piece_digest, Checker, Item, Kind, Ledger, Tenant, BUCKETS};
+use log::{debug, error, info, warn};
+use orders::{Watched, Work};
+use record::{learn, record_vote, unrecord_vote};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -27,8 +37,12 @@
 const BEAT: Span = Span::from_micros(500_000);
 /// A peer or session that has said nothing for so long is given up.
 const SILENT: Span = Span::from_micros(1_500_000);
-/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere.
+/// An order that the core has not borne out by then is answered 503: its caller goes elsewhere. Callers wait longer for
+/// large bodies, and so much more is borne for each MiB.
 const PATIENCE: Span = Span::from_micros(2_500_000);
+const PATIENCE_MIB: Span = Span::from_micros(1_000_000);
+/// After the last contact a look-up is answered for so long: what this process knows of the gateways is that old.
+const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
 /// For so long the founder waits for others after the last that came, and at the most.
@@ -40,12 +54,20 @@
 pub const DUTY: &str = "steward";
 /// The record that says that this folder holds all that was acknowledged here.
 const FULL: &[u8] = b"full";
-/// The record of whom this voter granted the duty last.
+/// The record of this folder's number, with which its seat is named.
+const FOLDER: &[u8] = b"folder";
+/// The record of whom this voter granted the duty last, by seat, and the edition of the cast in which it did.
 const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
 const LIVE: &[u8] = b"live";
 
+/// A drop is forgotten once all of the core has held it on disk for so long.
+const AGE: Span = Span::from_micros(3_600_000_000);
+/// Bytes on their way to gateways that are told what they lack, all together, and of one piece.
+const MOST_FED: usize = 8 * 1024 * 1024;
+const FED: usize = 256 * 1024;
+
 /// What a control process wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -53,8 +75,8 @@
     Peer(String, Word),
     /// To a gateway, by its session's number.
     Session(u64, Word),
-    /// Items to a gateway's session, in as many words as they need.
-    Items(u64, Vec<Item>),
+    /// Items to a gateway's session, in as many words as they need. Sessions that are told the same share them.
+    Items(u64, Arc<[Item]>),
     /// To a caller, by the number that it asked under.
     Answer(u64, Reply),
     /// To be kept on disk, and told as [`Core::kept`] with the ticket.
@@ -70,10 +92,10 @@
     Blank,
     /// It knows of a core, and has yet to hear what was acknowledged while it was away.
     Behind,
-    /// It has caught up: it takes orders and sessions.
+    /// It has caught up, and is in contact with a majority: it takes orders and sessions.
     Current,
-    /// It had caught up, and hears too few of the core now to know of all that is acknowledged. Gateways are told,
-    /// and go to another if there is a better one.
+    /// It had caught up, and too few of the core have proved lately that they hear it: it cannot know of all that is
+    /// acknowledged, and hands nothing out as current. Gateways are told, and go to another if there is a better one.
     Apart,
     /// It ends: nothing new is taken.
     Leaving,
@@ -81,10 +103,13 @@
 
 struct Peer {
     hello: Hello,
+    /// Its seat's name.
+    name: String,
     heard: Moment,
     digest: u64,
     differs: u32,
     duty: u64,
+    leaving: bool,
 }
 
 struct Session {
@@ -94,34 +119,34 @@
     differs: u32,
 }
 
-/// How far an order has come. [`Core::step`] alone changes it.
-#[derive(Debug)]
-enum Step {
-    /// Hearing what the others hold.
-    Reading(BTreeSet<String>),
-    /// Waiting for copies on disk.
-    Storing(BTreeSet<String>),
-}
-
-struct Work {
-    /// Who waits for the answer, if anybody.
-    caller: Option<u64>,
-    order: Order,
-    step: Step,
-    since: Moment,
+/// How far one has come with the duty. [`Core::serve`] alone changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Another's, or nobody's.
+    Idle,
+    /// Won under a term. Danger: whoever acts on what it knew before would bring an older list, count or cast back.
+    Reading(u64),
+    /// It has read under that term what a majority holds, and acts.
+    Acting(u64),
 }
 
 enum Kept {
-    /// This process' own copy for an order.
-    Order(u64),
-    /// A copy for another process' order.
+    /// What was accepted for an order of a station, and what it is told then.
     Copy {
-        peer: String,
-        ticket: u64,
+        station: String,
+        stored: Stored,
+        reserve: Option<Reserve>,
+    },
+    /// A floor that covers what was promised to a station.
+    Promise {
+        station: String,
+        held: Held,
+        reserve: Reserve,
     },
     /// A vote that may be told.
     Vote {
-        who: String,
+        station: String,
+        vote: Vote,
         grant: Grant,
     },
     /// The record that makes this folder full.
@@ -129,8 +154,13 @@
     Nothing,
 }
 
+/// Whom a voter granted the duty, by seat, and in which cast.
+type Vote = (String, u64);
+
 pub struct Core {
     me: Seat,
+    /// This process' own seat.
+    name: String,
     life: u64,
     maiden: bool,
     founder: bool,
@@ -141,26 +171,54 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
+    /// The ticket under which it catches up, or 0; when somebody was asked first under it.
     inquiry: u64,
+    /// Readings of others under way, by ticket and station.
+    readers: BTreeMap<(u64, String), Reader>,
+    asked: Moment,
+    contact: Contact,
     peers: BTreeMap<String, Peer>,
+    /// Seats that are not heard, by name, and since when.
     lost: BTreeMap<String, Moment>,
+    /// Seats that said that they leave, by name.
+    leaving: BTreeSet<String>,
     sessions: BTreeMap<u64, Session>,
+    /// Sessions that are told what they lack.
+    feeds: Feeds,
     table: Table,
     told: (u64, Moment, Vec<Member>),
     /// Gateways that count as live, reckoned once a beat.
     live: Vec<String>,
     voter: Voter,
     /// Whom the record on disk names.
-    recorded: String,
-    /// It did the duty when that was looked at last.
-    held: bool,
+    recorded: Vote,
+    service: Service,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
     terms: BTreeMap<String, Terms>,
     slack: Slack,
     roster: Roster,
+    /// What this seat has promised and accepted.
+    acceptor: Acceptor,
+    /// The highest ballot heard of.
+    highest: Ballot,
     work: BTreeMap<u64, Work>,
+    /// Calls that are accepted somewhere and not known to be settled.
+    watch: BTreeMap<Mark, Watched>,
+    /// Calls that are denied, and under which ballot.
+    denied: BTreeMap<Mark, Ballot>,
+    /// By station, copies that wait for what this process lacks, asked for under a ticket.
+    pulls: BTreeMap<String, (u64, Store)>,
+    /// Drops that may be forgotten one day, for whoever does the duty; how long that takes, and when they were looked
+    /// through last.
+    tombs: Tombs,
+    age: Span,
+    looked: Moment,
+    /// When this process was in touch with the core last.
+    touched: Moment,
+    /// It holds what it held before it was away for long, and has yet to be found in the cast.
+    unproven: bool,
     keeping: BTreeMap<u64, Kept>,
     ticket: u64,
     beat: Moment,
@@ -171,7 +229,9 @@
 
 /// What a process is at its start.
 pub struct Start {
+    /// Its folder's number is taken from the records, or drawn if there are none.
     pub me: Seat,
+    /// Drawn anew each time.
     pub life: u64,
     /// The first start of the whole system, with an empty folder.
     pub maiden: bool,
@@ -185,32 +245,55 @@
 impl Core {
     pub fn new(now: Moment, start: Start) -> Core {
         let (mut ledger, mut full, mut table) = (Ledger::new(), false, Table::default());
-        let mut recorded = String::new();
+        let (mut recorded, mut me, mut empty) = (Vote::default(), start.me, true);
+        let (mut acceptor, mut garbled) = (Acceptor::new(), Vec::new());
+        me.folder = 0;
         for (key, value) in &start.records {
+            empty &= key == FOLDER;
             if key == FULL {
                 full = true;
+            } else if key == FOLDER {
+                me.folder = value.first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
             } else if key == VOTE {
-                recorded = String::from_utf8_lossy(value).into_owned();
+                recorded = unrecord_vote(value);
             } else if key == LIVE {
                 let stations = String::from_utf8_lossy(value);
                 stations.split(',').filter(|s| !s.is_empty()).for_each(|s| table.recall(now, s));
-            } else if let Some(item) = unrecord(key, value) {
-                ledger.merge(item);
+            } else if let Some((item, past)) = kitepass_tenet::unrecord(key, value) {
+                ledger.merge_with(item, &past);
+            } else if acceptor.restore(key, value) == Restored::Garbled {
+                // Danger: what it accepted may have been chosen by it. It is as good as lost, and comes anew.
+                error!("event=record-garbled key={:?}", String::from_utf8_lossy(key));
+                garbled.push((key.clone(), Vec::new()));
             }
         }
+        let is_garbled = !garbled.is_empty();
+        garbled.extend(acceptor.settle_all(&ledger));
+        // The folder of a version that had no numbers stays the seat that it was.
+        let drawn = (start.records.is_empty() || is_garbled).then(|| start.life.max(1));
+        full &= !is_garbled;
+        me.folder = drawn.unwrap_or(me.folder);
         let mut terms = BTreeMap::new();
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
-        let empty = start.records.is_empty();
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
-        info!("event=start standing={standing:?} full={full} items={} life={:x}", ledger.len(), start.life);
-        Core {
-            voter: Voter::new(now, start.maiden && empty, [(DUTY.to_owned(), recorded.clone())].into()),
+        let name = me.name();
+        let seated = Era::of(&ledger).and_then(|era| era.seats(&name));
+        // Danger: a vote of an earlier stay in the cast says nothing of what those granted who stood there meanwhile.
+        let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
+        let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
+        info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
+        let mut chance = oorandom::Rand64::new(u128::from(start.life));
+        let is_held = !ledger.is_empty();
+        let mut core = Core {
+            contact: Contact::new(&name, chance.rand_u64() as u32),
+            voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
-            held: false,
-            chance: oorandom::Rand64::new(u128::from(start.life)),
+            service: Service::Idle,
+            chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
-            me: start.me,
+            me,
+            name,
             life: start.life,
             ledger,
             checker: Checker::new(),
@@ -220,9 +303,13 @@
             newest: now,
             caught: BTreeSet::new(),
             inquiry: 0,
+            readers: BTreeMap::new(),
+            asked: now,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             sessions: BTreeMap::new(),
+            feeds: Feeds::new(MOST_FED),
             table,
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
@@ -231,13 +318,32 @@
             terms,
             slack: start.slack,
             roster: Roster::default(),
+            acceptor,
+            highest: Ballot::default(),
             work: BTreeMap::new(),
+            watch: BTreeMap::new(),
+            denied: BTreeMap::new(),
+            pulls: BTreeMap::new(),
+            tombs: Tombs::new(AGE),
+            age: AGE,
+            looked: now,
+            touched: now,
+            unproven: is_held,
             keeping: BTreeMap::new(),
             ticket: 0,
             beat: now,
             inquired: Moment::default(),
             acts: Vec::new(),
+        };
+        if let Some(folder) = drawn {
+            // First of all records, so that whatever else is on disk is on disk under this number.
+            core.keep_records(vec![(FOLDER.to_vec(), folder.to_be_bytes().to_vec())], Kept::Nothing);
+        }
+        if !garbled.is_empty() {
+            core.keep_records(garbled, Kept::Nothing);
         }
+        core.prove(now);
+        core
     }
 
     pub fn hello(&self) -> Hello {
@@ -251,6 +357,7 @@
             front: String::new(),
             current: self.standing == Standing::Current,
             full: self.full,
+            folder: self.me.folder,
         }
     }
 
@@ -279,11 +386,6 @@
         self.ticket
     }
 
-    fn keep(&mut self, items: &[Item], why: Kept) {
-        let records = items.iter().map(record).collect();
-        self.keep_records(records, why);
-    }
-
     fn keep_records(&mut self, records: Vec<(Vec<u8>, Vec<u8>)>, why: Kept) {
         let ticket = self.ticket();
         self.keeping.insert(ticket, why);
@@ -304,39 +406,47 @@
     pub fn peer_said(&mut self, now: Moment, station: &str, word: Word) -> Vec<String> {
         let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         peer.heard = now;
-        let life = peer.hello.life;
+        let (life, name) = (peer.hello.life, peer.name.clone());
+        match &word {
+            Word::Beat(beat) => self.contact.heard(now, &name, beat.number, beat.yours),
+            Word::Held(held) if (held.life, held.ticket) == (self.life, self.inquiry) => {
+                self.contact.answered(now, &name, self.asked);
+            }
+            _ => {}
+        }
+        if matches!(word, Word::Beat(_) | Word::Held(_)) {
+            self.judge_contact(now);
+        }
+        let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
-                peer.duty = beat.duty;
-                peer.differs = if beat.digest == self.ledger.digest() { 0 } else { peer.differs + 1 };
+                (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
+                peer.differs = if beat.digest == self.ledger.whole_digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
+                self.agreed(now, &name, &beat);
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    self.send(station, Word::Buckets(self.buckets(true)));
+                    self.repair(now, station, &name);
                 }
             }
             Word::Live(live) => return live.controls,
+            // Backends as whoever does the duty reads them, and the first cast. Danger: whatever else is told unasked could
+            // be what was dropped and forgotten.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
-            }
-            Word::Buckets(buckets) => {
-                let items: Vec<ItemWord> =
-                    self.ledger.differing(&buckets.hashes).map(ItemWord::from).collect();
-                self.send(station, Word::Items(Items { items }));
+                let items = items.items.into_iter().filter_map(ItemWord::entry);
+                self.take(items.filter(|(i, _)| matches!(i.kind, Kind::Backend | Kind::Cast)).collect());
             }
-            Word::Store(store) => self.copy(station, store),
-            Word::Stored(stored) if stored.full => self.stored(now, stored.ticket, station),
-            Word::Inquire(inquire) => {
-                let items = self.ledger.differing(&inquire.hashes).map(ItemWord::from).collect();
-                let founded = self.cast().is_some();
-                let held = Held { ticket: inquire.ticket, items, full: self.full, founded };
-                self.send(station, Word::Held(held));
-            }
-            Word::Held(held) => self.held(now, station, held),
-            Word::Claim(claim) => self.vote(now, station, &claim),
-            Word::Grant(grant) => self.granted(now, station, &grant),
+            Word::Store(store) => self.copy(now, station, store),
+            Word::Decided(decided) => self.decided(&decided),
+            Word::Forget(forget) if self.trusts(&name) => self.forget(forget.due()),
+            // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
+            Word::Stored(stored) if stored.life == self.life => self.stored(now, &name, stored),
+            Word::Inquire(inquire) => self.inquired(now, station, &inquire),
+            Word::Held(held) => self.held(now, station, &name, held),
+            Word::Claim(claim) => self.vote(now, station, &name, &claim),
+            Word::Grant(grant) => self.granted(now, &name, &grant),
             Word::Sessions(sessions) => {
                 self.table.hear(now, station, life, &sessions);
             }
@@ -348,6 +458,7 @@
             Word::Totals(totals) => self.totals(totals),
             _ => {}
         }
+        self.pursue(now);
         Vec::new()
     }
 
@@ -357,30 +468,26 @@
             self.beat = now;
             self.beat(now);
         }
+        self.judge_contact(now);
         match self.standing {
             Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
-                self.inquired = now;
-                self.inquire();
+                self.ask_core(now);
                 self.found(now);
             }
-            // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
-            Standing::Current if !self.hears_enough() => {
-                self.caught.clear();
-                self.shift(Standing::Apart);
-                self.beat(now);
-            }
             _ => {}
         }
+        self.forget_readers(now);
+        self.touch(now);
+        self.feed(now);
         self.claim(now);
-        let late: Vec<u64> =
-            self.work.iter().filter(|(_, work)| now - work.since > PATIENCE).map(|(id, _)| *id).collect();
+        self.settle(now);
+        self.pursue(now);
+        let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
+        let is_late = |work: &Work| now - work.since > patience(&work.order);
+        let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
         for id in late {
             warn!("event=order-late order={}", self.work[&id].order.name());
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
         }
     }
-
-    pub fn is_idle(&self) -> bool {
-        self.work.is_empty() && self.keeping.is_empty()
-    }
 }
--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -6,7 +6,13 @@
     /// A gateway asks for a session. Danger: one that has not caught up would tell it an old configuration.
     pub fn session_came(&mut self, now: Moment, id: u64, hello: Hello) {
         self.acts.push(Act::Session(id, Word::Hello(self.hello())));
-        if !matches!(self.standing, Standing::Current | Standing::Apart) {
+        let may = match self.standing {
+            Standing::Current => self.is_in_contact(now) || hello.current,
+            // It had caught up once itself, and does no worse here while nobody better is to be found.
+            Standing::Apart => hello.current,
+            Standing::Blank | Standing::Behind | Standing::Leaving => false,
+        };
+        if !may {
             return self.acts.push(Act::Close(id));
         }
         info!("event=session station={} life={:x}", hello.station, hello.life);
@@ -15,9 +21,18 @@
         self.acts.push(Act::Session(id, word));
     }
 
+    /// Bytes have come of a gateway that are no whole word yet.
+    pub fn session_alive(&mut self, now: Moment, id: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.heard = now;
+        }
+    }
+
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
         if let Some(session) = self.sessions.remove(&id) {
             info!("event=session-lost station={} why={why}", session.hello.station);
+            self.feeds.lost(id);
+            self.feed(now);
             self.tell(now);
         }
     }
@@ -28,7 +43,9 @@
         match word {
             Word::Beat(beat) => {
                 let was = std::mem::replace(&mut session.ready, beat.ready);
-                session.differs = if beat.digest == self.ledger.digest() { 0 } else { session.differs + 1 };
+                session.hello.current |= beat.current;
+                let agrees = beat.digest == self.ledger.digest() || self.feeds.has(id);
+                session.differs = if agrees { 0 } else { session.differs + 1 };
                 // One beat may have crossed with news.
                 if session.differs >= 2 {
                     session.differs = 0;
@@ -39,15 +56,14 @@
                 }
             }
             Word::Buckets(buckets) => {
-                let items: Vec<Item> = self.ledger.differing(&buckets.hashes).cloned().collect();
-                self.acts.push(Act::Items(id, items));
-                if !buckets.back {
-                    self.acts.push(Act::Session(id, Word::Buckets(self.buckets(true))));
-                }
+                self.feeds.ask(id, buckets.hashes, !buckets.back);
+                self.feed(now);
             }
-            // Repair: what a gateway was told by one that is lost.
+            // Repair: what a gateway was told by one that is lost. Danger: of the configuration a gateway that was away
+            // would bring back what has been dropped, and the drop forgotten.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                let items = items.items.into_iter().filter_map(ItemWord::entry);
+                self.take(items.filter(|(item, _)| item.kind == Kind::Backend).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
@@ -61,6 +77,34 @@
         }
     }
 
+    /// Whether something is on its way to a session that [`Core::left`] is to be told of.
+    pub fn is_fed(&self, id: u64) -> bool {
+        self.feeds.is_told(id)
+    }
+
+    /// What was on its way to a session has left, or nearly.
+    pub fn left(&mut self, now: Moment, id: u64) {
+        self.feeds.left(id);
+        self.feed(now);
+    }
+
+    /// Tells the next of those that came what they lack, as far as there is room.
+    pub(super) fn feed(&mut self, now: Moment) {
+        while let Some(turn) = self.feeds.next(now) {
+            let piece = self.ledger.piece(&turn.hashes, turn.from, FED);
+            let goes_on = (piece.next < BUCKETS).then_some(piece.next);
+            let items: Arc<[Item]> = piece.items.into_iter().cloned().collect();
+            let (id, back, bytes) = (turn.id, turn.back, items.iter().map(Item::bytes).sum());
+            self.feeds.told(now, turn, bytes, goes_on);
+            if !items.is_empty() {
+                self.acts.push(Act::Items(id, items));
+            }
+            if goes_on.is_none() && back {
+                self.acts.push(Act::Session(id, Word::Buckets(self.buckets(true))));
+            }
+        }
+    }
+
     /// Gateways that a client may be sent to.
     pub fn lookup(
         &self,
@@ -94,10 +138,4 @@
         let stands = self.ledger.each(Kind::Evacuation).filter(|item| item.value.is_some());
         stands.map(|item| item.name.to_string()).collect()
     }
-
-    /// Seats of the cast, and whether each is heard of now.
-    pub fn seats(&self) -> Vec<(Seat, bool)> {
-        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
-        self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
-    }
 }
--- a/crates/accord/src/order.rs
+++ b/crates/accord/src/order.rs
@@ -1,6 +1,7 @@
 //! What callers ask of a control process, as values; decoded from their calls, run by the core.
 
 use kitepass_bond::cast::Cast;
+use kitepass_bond::register::Call as Proposal;
 use kitepass_tenet::Item;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -12,19 +13,36 @@
         zone: String,
         on: bool,
     },
-    /// The core's own: bring a cast in, and put it in force.
+    /// The core's own: a call that somebody accepted is brought to its end.
+    Settle(Proposal),
+    /// The one that does the duty reads what a majority holds.
+    Survey,
+    /// A cast is brought in, all that was decided before is read, and it is put in force.
     Next(Cast),
+    Fill(Cast),
     Now(Cast),
 }
 
 impl Order {
+    /// Bytes that are to be moved for it, its own alone.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Order::Patch(items) => items.iter().map(Item::bytes).sum(),
+            Order::Settle(call) => call.bytes(),
+            _ => 0,
+        }
+    }
+
     pub fn name(&self) -> &'static str {
         match self {
             Order::Get => "get",
             Order::Patch(_) => "patch",
             Order::Evacuate { on: true, .. } => "evacuate-start",
             Order::Evacuate { on: false, .. } => "evacuate-end",
+            Order::Settle(_) => "settle",
+            Order::Survey => "survey",
             Order::Next(_) => "cast-next",
+            Order::Fill(_) => "cast-fill",
             Order::Now(_) => "cast-now",
         }
     }
@@ -36,6 +54,10 @@
     Body(Vec<u8>),
     /// Nothing of it was taken, and why.
     Invalid(String),
+    /// Another content has taken the version of one of its items: no part of it ever takes effect.
+    Conflict(String),
+    /// The control process at this address says that it is in contact with the core: it may do it.
+    Redirect(String),
     /// Another control process may do it.
     Elsewhere(&'static str),
 }
@@ -85,11 +107,28 @@
     }
 }
 
+/// Where the same call is to be made at another address, if its target can stand in a field. Danger: whatever a caller
+/// wrote there goes back to it as part of the answer's head.
+pub fn place(ip: &str, port: u16, target: &[u8]) -> Option<String> {
+    let fit = target.starts_with(b"/") && target.iter().all(u8::is_ascii_graphic);
+    fit.then(|| format!("http://{ip}:{port}{}", String::from_utf8_lossy(target)))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
     use rstest::rstest;
 
+    #[rstest]
+    #[case(b"/v1/Timetable.Patch", Some("http://10.0.0.4:8080/v1/Timetable.Patch"))]
+    #[case(b"/v1/members?a=b&c=%20", Some("http://10.0.0.4:8080/v1/members?a=b&c=%20"))]
+    #[case(b"/v1/a b", None)]
+    #[case(b"/v1/a\r\nX: y", None)]
+    #[case(b"http://elsewhere/v1/members", None)]
+    fn a_call_goes_on_with_path_and_query(#[case] target: &[u8], #[case] to: Option<&str>) {
+        assert_eq!(place("10.0.0.4", 8080, target).as_deref(), to);
+    }
+
     #[rstest]
     #[case("GET", "/v1/Timetable.Get", Call::Order(Order::Get))]
     #[case("POST", "/v1/Timetable.Patch", Call::Patch)]
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -1,32 +1,53 @@
 //! Sockets, disk and clock around the [`Core`]: one thread, one loop.
 
-use crate::core::{Act, Core, Standing, Start, DUTY};
-use crate::order::{Call, Order, Reply};
+use crate::core::{millis, Act, Core, SeatContact, Start, DUTY};
+use crate::order::{place, Call, Order, Reply};
 use crate::roster::{self, Entry};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::Seat;
+use kitepass_bond::contact::CONTACT;
 use kitepass_bond::count::Slack;
+use kitepass_bond::frame::{Assembler, Outbox, Packed, MOST_FRAME};
 use kitepass_bond::words::{self, Word};
 use kitepass_intent::{Settings, Watch};
 use kitepass_recall::Store;
-use kitepass_strand::flow::{Body, HeadReader};
+use kitepass_strand::flow::{Body, Framing, HeadReader};
 use kitepass_strand::http::Kind as Which;
 use kitepass_strand::poll::{self, Clock, Poll, Ready};
 use kitepass_strand::process::{life, Signals};
 use kitepass_strand::wire::{cause, Wire};
 use kitepass_strand::{Errno, OwnedFd};
+use kitepass_tenet::Item;
 use log::{debug, error, info, warn};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// Bytes of an operator's call. Danger: a caller that never ends.
 const MOST_CALL: usize = 16 * 1024 * 1024;
 const MOST_HEAD: usize = 16 * 1024;
-/// Bytes that may wait for a peer or caller that does not read; beyond that it is given up.
-const MOST_UNSENT: usize = 32 * 1024 * 1024;
+/// Unused bytes that one connection's input may hold; the rest waits in the socket.
+const MOST_INPUT: usize = MOST_FRAME + 4;
+/// Fills in one turn of a connection.
+const MOST_TURNS: usize = 16;
+/// So long after a refusal that did not wait for the call's end its rest is read off and dropped.
+const DRAIN: Span = Span::from_micros(10_000_000);
+/// Bytes of all calls that are still being read.
+const MOST_CALLS: usize = 3 * MOST_CALL;
+/// Bytes of a call as items: short entries grow, as each item names its fields. It must fit in one word.
+const MOST_ITEMS: usize = 20 * 1024 * 1024;
+/// Bytes that may wait for a peer or gateway that does not read; beyond that it is given up.
+const MOST_UNSENT: usize = 64 * 1024 * 1024;
+/// With no more than so much still to go a gateway is told its next piece.
+const LOW: usize = 64 * 1024;
+/// Bytes of answers that may wait for a caller before its next call is looked at.
+const MOST_HELD: usize = 256 * 1024;
+/// With so much still to go to a process it is told no further piece of what it lacks: it asks again. Danger: on a slow
+/// line what is asked for again would pile up.
+const BUSY: usize = 1024 * 1024;
 /// A caller that is idle for so long is closed.
 const IDLE: Span = Span::from_micros(30_000_000);
 const TICK: Span = Span::from_micros(100_000);
@@ -40,8 +61,8 @@
 const VALID: f64 = 1.0;
 /// The log on disk is compacted past so many bytes.
 const LOG: u64 = 4 * 1024 * 1024;
-/// After SIGTERM orders under way have so long.
-const GRACE: Span = Span::from_micros(700_000);
+/// After SIGTERM orders under way, and the core that takes the seat out, have so long.
+const GRACE: Span = Span::from_micros(2_000_000);
 
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -72,7 +93,7 @@
     /// One of another process, until it has said who it is.
     Stranger,
     /// Another control process speaks here.
-    Peer { station: String },
+    Peer { station: String, life: u64 },
     /// A gateway's session, both ways.
     Session,
     /// The platform's list.
@@ -83,19 +104,45 @@
 struct Caller {
     reader: HeadReader,
     call: Option<Call>,
+    /// Path and query, as they were asked.
+    target: Vec<u8>,
     body: Option<Body>,
     bytes: Vec<u8>,
     closes: bool,
     waits: bool,
+    /// It was refused before its call had ended, and what still comes is dropped until then. Danger: a socket that
+    /// is closed with bytes unread is reset, and the answer with it.
+    drains: bool,
+    refused: Moment,
 }
 
 struct Conn {
     wire: Wire,
+    assembler: Assembler,
+    outbox: Outbox,
     role: Role,
     at: Moment,
     ends: bool,
 }
 
+impl Conn {
+    fn new(wire: Wire, role: Role, at: Moment) -> Conn {
+        let (assembler, outbox) = (Assembler::default(), Outbox::default());
+        Conn { wire, assembler, outbox, role, at, ends: false }
+    }
+}
+
+impl Conn {
+    /// Bytes that are still to go.
+    fn unsent(&self) -> usize {
+        self.wire.unsent() + self.outbox.waiting()
+    }
+
+    fn say(&mut self, word: Packed, urgent: bool) {
+        self.outbox.say(word, urgent, &mut self.wire.output);
+    }
+}
+
 /// A reading of the platform's list under way.
 struct Reading {
     entries: Vec<Entry>,
@@ -121,6 +168,10 @@
     reading: Option<Reading>,
     read: Moment,
     piece: Vec<u8>,
+    /// Connections with more to read than one turn took.
+    again: Vec<u64>,
+    /// Sessions whose last piece has left.
+    left: Vec<u64>,
     signals: Signals,
     watch: Watch,
 }
@@ -156,6 +207,7 @@
             ip: settings.ip.to_string(),
             district: settings.district.clone(),
             province: settings.province.clone(),
+            folder: 0,
         };
         let founder = settings.first_stops.first().is_some_and(|stop| stop.ip() == IpAddr::V4(settings.ip));
         let life = life(&settings.station);
@@ -185,6 +237,8 @@
             reading: None,
             read: Moment::default(),
             piece: vec![0; 64 * 1024],
+            again: Vec::new(),
+            left: Vec::new(),
             signals: Signals::default(),
             watch,
         })
@@ -197,11 +251,14 @@
         let mut leaves: Option<Moment> = None;
         loop {
             let wait = TICK - (self.clock.now() - ticked).min(TICK);
+            let wait = if self.again.is_empty() && self.left.is_empty() { wait } else { Span::ZERO };
             self.poll.wait(Some(wait), &mut ready).context(SystemSnafu { what: "waiting" })?;
             for ready in ready.drain(..) {
                 self.ready(&ready)?;
             }
+            std::mem::take(&mut self.again).into_iter().for_each(|id| self.serve(id, None));
             let now = self.clock.now();
+            std::mem::take(&mut self.left).into_iter().for_each(|id| self.core.left(now, id));
             if now - ticked >= TICK {
                 ticked = now;
                 self.core.tick(now);
@@ -218,8 +275,8 @@
                 self.core.leave(now);
                 leaves = Some(now);
             }
-            self.act(now);
-            if leaves.is_some_and(|since| now - since > GRACE || self.core.is_idle()) {
+            self.act();
+            if leaves.is_some_and(|since| now - since > GRACE || self.core.has_left()) {
                 info!("event=end");
                 return Ok(());
             }
@@ -265,7 +322,7 @@
                         continue;
                     }
                     let at = self.clock.now();
-                    self.conns.insert(id, Conn { wire: Wire::accepted(socket), role, at, ends: false });
+                    self.conns.insert(id, Conn::new(Wire::accepted(socket), role, at));
                     self.serve(id, None);
                 }
                 Ok(None) => return,
@@ -283,35 +340,69 @@
                 return self.lose(id, cause(error));
             }
         }
-        let ended = match conn.wire.fill(&mut self.piece, MOST_CALL + MOST_HEAD) {
-            Ok(ended) => ended,
-            Err(error) => return self.lose(id, cause(error)),
-        };
-        if !conn.wire.input.is_empty() {
-            conn.at = now;
-        }
-        let going = match &conn.role {
-            Role::Caller(_) => self.call(now, id),
-            Role::Carrier(..) => self.carried(now, id, ended),
-            _ => self.said(now, id),
+        // What a fill that stopped at its bound has left in the socket is told of by no further edge: it goes on for as
+        // long as something is taken up. Danger: one that sends without end would keep the loop from all others.
+        let mut turns = 0;
+        let ended = loop {
+            if turns == MOST_TURNS {
+                self.again.push(id);
+                break false;
+            }
+            turns += 1;
+            let Some(conn) = self.conns.get_mut(&id) else { return };
+            let ended = match conn.wire.fill(&mut self.piece, MOST_INPUT) {
+                Ok(ended) => ended,
+                Err(error) => return self.lose(id, cause(error)),
+            };
+            if !conn.wire.input.is_empty() {
+                conn.at = now;
+            }
+            let going = match &conn.role {
+                Role::Caller(_) => self.call(now, id),
+                Role::Carrier(..) => self.carried(now, id, ended),
+                _ => self.said(now, id),
+            };
+            if let Err(why) = going {
+                return self.lose(id, why);
+            }
+            let more = |conn: &Conn| conn.wire.is_readable() && conn.wire.input.len() < MOST_INPUT;
+            if ended || !self.conns.get(&id).is_some_and(more) {
+                break ended;
+            }
         };
-        if let Err(why) = going {
-            return self.lose(id, why);
-        }
         self.flush(id);
         if ended {
             let waits = matches!(self.conns.get(&id), Some(Conn { role: Role::Caller(c), .. }) if c.waits);
-            if !waits {
-                self.lose(id, "closed");
+            match self.conns.get_mut(&id) {
+                _ if waits => {}
+                // It has said all, and reads on.
+                Some(conn) if matches!(conn.role, Role::Caller(_)) && conn.wire.unsent() > 0 => {
+                    conn.ends = true
+                }
+                _ => self.lose(id, "closed"),
             }
         }
     }
 
     fn flush(&mut self, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        match conn.wire.flush() {
+        let flushed = loop {
+            let unsent = conn.wire.unsent();
+            conn.outbox.feed(&mut conn.wire.output, unsent);
+            let flushed = conn.wire.flush();
+            if flushed != Ok(true) || conn.outbox.waiting() == 0 {
+                break flushed;
+            }
+        };
+        match flushed {
+            Ok(true) if matches!(&conn.role, Role::Caller(caller) if caller.drains) => {
+                let _ = conn.wire.end(); // the answer is whole: its reader need not wait for more
+            }
             Ok(true) if conn.ends => self.lose(id, "done"),
-            Ok(_) if conn.wire.unsent() > MOST_UNSENT => self.lose(id, "does-not-read"),
+            Ok(_) if conn.unsent() <= LOW && self.core.is_fed(id) => self.left.push(id),
+            // A caller is answered one call at a time, and an answer may be as long as the configuration.
+            Ok(_) if matches!(conn.role, Role::Caller(_)) => {}
+            Ok(_) if conn.unsent() > MOST_UNSENT => self.lose(id, "does-not-read"),
             Ok(_) => {}
             Err(error) => self.lose(id, cause(error)),
         }
@@ -341,9 +432,19 @@
             let Some(Conn { wire, role: Role::Caller(caller), ends, .. }) = self.conns.get_mut(&id) else {
                 return Ok(());
             };
+            if caller.drains {
+                wire.input.clear();
+            }
             if caller.waits || *ends {
                 return Ok(());
             }
+            // Danger: answers to calls that come one behind the other would pile up for one that does not read.
+            if wire.unsent() > MOST_HELD {
+                wire.flush().map_err(cause)?;
+                if wire.unsent() > MOST_HELD {
+                    return Ok(()); // once there is room again it goes on
+                }
+            }
             if caller.call.is_none() {
                 match caller.reader.next(Which::Request, &mut wire.input, MOST_HEAD) {
                     Ok(None) => return Ok(()),
@@ -354,22 +455,33 @@
                     }
                     Ok(Some((head, framing))) => {
                         caller.closes = !head.keeps_open();
+                        if matches!(framing, Framing::Sized(length) if length > MOST_CALL as u64) {
+                            self.too_long(id);
+                            return Ok(());
+                        }
                         if head.expects_a_word() {
                             wire.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                         }
                         caller.call = Some(Call::decode(head.start(0), head.start(1)));
+                        caller.target = head.start(1).to_vec();
                         caller.body = Some(Body::new(framing));
                         caller.bytes.clear();
                     }
                 }
             }
             let body = caller.body.as_mut().expect("set with the call");
-            let room = MOST_CALL.saturating_sub(caller.bytes.len());
+            // One byte more than is taken tells a call that goes on from one that ends there.
+            let room = (MOST_CALL + 1).saturating_sub(caller.bytes.len());
             let whole = body.read(&mut wire.input, &mut caller.bytes, room).map_err(|_| "garbled")?;
+            if caller.bytes.len() > MOST_CALL {
+                self.too_long(id);
+                return Ok(());
+            }
             if !whole {
-                if caller.bytes.len() >= MOST_CALL {
-                    caller.closes = true;
-                    self.answer(id, 413, "text/plain", b"a call of too many bytes", None);
+                if caller.bytes.len() > MOST_HELD && self.calls_held() > MOST_CALLS {
+                    // Danger: eight long calls at once would take more memory than a small machine has.
+                    self.cut_short(id);
+                    self.answer(id, 503, "text/plain", b"too many long calls at once", Some(1));
                 }
                 return Ok(());
             }
@@ -379,10 +491,31 @@
         }
     }
 
+    fn calls_held(&self) -> usize {
+        let bytes = |conn: &Conn| if let Role::Caller(caller) = &conn.role { caller.bytes.len() } else { 0 };
+        self.conns.values().map(bytes).sum()
+    }
+
+    /// A call that has not come whole is read no further: what still comes of it is dropped.
+    fn cut_short(&mut self, id: u64) {
+        if let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get_mut(&id) {
+            (caller.closes, caller.drains) = (true, true);
+            (caller.bytes, caller.refused) = (Vec::new(), self.clock.now());
+        }
+    }
+
+    /// A call beyond the limit is refused before anything is made of it.
+    fn too_long(&mut self, id: u64) {
+        self.cut_short(id);
+        info!("event=call-too-long most={MOST_CALL} most_items={MOST_ITEMS}");
+        self.answer(id, 413, "text/plain", b"a call of more than 16 MiB, or 20 MiB as items", None);
+    }
+
     fn run_call(&mut self, now: Moment, id: u64, call: Call, body: &[u8]) {
         let order = match call {
             Call::Order(order) => order,
             Call::Patch => match self.core.read_call(body) {
+                Ok(order) if order.bytes() > MOST_ITEMS => return self.too_long(id),
                 Ok(order) => order,
                 Err(why) => {
                     info!("event=unread-call why={why:?}");
@@ -395,7 +528,11 @@
             Call::WrongMethod => return self.answer(id, 405, "text/plain", b"not by this method", None),
         };
         if let Order::Evacuate { zone, .. } = &order {
-            if !self.settings.districts.is_empty() && !self.settings.districts.contains_key(zone) {
+            // Out of contact not even that is known for certain: others may have newer settings.
+            if self.core.takes_orders(now)
+                && !self.settings.districts.is_empty()
+                && !self.settings.districts.contains_key(zone)
+            {
                 return self.answer(id, 404, "text/plain", b"no such zone", None);
             }
         }
@@ -406,8 +543,9 @@
     }
 
     fn lookup(&mut self, id: u64, province: &str, district: &str) {
-        if !matches!(self.core.standing(), Standing::Current | Standing::Apart) {
-            return self.answer(id, 503, "text/plain", b"not caught up", Some(1));
+        // Danger: gateways that are long gone, told by one that cannot know of it.
+        if !self.core.may_look_up(self.clock.now()) {
+            return self.answer(id, 503, "text/plain", b"out of contact with the core", Some(1));
         }
         let addresses = self.core.lookup(province, district, &self.settings.districts);
         if addresses.is_empty() {
@@ -430,19 +568,41 @@
             .collect();
         let seats: Vec<_> = self
             .core
-            .seats()
+            .seats(now)
             .into_iter()
-            .map(|(s, up)| json!({"station": s.station, "ip": s.ip, "district": s.district, "heard": up}))
+            .map(|SeatContact { seat, heard, age }| {
+                json!({"station": seat.station, "ip": seat.ip, "district": seat.district, "heard": heard,
+                    "contact": age.is_some_and(|age| age <= CONTACT), "contact-age-ms": age.map(millis)})
+            })
             .collect();
         let standing = format!("{:?}", self.core.standing()).to_lowercase();
         let body = json!({"asked": self.settings.station, "standing": standing,
+            "contact": self.core.is_in_contact(now), "contact-age-ms": self.core.contact_age(now).map(millis),
             "duty": {DUTY: self.core.holds(now).is_some()}, "core": seats, "gateways": gateways,
             "evacuated": self.core.evacuated()});
         self.answer(id, 200, "application/json", body.to_string().as_bytes(), None);
     }
 
     fn answer(&mut self, id: u64, status: u16, kind: &str, body: &[u8], retry: Option<u32>) {
-        let Some(Conn { wire, role: Role::Caller(caller), ends, at }) = self.conns.get_mut(&id) else {
+        let retry = retry.map(|seconds| format!("Retry-After: {seconds}\r\n"));
+        self.answer_with(id, status, kind, body, &retry.unwrap_or_default());
+    }
+
+    /// The same call, at another control process. Ports are alike on all machines.
+    fn redirect(&mut self, id: u64, ip: &str) {
+        let Some(Conn { role: Role::Caller(caller), .. }) = self.conns.get(&id) else { return };
+        let port = self.settings.counters.control_desk.map(|desk| desk.port());
+        match port.and_then(|port| place(ip, port, &caller.target)) {
+            Some(place) => {
+                let field = format!("Location: {place}\r\n");
+                self.answer_with(id, 307, "text/plain", b"out of contact with the core", &field);
+            }
+            None => self.answer(id, 503, "text/plain", b"out of contact with the core", Some(1)),
+        }
+    }
+
+    fn answer_with(&mut self, id: u64, status: u16, kind: &str, body: &[u8], fields: &str) {
+        let Some(Conn { wire, role: Role::Caller(caller), ends, at, .. }) = self.conns.get_mut(&id) else {
             return;
         };
         *at = self.clock.now();
@@ -450,6 +610,8 @@
         *ends |= caller.closes;
         let reason = match status {
             200 => "OK",
+            307 => "Temporary Redirect",
+            413 => "Content Too Large",
             503 => "Service Unavailable",
             _ => "Refused",
         };
@@ -457,9 +619,7 @@
             "HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n",
             body.len()
         );
-        if let Some(seconds) = retry {
-            head.push_str(&format!("Retry-After: {seconds}\r\n"));
-        }
+        head.push_str(fields);
         if *ends {
             head.push_str("Connection: close\r\n");
         }
@@ -473,25 +633,34 @@
     fn said(&mut self, now: Moment, id: u64) -> Result<(), &'static str> {
         let Some(conn) = self.conns.get_mut(&id) else { return Ok(()) };
         let (input, mut at) = (std::mem::take(&mut conn.wire.input), 0);
-        let result = loop {
-            match words::unpack(&input, &mut at) {
-                Ok(None) => break Ok(()),
-                Err(_) => break Err("garbled"),
+        // Danger: over a slow line a word of many MiB takes longer than a silence is borne.
+        match &conn.role {
+            Role::Peer { station, .. } if !input.is_empty() => self.core.peer_alive(now, station),
+            Role::Session if !input.is_empty() => self.core.session_alive(now, id),
+            _ => {}
+        }
+        loop {
+            let Some(conn) = self.conns.get_mut(&id) else { return Ok(()) };
+            match conn.assembler.next(&input, &mut at) {
                 Ok(Some(word)) => self.word(now, id, word),
+                Err(error) => {
+                    warn!("event=garbled why={:?}", error.to_string());
+                    return Err("garbled");
+                }
+                Ok(None) => {
+                    conn.wire.input = input;
+                    conn.wire.input.drain(..at);
+                    return Ok(());
+                }
             }
-        };
-        if let Some(conn) = self.conns.get_mut(&id) {
-            conn.wire.input = input;
-            conn.wire.input.drain(..at);
         }
-        result
     }
 
     fn word(&mut self, now: Moment, id: u64, word: Word) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match (&conn.role, word) {
             (Role::Stranger, Word::Hello(hello)) if hello.control => {
-                conn.role = Role::Peer { station: hello.station.clone() };
+                conn.role = Role::Peer { station: hello.station.clone(), life: hello.life };
                 self.ips.insert(hello.station.clone(), hello.ip.clone());
                 self.stops.insert(hello.ip.clone(), now);
                 self.core.peer_came(now, &hello);
@@ -500,9 +669,10 @@
                 conn.role = Role::Session;
                 self.core.session_came(now, id, hello);
             }
-            (Role::Peer { station }, word) => {
+            (Role::Peer { station, life }, word) => {
                 let station = station.clone();
-                if !self.core.knows(&station) {
+                // Danger: what an earlier life said would count for the seat of this one, which may have another folder.
+                if !self.core.knows_life(&station, *life) {
                     conn.ends = true;
                     return;
                 }
@@ -534,8 +704,7 @@
             match Wire::open(&self.poll, &to, id, PATIENCE) {
                 Ok(mut wire) => {
                     words::pack(Word::Hello(self.core.hello()), &mut wire.output);
-                    self.conns
-                        .insert(id, Conn { wire, role: Role::Out { ip: ip.clone() }, at: now, ends: false });
+                    self.conns.insert(id, Conn::new(wire, Role::Out { ip: ip.clone() }, now));
                     self.out.insert(ip, id);
                 }
                 Err(error) => warn!("event=connect-failed ip={ip} why={}", cause(error)),
@@ -545,6 +714,7 @@
 
     fn sweep(&mut self, now: Moment) {
         let old = |conn: &Conn| match &conn.role {
+            Role::Caller(caller) if caller.drains => now - conn.at > PATIENCE || now - caller.refused > DRAIN,
             Role::Caller(caller) => !caller.waits && now - conn.at > IDLE,
             Role::Stranger => now - conn.at > PATIENCE * 2,
             // Danger: a connection that is never made, to a machine without power, would stand in the way of
@@ -561,7 +731,7 @@
     // The platform's list.
 
     fn fetch(&mut self, now: Moment) {
-        if self.core.holds(now).is_none() || self.reading.is_some() || now - self.read < READING {
+        if self.core.acts(now).is_none() || self.reading.is_some() || now - self.read < READING {
             return;
         }
         let Some(carrier) = self.settings.carrier.as_ref().map(|carrier| carrier.address) else { return };
@@ -573,7 +743,7 @@
             match Wire::open(&self.poll, &carrier, id, PATIENCE) {
                 Ok(wire) => {
                     let role = Role::Carrier(HeadReader::default(), None, Vec::new());
-                    self.conns.insert(id, Conn { wire, role, at: now, ends: false });
+                    self.conns.insert(id, Conn::new(wire, role, now));
                     self.carrier = Some(id);
                 }
                 Err(error) => {
@@ -637,27 +807,37 @@
     }
 
     /// Carries out what the core wants done.
-    fn act(&mut self, now: Moment) {
-        let mut touched = std::collections::BTreeSet::new();
+    fn act(&mut self) {
+        let mut batches = Batches::default();
+        let (mut touched, mut long) = (BTreeSet::new(), Long::default());
         while !self.core.acts.is_empty() {
             for act in std::mem::take(&mut self.core.acts) {
                 match act {
                     Act::Peer(station, word) => {
                         let id = self.ips.get(&station).and_then(|ip| self.out.get(ip)).copied();
                         if let Some((id, conn)) = id.and_then(|id| Some((id, self.conns.get_mut(&id)?))) {
-                            words::pack(word, &mut conn.wire.output);
+                            let piece = matches!(&word, Word::Held(held) if !held.items.is_empty());
+                            if piece && conn.unsent() > BUSY {
+                                debug!("event=held-back station={station} unsent={}", conn.unsent());
+                                continue;
+                            }
+                            let urgent = is_urgent(&word);
+                            let packed = long.of(word);
+                            conn.say(packed, urgent);
                             touched.insert(id);
                         }
                     }
                     Act::Session(id, word) => {
                         if let Some(conn) = self.conns.get_mut(&id) {
-                            words::pack(word, &mut conn.wire.output);
+                            conn.say(Packed::new(word.clone()), is_urgent(&word));
                             touched.insert(id);
                         }
                     }
                     Act::Items(id, items) => {
                         if let Some(conn) = self.conns.get_mut(&id) {
-                            words::pack_items(items.iter(), &mut conn.wire.output);
+                            for packed in batches.of(&items) {
+                                conn.say(packed, false);
+                            }
                             touched.insert(id);
                         }
                     }
@@ -665,13 +845,16 @@
                         match reply {
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
+                            Reply::Conflict(why) => self.answer(id, 409, "text/plain", why.as_bytes(), None),
                             Reply::Invalid(why) => self.answer(id, 400, "text/plain", why.as_bytes(), None),
+                            Reply::Redirect(ip) => self.redirect(id, &ip),
                             Reply::Elsewhere(why) => {
                                 self.answer(id, 503, "text/plain", why.as_bytes(), Some(1));
                             }
                         }
                         touched.insert(id);
-                        let _ = self.call(now, id); // the next call may stand in its input already
+                        // The next call may stand in its input already, and more of it in the socket.
+                        self.serve(id, None);
                     }
                     Act::Keep(ticket, records) => self.store.put(ticket, records),
                     Act::Close(id) => {
@@ -686,3 +869,40 @@
         touched.into_iter().for_each(|id| self.flush(id));
     }
 }
+
+/// Words that must not wait behind a long one.
+fn is_urgent(word: &Word) -> bool {
+    matches!(word, Word::Beat(_) | Word::Claim(_) | Word::Grant(_) | Word::Adds(_) | Word::Totals(_))
+}
+
+/// The items that were packed last: what goes to many sessions is packed, and kept, once.
+#[derive(Default)]
+struct Batches(Option<(Arc<[Item]>, Vec<Packed>)>);
+
+impl Batches {
+    fn of(&mut self, items: &Arc<[Item]>) -> Vec<Packed> {
+        if let Some((_, packed)) = self.0.as_ref().filter(|(last, _)| Arc::ptr_eq(last, items)) {
+            return packed.clone();
+        }
+        let packed: Vec<Packed> = words::batches(items.iter()).into_iter().map(Packed::new).collect();
+        self.0 = Some((items.clone(), packed.clone()));
+        packed
+    }
+}
+
+/// The last long word that was packed: what goes to many is packed, and kept, once.
+#[derive(Default)]
+struct Long(Option<(Word, Packed)>);
+
+impl Long {
+    fn of(&mut self, word: Word) -> Packed {
+        if let Some((_, packed)) = self.0.as_ref().filter(|(last, _)| *last == word) {
+            return packed.clone();
+        }
+        let packed = Packed::new(word.clone());
+        if matches!(packed, Packed::Long(_)) {
+            self.0 = Some((word, packed.clone()));
+        }
+        packed
+    }
+}
--- a/crates/tenet/src/item.rs
+++ b/crates/tenet/src/item.rs
@@ -47,6 +47,11 @@
 }
 
 impl Item {
+    /// Bytes that it takes on the wire at most, without older versions.
+    pub fn bytes(&self) -> usize {
+        self.name.len() + self.value.as_ref().map_or(0, |value| value.len()) + 32
+    }
+
     /// Whether the item is set, not dropped.
     pub fn stands(&self) -> bool {
         self.value.is_some()
