Denials are found by key, bounded by their keys, and part of the register's models

Cause: what a prepare told of denials went over all denied calls' keys times all keys asked for: with two calls of 16 MiB (some 100,000 keys each) that stands still; 1,024 denials were kept however many keys they had. No model played a call that is refused for its content.

Change: denials are indexed by key and bounded to 2^20 keys in all; a denial's record that is cut short is garbled, not shortened. register::live is the rule by which a reading leaves denied calls out, for the core to use. The models play a call that becomes invalid while it is accepted somewhere; without denials a walk finds it in force after its refusal.

--- a/crates/bond/examples/register.rs
+++ b/crates/bond/examples/register.rs
@@ -55,7 +55,8 @@
 
 fn race(rivals: usize, round_trip: f64, many: u64) -> bool {
     let setup = Setup::rivals(rivals);
-    let race = Race { round_trip, sync: 2.0, spread: 2.0 * round_trip + 10.0, pause: (20.0, 150.0) };
+    let race =
+        Race { round_trip, sync: 2.0, spread: 2.0 * round_trip + 10.0, pause: (20.0, 150.0), doubles: 0 };
     let raced: Vec<Raced> = (0..many).filter_map(|seed| race.run(&setup, seed)).collect();
     let told = |of: fn(&Raced) -> f64| {
         let mut times: Vec<f64> = raced.iter().map(of).collect();
--- a/crates/bond/src/register.rs
+++ b/crates/bond/src/register.rs
@@ -39,8 +39,9 @@
 /// Beyond these bounds, by so much, calls are taken that another accepted before. Danger: full acceptors that each
 /// hold other calls could resolve none of them.
 const AGAIN: usize = 4;
-/// Denials that are kept; beyond, the lowest go.
+/// Denials that are kept, and their keys; beyond, the lowest go.
 const MOST_DENIED: usize = 1_024;
+const MOST_DENIED_KEYS: usize = 1 << 20;
 
 /// A key and a value for disk. An empty value takes the record away.
 pub type Record = (Vec<u8>, Vec<u8>);
@@ -284,6 +285,8 @@
     Promise,
     /// Nothing is accepted that is decided otherwise.
     Decided,
+    /// A refusal for its content takes a call away from who had accepted it, and is remembered.
+    Denial,
 }
 
 /// One seat's part: what it promised and accepted.
@@ -299,6 +302,8 @@
     calls: BTreeMap<Mark, (Ballot, Call)>,
     /// Calls that were refused for their content, with their keys.
     denied: BTreeMap<Mark, (Ballot, Vec<u64>)>,
+    denied_by_key: BTreeMap<u64, BTreeSet<Mark>>,
+    denied_keys: usize,
     by_key: BTreeMap<u64, BTreeSet<Mark>>,
     by_name: BTreeMap<u64, BTreeSet<Mark>>,
     bytes: usize,
@@ -322,6 +327,8 @@
             promised: BTreeMap::new(),
             calls: BTreeMap::new(),
             denied: BTreeMap::new(),
+            denied_by_key: BTreeMap::new(),
+            denied_keys: 0,
             by_key: BTreeMap::new(),
             by_name: BTreeMap::new(),
             bytes: 0,
@@ -354,12 +361,12 @@
         if let Some(mark) = key.strip_prefix(DENIED) {
             let read = || {
                 let (ballot, rest) = Ballot::from_bytes(value)?;
-                let keys =
-                    rest.chunks_exact(8).filter_map(|key| Some(u64::from_be_bytes(*key.first_chunk()?)));
-                Some((Mark(mark.try_into().ok()?), (ballot, keys.collect())))
+                let (keys, []) = rest.as_chunks::<8>() else { return None };
+                let keys = keys.iter().map(|key| u64::from_be_bytes(*key)).collect();
+                Some((Mark::from_bytes(mark)?, ballot, keys))
             };
-            let Some((mark, denial)) = read() else { return Restored::Garbled };
-            self.denied.insert(mark, denial);
+            let Some((mark, ballot, keys)) = read() else { return Restored::Garbled };
+            self.insert_denial(ballot, mark, keys);
             return Restored::Taken;
         }
         let Some(mark) = key.strip_prefix(CALL) else { return Restored::Other };
@@ -468,9 +475,7 @@
             let mut value = ballot.to_bytes().to_vec();
             crate::words::Items { items: call.words() }.encode_raw(&mut value);
             records.push((record_key(call.mark), value));
-            if self.denied.remove(&call.mark).is_some() {
-                records.push((denial_key(call.mark), Vec::new()));
-            }
+            records.extend(self.remove_denial(call.mark));
             self.insert(ballot, call);
         }
         Ok(Accepted { records, reserve })
@@ -489,26 +494,44 @@
         self.promise(ballot, keys);
         let reserve = self.reserve(ballot);
         let mut records: Vec<Record> = reserve.into_iter().map(Reserve::record).collect();
+        if !self.stands(Defence::Denial) {
+            return Ok(Accepted { records, reserve });
+        }
         if self.calls.contains_key(&mark) {
             self.remove(mark);
             records.push((record_key(mark), Vec::new()));
         }
-        if self.denied.len() >= MOST_DENIED {
-            if let Some(lowest) = self.denied.iter().min_by_key(|(_, (ballot, _))| *ballot).map(|(m, _)| *m) {
-                self.denied.remove(&lowest);
-                records.push((denial_key(lowest), Vec::new()));
-            }
+        self.remove_denial(mark);
+        while self.denied.len() >= MOST_DENIED || self.denied_keys + keys.len() > MOST_DENIED_KEYS {
+            let lowest = self.denied.iter().min_by_key(|(_, (ballot, _))| *ballot).map(|(mark, _)| *mark);
+            let Some(lowest) = lowest else { break };
+            records.extend(self.remove_denial(lowest));
         }
-        self.denied.insert(mark, (ballot, keys.to_vec()));
+        self.insert_denial(ballot, mark, keys.to_vec());
         let keys = keys.iter().flat_map(|key| key.to_be_bytes());
         records.push((denial_key(mark), ballot.to_bytes().into_iter().chain(keys).collect()));
         Ok(Accepted { records, reserve })
     }
 
-    /// The calls that touch any of the keys and are denied.
-    pub fn denials<'a>(&'a self, keys: &'a [u64]) -> impl Iterator<Item = (Mark, Ballot)> + 'a {
-        let touches = |denied: &[u64]| denied.iter().any(|key| keys.contains(key));
-        self.denied.iter().filter(move |(_, (_, k))| touches(k)).map(|(mark, (ballot, _))| (*mark, *ballot))
+    fn insert_denial(&mut self, ballot: Ballot, mark: Mark, keys: Vec<u64>) {
+        self.denied_keys += keys.len();
+        keys.iter().for_each(|key| _ = self.denied_by_key.entry(*key).or_default().insert(mark));
+        self.denied.insert(mark, (ballot, keys));
+    }
+
+    /// With the record that takes its record away, if there was one.
+    fn remove_denial(&mut self, mark: Mark) -> Option<Record> {
+        let (_, keys) = self.denied.remove(&mark)?;
+        self.denied_keys -= keys.len();
+        keys.iter().for_each(|key| unindex(&mut self.denied_by_key, *key, mark));
+        Some((denial_key(mark), Vec::new()))
+    }
+
+    /// The calls that touch any of the keys and are denied, by their marks.
+    pub fn denials(&self, keys: &[u64]) -> impl Iterator<Item = (Mark, Ballot)> + '_ {
+        let marks: BTreeSet<Mark> =
+            keys.iter().filter_map(|key| self.denied_by_key.get(key)).flatten().copied().collect();
+        marks.into_iter().map(|mark| (mark, self.denied[&mark].0))
     }
 
     fn insert(&mut self, ballot: Ballot, call: Call) {
@@ -526,17 +549,9 @@
     fn remove(&mut self, mark: Mark) {
         let Some((_, call)) = self.calls.remove(&mark) else { return };
         self.bytes -= call.bytes;
-        let unindex = |index: &mut BTreeMap<u64, BTreeSet<Mark>>, key: u64| {
-            if let Some(marks) = index.get_mut(&key) {
-                marks.remove(&mark);
-                if marks.is_empty() {
-                    index.remove(&key);
-                }
-            }
-        };
         for (item, key) in call.items.iter().zip(call.keys.iter()) {
-            unindex(&mut self.by_key, *key);
-            unindex(&mut self.by_name, name_key(item));
+            unindex(&mut self.by_key, *key, mark);
+            unindex(&mut self.by_name, name_key(item), mark);
         }
     }
 
@@ -589,6 +604,15 @@
     }
 }
 
+fn unindex(index: &mut BTreeMap<u64, BTreeSet<Mark>>, key: u64, mark: Mark) {
+    if let Some(marks) = index.get_mut(&key) {
+        marks.remove(&mark);
+        if marks.is_empty() {
+            index.remove(&key);
+        }
+    }
+}
+
 fn record_key(mark: Mark) -> Vec<u8> {
     [CALL, &mark.0].concat()
 }
@@ -619,6 +643,14 @@
     }
 }
 
+/// What of it may still be chosen: a denial, wherever it was heard, tells that a call was not chosen below its ballot and
+/// never will be.
+pub fn live(seen: &Seen, denied: &BTreeMap<Mark, Ballot>) -> Seen {
+    let lives = |mark: &Mark, ballot: &Ballot| denied.get(mark).is_none_or(|denial| denial < ballot);
+    let living = seen.iter().filter(|(mark, (ballot, _))| lives(mark, ballot));
+    living.map(|(mark, accepted)| (*mark, accepted.clone())).collect()
+}
+
 /// How a call stands after a reading.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Standing {
--- a/crates/bond/src/register/tests.rs
+++ b/crates/bond/src/register/tests.rs
@@ -126,6 +126,34 @@
     );
 }
 
+/// A refusal for its content takes a call away where it was accepted, lasts, and gives way to a later try.
+#[test]
+fn what_is_denied_was_not_chosen_below() {
+    let (mut acceptor, mut disk, ledger) = (Acceptor::new(), BTreeMap::new(), Ledger::new());
+    let (one, two) = (call(&[("a", "x"), ("b", "x")]), call(&[("b", "y")]));
+    disk.extend(acceptor.accept(ballot(0, 2), one.clone(), Bid::First, &ledger).unwrap().records);
+    let lower = acceptor.deny(ballot(0, 1), one.mark(), one.keys());
+    assert!(matches!(lower, Err(Refused::Promised { .. })), "{lower:?}");
+    disk.extend(acceptor.deny(ballot(0, 3), one.mark(), one.keys()).unwrap().records);
+    disk.retain(|_, value| !value.is_empty());
+    for acceptor in [&acceptor, &again(&disk)] {
+        assert_eq!(acceptor.pending().count(), 0);
+        assert_eq!(acceptor.denials(two.keys()).collect::<Vec<_>>(), [(one.mark(), ballot(0, 3))]);
+    }
+    let (mut seen, denied) = (Seen::new(), acceptor.denials(one.keys()).collect());
+    hear(&mut seen, [(ballot(0, 2), one.clone()), (ballot(0, 1), two.clone())]);
+    assert_eq!(live(&seen, &denied).keys().collect::<Vec<_>>(), [&two.mark()]);
+    hear(&mut seen, [(ballot(0, 4), one.clone())]);
+    assert_eq!(live(&seen, &denied).len(), 2);
+    acceptor.accept(ballot(0, 4), one.clone(), Bid::First, &ledger).unwrap();
+    assert!(acceptor.denials(one.keys()).count() == 0 && acceptor.denied_by_key.is_empty());
+    for n in 0..=MOST_DENIED as u64 {
+        acceptor.deny(ballot(1, n), Mark((n as u128).to_be_bytes()), &[n]).unwrap();
+    }
+    assert_eq!((acceptor.denials(&[0]).count(), acceptor.denials(&[1]).count()), (0, 1));
+    assert_eq!((acceptor.denied.len(), acceptor.denied_keys), (MOST_DENIED, MOST_DENIED));
+}
+
 /// W={a,b}, V={b,c}, X={c,a}, each with another content: whoever is behind another leads to the highest ballot.
 #[test]
 fn a_chain_of_calls_ends_at_the_highest_ballot() {
--- a/crates/bond/src/register/tests/faults.rs
+++ b/crates/bond/src/register/tests/faults.rs
@@ -18,7 +18,7 @@
             }
         };
     }
-    by!(Candidate SameContent Void Floor EraFirst Promise Decided)
+    by!(Candidate SameContent Void Floor EraFirst Promise Decided Denial)
 }
 
 /// Found by all schedules of two rivals on three seats, one of which may start again.
@@ -36,6 +36,7 @@
 #[rstest]
 #[case::void(Defence::Void, "eras-five", "all can be resolved")]
 #[case::era_first(Defence::EraFirst, "eras-five", "one content a number")]
+#[case::denial(Defence::Denial, "spoiled", "answers are true")]
 #[case::candidate(Defence::Candidate, "ring", "what was chosen is found")]
 #[case::promise(Defence::Promise, "ring", "one content a number")]
 fn walks_miss(#[case] defence: Defence, #[case] system: &str, #[case] property: &str) {
--- a/crates/bond/tests/ballots/mod.rs
+++ b/crates/bond/tests/ballots/mod.rs
@@ -47,6 +47,8 @@
     /// The calls that bring the next cast in, and make it the one in force.
     next: Option<usize>,
     now: Option<usize>,
+    /// Each call's content is invalid once one of these is decided.
+    spoils: Vec<Set>,
     attempts: u8,
     restarts: u8,
     /// Answers to `Store` that may be lost.
@@ -102,6 +104,7 @@
             }
             ledger
         });
+        let spoils = vec![0; calls.len()];
         let seats = casts.iter().flat_map(|cast| cast.iter()).max().unwrap() + 1;
         let alike = (0..seats).map(|seat| {
             casts
@@ -135,6 +138,7 @@
             goals,
             next,
             now,
+            spoils,
             attempts: 2,
             restarts: 0,
             lost: 0,
@@ -157,6 +161,12 @@
         Setup { mint, weigh, ..self }
     }
 
+    /// The first call is invalid once the second is decided.
+    fn with_a_spoiler(mut self) -> Setup {
+        self.spoils[0] = 1 << 1;
+        self
+    }
+
     /// Without a defence of the change of the cast.
     pub fn without(self, out: Handover) -> Setup {
         Setup { out: Some(out), ..self }
@@ -210,8 +220,14 @@
         ballot: Ballot,
         stored: Set,
     },
+    Denying {
+        ballot: Ballot,
+        stored: Set,
+    },
     Done,
     Taken,
+    /// Refused for its content.
+    Denied,
     /// Its attempts are spent.
     Over,
 }
@@ -225,9 +241,17 @@
     met: Ballot,
     known: Set,
     seen: BTreeMap<usize, Ballot>,
+    denied: BTreeMap<usize, Ballot>,
     step: Step,
 }
 
+impl Proposer {
+    /// Whether it waits for copies under this ballot.
+    fn awaits(&self, under: Ballot) -> bool {
+        matches!(self.step, Step::Storing { ballot, .. } | Step::Denying { ballot, .. } if ballot == under)
+    }
+}
+
 /// A `Store` under way to a seat. It counts only where the seat holds `need` as well.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Store {
@@ -235,6 +259,8 @@
     ballot: Ballot,
     call: usize,
     bid: bool,
+    /// Not the call, but that it is refused.
+    denies: bool,
     need: Set,
 }
 
@@ -280,14 +306,13 @@
 
     fn weigh(&self, proposer: &Proposer) -> Standing {
         let (ledger, target) = (self.ledger(proposer.known), &self.calls[proposer.target]);
-        let seen: Seen = proposer
-            .seen
-            .iter()
-            .map(|(n, b)| (self.calls[*n].mark(), (*b, self.calls[*n].clone())))
-            .collect();
+        let seen = proposer.seen.iter().map(|(n, b)| (self.calls[*n].mark(), (*b, self.calls[*n].clone())));
+        let denied = proposer.denied.iter().map(|(n, ballot)| (self.calls[*n].mark(), *ballot)).collect();
+        let seen = live(&seen.collect(), &denied);
+        let heard = |n: &usize| seen.contains_key(&self.calls[*n].mark());
         let is_open = |n: &usize| {
             let call = &self.calls[*n];
-            *n != proposer.target && !is_done(call, ledger) && taken(call, ledger).is_none()
+            heard(n) && *n != proposer.target && !is_done(call, ledger) && taken(call, ledger).is_none()
         };
         let pending = proposer.seen.iter().filter(|(n, _)| is_open(n)).max_by_key(|(_, ballot)| **ballot);
         // A change of the cast comes first of all; and the next cast is in force only once nothing is left open.
@@ -314,11 +339,26 @@
             Standing::Taken(_) if own => proposer.step = Step::Taken,
             Standing::Done | Standing::Taken(_) => self.begin(proposer, goal),
             Standing::Behind(mark) => self.begin(proposer, self.place(mark)),
+            Standing::Free if self.spoils[call] & proposer.known != 0 => {
+                if !own {
+                    return self.begin(proposer, goal);
+                }
+                let store = |seat| Store { seat, ballot, call, bid: false, denies: true, need: 0 };
+                network.extend((0..self.seats).map(store));
+                proposer.step = Step::Denying { ballot, stored: 0 };
+            }
             weighed @ (Standing::Again | Standing::Free) => {
                 let holds_all = Some(call) == self.now && self.out != Some(Handover::Holding);
                 let need = if holds_all { proposer.known } else { 0 };
                 let bid = weighed == Standing::Again;
-                network.extend((0..self.seats).map(|seat| Store { seat, ballot, call, bid, need }));
+                network.extend((0..self.seats).map(|seat| Store {
+                    seat,
+                    ballot,
+                    call,
+                    bid,
+                    denies: false,
+                    need,
+                }));
                 proposer.step = Step::Storing { ballot, stored: 0 };
             }
         }
@@ -372,6 +412,10 @@
                 *heard |= 1 << seat;
                 let whole = self.is_read(ballot.era, *heard);
                 proposer.known |= station.known;
+                for (mark, ballot) in station.acceptor.denials(self.calls[proposer.target].keys()) {
+                    let known = proposer.denied.entry(self.place(mark)).or_default();
+                    *known = ballot.max(*known);
+                }
                 for (ballot, call) in calls {
                     let known = proposer.seen.entry(self.place(call.mark())).or_default();
                     *known = ballot.max(*known);
@@ -418,37 +462,45 @@
         let station = &mut state.stations[store.seat];
         let call = self.calls[store.call].clone();
         let bid = if store.bid { Bid::Again } else { Bid::First };
-        let done = station.acceptor.accept(store.ballot, call, bid, self.ledger(station.known));
+        let done = match store.denies {
+            true => station.acceptor.deny(store.ballot, call.mark(), call.keys()),
+            false => station.acceptor.accept(store.ballot, call, bid, self.ledger(station.known)),
+        };
         let mut refused = None;
         match done {
             Ok(accepted) => {
                 self.write(station, accepted.reserve, accepted.records);
                 self.settle(station);
-                let copies = state.accepted.entry((store.ballot, store.call)).or_default();
-                *copies |= 1 << store.seat;
-                if self.is_safe(store.ballot.era, *copies) {
-                    state.chosen |= 1 << store.call;
+                if !store.denies {
+                    let copies = state.accepted.entry((store.ballot, store.call)).or_default();
+                    *copies |= 1 << store.seat;
+                    if self.is_safe(store.ballot.era, *copies) {
+                        state.chosen |= 1 << store.call;
+                    }
                 }
             }
             Err(Refused::Promised { to }) => refused = Some(to),
             Err(_) => refused = Some(store.ballot),
         }
         state.network.remove(&store);
-        let waits =
-            |p: &&mut Proposer| matches!(p.step, Step::Storing { ballot, .. } if ballot == store.ballot);
-        let Some(proposer) = state.proposers.iter_mut().find(waits) else { return };
+        let Some(proposer) = state.proposers.iter_mut().find(|p| p.awaits(store.ballot)) else { return };
         if !hears {
             state.lost += 1;
             return;
         }
-        let Step::Storing { ballot, stored } = &mut proposer.step else { return };
+        let (Step::Storing { ballot, stored } | Step::Denying { ballot, stored }) = &mut proposer.step else {
+            return;
+        };
         if let Some(to) = refused {
             proposer.met = proposer.met.max(to);
             self.learn(proposer, &state.stations[store.seat]);
             return self.begin(proposer, proposer.target);
         }
         *stored |= 1 << store.seat;
-        if self.is_safe(ballot.era, *stored) {
+        let is_safe = self.is_safe(ballot.era, *stored);
+        if is_safe && store.denies {
+            proposer.step = Step::Denied;
+        } else if is_safe {
             proposer.known |= 1 << store.call;
             state.decided |= 1 << store.call;
             if proposer.target == proposer.goal {
@@ -468,6 +520,7 @@
             met: Ballot::default(),
             known: 0,
             seen: BTreeMap::new(),
+            denied: BTreeMap::new(),
             step: Step::Over,
         };
         self.begin(&mut proposer, goal);
@@ -492,11 +545,11 @@
                     Step::Reading { heard, .. } if heard >> seat & 1 == 0 => {
                         self.play(&mut state, Action::Inquire(0, seat, true));
                     }
-                    Step::Done | Step::Taken | Step::Over => break,
+                    Step::Done | Step::Taken | Step::Denied | Step::Over => break,
                     _ => {}
                 }
             }
-            if !matches!(state.proposers[0].step, Step::Done | Step::Taken) {
+            if !matches!(state.proposers[0].step, Step::Done | Step::Taken | Step::Denied) {
                 return false;
             }
         }
@@ -536,14 +589,14 @@
                 let mut hasher = DefaultHasher::new();
                 state.stations[seat].hash(&mut hasher);
                 state.proposers.iter().for_each(|p| match &p.step {
-                    Step::Reading { heard: set, .. } | Step::Storing { stored: set, .. } => {
-                        bit(set).hash(&mut hasher)
-                    }
+                    Step::Reading { heard: set, .. }
+                    | Step::Storing { stored: set, .. }
+                    | Step::Denying { stored: set, .. } => bit(set).hash(&mut hasher),
                     _ => {}
                 });
                 state.accepted.values().for_each(|set| bit(set).hash(&mut hasher));
                 let stores = state.network.iter().filter(|store| store.seat == seat);
-                stores.for_each(|store| (store.ballot, store.need).hash(&mut hasher));
+                stores.for_each(|store| (store.ballot, store.need, store.denies).hash(&mut hasher));
                 (self.alike[seat], hasher.finish(), seat)
             })
             .collect();
@@ -561,7 +614,10 @@
         let mut next = state.clone();
         to.iter().zip(&state.stations).for_each(|(place, from)| next.stations[*place].clone_from(from));
         for proposer in &mut next.proposers {
-            if let Step::Reading { heard: set, .. } | Step::Storing { stored: set, .. } = &mut proposer.step {
+            if let Step::Reading { heard: set, .. }
+            | Step::Storing { stored: set, .. }
+            | Step::Denying { stored: set, .. } = &mut proposer.step
+            {
                 *set = moved(*set);
             }
         }
@@ -582,7 +638,8 @@
                 Step::Done => {
                     self.calls[proposer.goal].items().iter().all(|i| ledger.verdict(i) == Verdict::Alike)
                 }
-                Step::Taken => state.chosen >> proposer.goal & 1 == 0,
+                // Nobody else asks for what may be denied.
+                Step::Taken | Step::Denied => state.chosen >> proposer.goal & 1 == 0,
                 _ => true,
             })
     }
@@ -619,9 +676,7 @@
             if store.need & !state.stations[store.seat].known != 0 {
                 continue;
             }
-            let waits =
-                |p: &Proposer| matches!(p.step, Step::Storing { ballot, .. } if ballot == store.ballot);
-            let is_awaited = state.proposers.iter().any(waits);
+            let is_awaited = state.proposers.iter().any(|p| p.awaits(store.ballot));
             if is_awaited {
                 actions.push(Action::Store(store.clone(), true));
             }
@@ -702,6 +757,8 @@
     ("ring", &["a1 b1", "b2 c2", "c3 a3"], &[0, 1, 2], &[&[0, 1, 2]]),
     ("same", &["a1 b1", "a1 c1", "a2"], &[0, 1, 2], &[&[0, 1, 2]]),
     ("versions", &["a1 b1", "a2.2 b2", "a3"], &[0, 1, 2], &[&[0, 1, 2]]),
+    ("spoiled", &["a1", "b2", "a3"], &[0, 1, 2], &[&[0, 1, 2]]),
+    ("spoiled-eras", &["a1 c1", "b2", "a3", "c2"], &[0, 1, 2, 3], &[&[0, 1, 2], &[2, 3, 4]]),
     ("eras-one", &["a1", "a2"], &[0, 1], &[&[0], &[1]]),
     ("eras-two", &["a1"], &[0], &[&[0, 1], &[1, 2]]),
     ("eras-three", &["a1 b1", "b2 a2", "a1 c3"], &[0, 1, 2, 0], &[&[0, 1, 2], &[1, 2, 3]]),
@@ -713,7 +770,11 @@
     pub fn named(name: &str) -> Setup {
         let (_, calls, goals, casts) =
             SYSTEMS.iter().find(|system| system.0 == name).expect("a system's name");
-        Setup::new(calls, goals, casts)
+        let setup = Setup::new(calls, goals, casts);
+        if name.starts_with("spoiled") {
+            return setup.with_a_spoiler();
+        }
+        setup
     }
 
     /// So many calls for one version of one item, each with another content, on five seats.
@@ -739,6 +800,7 @@
     pub chosen: u64,
     pub confirmed: u64,
     pub taken: u64,
+    pub denied: u64,
     pub restarts: u64,
     pub changed_cast: u64,
     /// The properties that broke: in how many walks, and the first one's seed.
@@ -759,7 +821,8 @@
             }
             if chance.rand_range(0..16) == 0 {
                 let proposer = &mut state.proposers[focus];
-                if matches!(proposer.step, Step::Reading { .. } | Step::Storing { .. }) {
+                if matches!(proposer.step, Step::Reading { .. } | Step::Storing { .. } | Step::Denying { .. })
+                {
                     self.begin(proposer, proposer.target);
                 }
             }
@@ -803,6 +866,7 @@
         walked.chosen += u64::from(state.chosen.count_ones());
         walked.confirmed += are(Step::Done);
         walked.taken += are(Step::Taken);
+        walked.denied += are(Step::Denied);
         walked.restarts += u64::from(state.restarts);
         walked.changed_cast += u64::from(self.era(state.decided, 0) == 2);
     }
@@ -815,8 +879,9 @@
     pub round_trip: f64,
     pub sync: f64,
     pub spread: f64,
-    /// The pause after a refusal is drawn between these.
+    /// The pause after a refusal is drawn between these; the upper one doubles with each, so many times.
     pub pause: (f64, f64),
+    pub doubles: u32,
 }
 
 /// When the first call was decided and all had their answers, in milliseconds, and the most attempts that one took.
@@ -832,6 +897,7 @@
         let mut chance = oorandom::Rand64::new(u128::from(seed));
         let mut state = setup.init_states().remove(0);
         let mut raced = Raced { first: 0.0, all: 0.0, attempts: 0 };
+        let mut refusals = vec![0; state.proposers.len()];
         // By time, then by the order of sending: what happens, and the attempt that it is of.
         let mut events: BTreeMap<(u64, u64), (Action, Ballot)> = BTreeMap::new();
         let mut order = 0;
@@ -841,7 +907,9 @@
             events.insert(((late * 1_000.0) as u64, order), what);
         };
         let ballot_of = |p: &Proposer| match p.step {
-            Step::Reading { ballot, .. } | Step::Storing { ballot, .. } => Some(ballot),
+            Step::Reading { ballot, .. } | Step::Storing { ballot, .. } | Step::Denying { ballot, .. } => {
+                Some(ballot)
+            }
             _ => None,
         };
         for n in 0..state.proposers.len() {
@@ -883,7 +951,7 @@
             }
             match &after.step {
                 Step::Over => return None,
-                Step::Done | Step::Taken => {
+                Step::Done | Step::Taken | Step::Denied => {
                     raced.all = raced.all.max(now + self.round_trip * 0.5);
                     raced.attempts = raced.attempts.max(setup.attempts - after.left);
                 }
@@ -891,7 +959,12 @@
                     // A refusal pauses, resolving another's call does not.
                     let (least, most) = self.pause;
                     let refused = before.target == after.target && before.known == after.known;
-                    let pause = if refused { least + (most - least) * chance.rand_float() } else { 0.0 };
+                    let mut pause = 0.0;
+                    if refused {
+                        let most = most * f64::from(1 << self.doubles.min(refusals[n]));
+                        refusals[n] += 1;
+                        pause = least + (most - least) * chance.rand_float();
+                    }
                     for seat in 0..setup.seats {
                         let what = (Action::Inquire(n, seat, true), *ballot);
                         send(&mut events, &mut chance, now + self.round_trip + pause, what);
--- a/crates/bond/tests/register.rs
+++ b/crates/bond/tests/register.rs
@@ -17,6 +17,7 @@
 #[case::a_ring_of_three_calls("ring", (1, 0, 0), 150_000)]
 #[case::the_same_content_in_two_calls("same", (1, 0, 0), 150_000)]
 #[case::an_older_version_late("versions", (1, 0, 0), 150_000)]
+#[case::a_call_that_becomes_invalid("spoiled", (1, 0, 0), 60_000)]
 #[case::one_seat_after_another("eras-one", (1, 0, 0), usize::MAX)]
 #[case::two_seats_after_two("eras-two", (1, 0, 0), usize::MAX)]
 fn no_schedule_breaks_the_register(#[case] name: &str, #[case] bounds: (u8, u8, u8), #[case] most: usize) {
@@ -39,7 +40,7 @@
 /// Rivals for one version, on five seats: all have their answers long before an order's patience of 2.5 s ends.
 #[rstest]
 fn rivals_are_all_answered_in_time(#[values(0.2, 0.9, 55.0)] round_trip: f64) {
-    let race = Race { round_trip, sync: 2.0, spread: 10.0, pause: (20.0, 150.0) };
+    let race = Race { round_trip, sync: 2.0, spread: 10.0, pause: (20.0, 150.0), doubles: 0 };
     for seed in 0..50 {
         let raced = race.run(&Setup::rivals(8), seed).expect("all end");
         assert!(raced.first < 1_000.0 && raced.all < 2_000.0 && raced.attempts < 20, "{seed} {raced:?}");
