--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -20,6 +20,8 @@
 const MOST_DOUBLED: u32 = 3;
 /// Calls that are watched until they are settled, and denials that are remembered.
 const MOST_WATCHED: usize = 1_024;
+/// Bytes of undecided calls that one answer tells, but one call at least.
+const MOST_TOLD: usize = 4 * 1024 * 1024;
 /// Calls of others that are begun to be settled at one tick.
 const MOST_SETTLED: usize = 8;
 
@@ -55,6 +57,13 @@
     pub(super) since: Moment,
 }
 
+impl Work {
+    /// Whether answers under this ticket are for it.
+    pub(super) fn waits_for(&self, ticket: u64) -> bool {
+        self.attempt == ticket
+    }
+}
+
 /// A call that somebody has accepted, and that is not known to be settled.
 pub(super) struct Watched {
     call: Proposal,
@@ -168,8 +177,9 @@
             ballot: work.call.is_some().then_some(ballot),
             all: work.call.is_none(),
             keys,
+            from: 0,
         };
-        self.send_all(&Word::Inquire(inquire.clone()));
+        self.ask_all(now, &inquire);
         let station = self.me.station.clone();
         self.inquired(now, &station, &inquire);
     }
@@ -193,7 +203,11 @@
             ..Held::default()
         };
         if !own {
-            held.items = self.ledger.whole_differing(&inquire.hashes).map(ItemWord::from).collect();
+            self.piece(inquire, &mut held);
+        }
+        if inquire.from > 0 {
+            // The rest of a reading; what it promised and which calls stand open was told with its first piece.
+            return self.tell_held(now, station, held);
         }
         let (mut calls, mut reserve) = (Vec::new(), None);
         if held.founded && self.is_fenced(inquire.era, &inquire.keys) {
@@ -213,7 +227,16 @@
             // Danger: what is accepted here under an earlier era after this answer would be decided and not read.
             reserve = self.acceptor.fence(inquire.era);
         }
-        held.calls = calls.iter().map(|(ballot, call)| CallWord::new(*ballot, call)).collect();
+        // Danger: calls of many MiB together would be beyond what one word holds. Whoever is not told all of them settles
+        // these, and reads again.
+        let mut bytes = 0;
+        let fits = calls.iter().take_while(|(_, call)| {
+            let first = bytes == 0;
+            bytes += call.bytes();
+            first || bytes <= MOST_TOLD
+        });
+        held.calls = fits.map(|(ballot, call)| CallWord::new(*ballot, call)).collect();
+        held.refused |= held.calls.len() < calls.len();
         match reserve {
             // Danger: a promise that a restart forgets: it is told once the floor that covers it is on disk.
             Some(reserve) => {
@@ -227,7 +250,7 @@
     pub(super) fn tell_held(&mut self, now: Moment, station: &str, held: Held) {
         if station == self.me.station {
             let name = self.name.clone();
-            self.held(now, &name, held);
+            self.held(now, station, &name, held);
         } else {
             self.send(station, Word::Held(held));
         }
@@ -408,7 +431,7 @@
         // Danger: a cast would be in force whose seats lack what the one before had decided. Who lacks some of what the
         // writer holds asks for it first.
         if store.whole.iter().zip(self.ledger.whole_buckets()).any(|(theirs, mine)| theirs != mine) {
-            return self.pull(station, store);
+            return self.pull(now, station, store);
         }
         let accepted = match call {
             Some(call) => {
@@ -522,7 +545,9 @@
             return;
         }
         let most = if self.acts(now).is_some() { 1 } else { OTHERS };
-        let due = now + LEFT + Span::from_micros(self.chance.rand_range(0..most) as i64);
+        // A large one is longer on its way.
+        let due =
+            now + LEFT + on_its_way(call.bytes()) + Span::from_micros(self.chance.rand_range(0..most) as i64);
         self.watch.entry(call.mark()).or_insert_with(|| Watched { call: call.clone(), due, tries: 0 });
     }
 
@@ -569,7 +594,8 @@
             if watched.due <= now && !busy.contains(mark) && calls.len() < MOST_SETTLED {
                 let most = RETRY << watched.tries.min(MOST_DOUBLED);
                 watched.tries += 1;
-                watched.due = now + LEFT + Span::from_micros(self.chance.rand_range(0..most) as i64);
+                let size = on_its_way(watched.call.bytes());
+                watched.due = now + LEFT + size + Span::from_micros(self.chance.rand_range(0..most) as i64);
                 calls.push(watched.call.clone());
             }
         }
@@ -620,6 +646,11 @@
     Cast::from_item(item)
 }
 
+/// How much longer so many bytes may be on their way.
+fn on_its_way(bytes: usize) -> Span {
+    Span::from_micros(PATIENCE_MIB.micros() * (bytes >> 20) as i64)
+}
+
 /// Danger: a cast that cannot work would be brought in: what it needs for a write must have stored it.
 fn is_safe_in_its_cast(work: &Work, copies: &BTreeSet<String>) -> bool {
     let items = work.call.iter().flat_map(|call| call.items().iter());
