Tests of contact: what stood still, what was heard before, sessions, numbers of lives, the link alone

An answer with content is checked against what truly came through, whoever gives it; who callers are sent to was heard in time.

--- a/crates/accord/tests/contact.rs
+++ b/crates/accord/tests/contact.rs
@@ -6,6 +6,7 @@
 
 use kitepass_accord::core::Standing;
 use kitepass_accord::order::{Order, Reply};
+use kitepass_bond::words::{Beat, Hello, Word};
 use kitepass_tenet::Kind;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +26,8 @@
 const LOOKUP: i64 = 4_000;
 /// From the end of a cut until all take orders again: each is found anew, heard, and read.
 const BACK: i64 = 1_500;
+/// One that callers are sent to was heard within so long.
+const HEARD: i64 = 1_500;
 /// An order at one of the majority is answered with success in this time, and if a call has to be settled first.
 const ANSWERED: i64 = 1_000;
 const BEHIND: i64 = 2_500;
@@ -46,15 +49,25 @@
     format!("10.0.0.{n}")
 }
 
+/// Whether a majority truly heard one, no longer ago than it may be.
+fn is_heard(world: &World, n: usize) -> bool {
+    let since = world.now - CONTACT;
+    let heard = (0..6).filter(|m| world.reached.get(&(n, *m)).is_some_and(|sent| *sent >= since)).count();
+    heard + 1 >= 4
+}
+
 /// Whoever takes itself to be in contact was heard by a majority no longer ago than it may be, by what truly came through.
 fn nobody_is_wrong_about_its_contact(world: &World) {
     for (n, node) in world.nodes.iter().enumerate() {
         let Some(core) = node.core.as_ref().filter(|core| core.is_in_contact(at(world.now))) else {
             continue;
         };
-        let since = world.now - CONTACT;
-        let heard = (0..6).filter(|m| world.reached.get(&(n, *m)).is_some_and(|sent| *sent >= since)).count();
-        assert!(heard + 1 >= 4, "s{n} is wrong about its contact at {}: {:?}", world.now, core.standing());
+        assert!(
+            is_heard(world, n),
+            "s{n} is wrong about its contact at {}: {:?}",
+            world.now,
+            core.standing()
+        );
     }
 }
 
@@ -98,6 +111,18 @@
         for (call, asked) in self.asked.iter_mut().filter(|(_, asked)| asked.answered.is_none()) {
             if let Some((_, reply)) = world.answers.get(call) {
                 asked.answered = Some(world.now);
+                match reply {
+                    Reply::Redirect(to) => {
+                        let heard =
+                            (0..6).filter(|m| ip(*m) == *to).map(|m| world.heard[&(m, asked.n)]).max();
+                        assert!(heard >= Some(world.now - HEARD), "s{} sends to {to}, {heard:?}", asked.n);
+                    }
+                    Reply::Elsewhere(_) => {}
+                    // Nothing is handed out as current that only one out of contact knows.
+                    _ => {
+                        assert!(is_heard(world, asked.n), "s{} answers at {}: {reply:?}", asked.n, world.now)
+                    }
+                }
                 news.push((asked.n, world.now - asked.since, reply.clone()));
             }
         }
@@ -381,33 +406,135 @@
     assert!(parted > 20 && done > 100 && turned > 20, "{parted} {done} {turned}");
 }
 
-/// One that stood still is out of contact the moment it goes on, whatever is in its sockets.
+/// One that stood still is out of contact the moment it goes on, whatever is in its sockets and however far its orders had
+/// come.
 #[test]
 fn one_that_stood_still_answers_nothing_by_what_it_knew() {
-    for seed in seeds() {
+    for seed in 0..seeds().end * 4 {
         let mut world = World::new(seed);
         world.run(5_000);
         let n = seed as usize % 6;
-        // It has begun a reading; the answers wait in its sockets, and another is asked meanwhile.
-        let read = world.ask(n, Order::Get);
-        world.run(10);
+        let mut log = Log::default();
+        // It reads, asks for promises, waits for copies; the answers wait in its sockets, and another is asked meanwhile.
+        for _ in 0..8 {
+            log.ask(&mut world, n);
+            (0..6).for_each(|_| _ = log.step(&mut world));
+        }
         world.frozen[n] = world.now + 6_000;
         world.run(2_000);
-        let call = world.patch((n + 1) % 6, "l", 7, Some(LINE));
-        world.run(3_980);
+        log.edition += 1;
+        let edition = log.edition;
+        let call = world.patch((n + 1) % 6, "l", edition, Some(LINE));
+        world.run(4_000);
         assert_eq!(world.answers[&call].1, Reply::Done, "seed {seed}");
-        let mut log = Log::default();
-        while world.answers.get(&read).is_none_or(|_| standing(&world, n) != Some(Standing::Current)) {
-            log.step(&mut world);
-            assert!(world.now <= world.frozen[n] + BACK, "seed {seed}: it does not come back");
+        // The first that it does is to take an order that has come meanwhile.
+        log.ask(&mut world, n);
+        while log.asked.values().any(|asked| asked.answered.is_none())
+            || standing(&world, n) != Some(Standing::Current)
+        {
+            let thawed = world.frozen[n];
+            for (n, after, reply) in log.step(&mut world) {
+                let at_once = world.now - after < thawed || after == 0;
+                assert!(at_once, "seed {seed}: s{n} answers {reply:?} after {after}");
+            }
+            assert!(world.now <= thawed + BACK, "seed {seed}: it does not come back");
             let core = world.nodes[n].core.as_ref().unwrap();
             if core.is_in_contact(at(world.now)) && core.standing() == Standing::Current {
                 let known = core.ledger().get(Kind::Line, "l").map(|item| item.edition);
-                assert_eq!(known, Some(7), "seed {seed}: in contact without what was confirmed");
+                assert!(
+                    known >= Some(edition),
+                    "seed {seed}: in contact without what was confirmed: {known:?}"
+                );
+            }
+        }
+    }
+}
+
+/// What was heard before contact was lost, or by others that were cut off alike, is no part of a fresh reading.
+#[test]
+fn one_that_comes_back_counts_nothing_that_it_heard_before() {
+    let mut fresh = 0;
+    for seed in 0..seeds().end * 12 {
+        let mut world = World::new(seed);
+        world.run(5_000);
+        let far = i64::MAX;
+        // It hears two of six, whose answers make a whole reading, but not in contact.
+        [1, 2, 3].into_iter().for_each(|m| _ = world.cuts.insert((0, m), far));
+        world.run(3_500);
+        assert_eq!(standing(&world, 0), Some(Standing::Apart), "seed {seed}");
+        // Then nobody; another is cut off alike, and the four that are left go on.
+        (2..6).for_each(|m| _ = world.cuts.insert((1, m), far));
+        [4, 5].into_iter().for_each(|m| _ = world.cuts.insert((0, m), far));
+        world.run(3_000);
+        let call = world.patch(3, "l", 7, Some(LINE));
+        world.run(1_500);
+        assert_eq!(world.answers[&call].1, Reply::Done, "seed {seed}");
+        // It finds the one that knows no more than itself, and two of the four.
+        [1, 2, 3].into_iter().for_each(|m| _ = world.cuts.remove(&(0, m)));
+        let joined = world.now;
+        while standing(&world, 0) != Some(Standing::Current) {
+            world.step();
+            nobody_is_wrong_about_its_contact(&world);
+            assert!(world.now - joined <= BACK, "seed {seed}: it does not come back");
+        }
+        let known = world.nodes[0].core.as_ref().unwrap().ledger().get(Kind::Line, "l").map(|i| i.edition);
+        assert_eq!(known, Some(7), "seed {seed}: current without what was confirmed");
+        fresh += 1;
+    }
+    assert!(fresh >= 12);
+}
+
+/// A gateway that has not caught up is told nothing by one out of contact: its session is closed, and none is opened. One
+/// that has caught up stays.
+#[test]
+fn a_gateway_that_has_not_caught_up_has_no_session_with_one_out_of_contact() {
+    let mut world = World::new(3);
+    world.run(5_000);
+    let hello = |current| Hello { station: format!("g{current}"), current, ..Hello::default() };
+    let come = |world: &mut World, conn: u64, current: bool| {
+        let core = world.nodes[2].core.as_mut().unwrap();
+        core.session_came(at(world.now), conn, hello(current));
+        world.act(2);
+    };
+    come(&mut world, 901, false);
+    come(&mut world, 902, true);
+    assert!(world.closed.is_empty());
+    let until = world.now + CUT;
+    cut(&mut world, &[2].into(), Way::Both, until);
+    let beat = |world: &mut World| {
+        for conn in [901, 902] {
+            let core = world.nodes[2].core.as_mut().unwrap();
+            core.session_said(at(world.now), conn, Word::Beat(Beat::default()));
+        }
+    };
+    while standing(&world, 2) == Some(Standing::Current) {
+        beat(&mut world);
+        world.step();
+    }
+    assert_eq!(world.closed, [901].into());
+    come(&mut world, 903, false);
+    come(&mut world, 904, true);
+    assert_eq!(world.closed, [901, 903].into());
+}
+
+/// Numbers that are given back never come again in another life of a process.
+#[test]
+fn no_two_lives_give_their_beats_one_number() {
+    let mut world = World::new(5);
+    let mut numbers: BTreeMap<u32, u64> = BTreeMap::new();
+    for _ in 0..8 {
+        for _ in 0..200 {
+            world.step();
+            for (.., life, word, _) in world.wire.iter().filter(|flight| flight.1 == 2) {
+                if let Word::Beat(beat) = word {
+                    let first = *numbers.entry(beat.number).or_insert(*life);
+                    assert!(first == *life && beat.number != 0, "{} again", beat.number);
+                }
             }
         }
-        assert!(!matches!(world.answers[&read].1, Reply::Body(_)), "seed {seed}: an old reading");
+        world.kill(2, false, false, 100);
     }
+    assert!(numbers.len() > 100 && numbers.values().collect::<BTreeSet<_>>().len() == 8);
 }
 
 /// Three against three: nobody is in contact, and gateways do not go round among them without end.
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use kitepass_bond::words::{Hello, ItemWord, Items, Word};
 use kitepass_course::link::{Brought, Link};
 use kitepass_tenet::{Item, Kind};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A word on its way: when it comes, from whom, to whom, of which life, when it was sent.
 type Flight = (i64, usize, usize, u64, Word, i64);
@@ -43,6 +43,10 @@
     pub gate_cuts: BTreeMap<(usize, usize), i64>,
     /// When the newest word that came from one to another was sent.
     pub reached: BTreeMap<(usize, usize), i64>,
+    /// When one was heard by another last.
+    pub heard: BTreeMap<(usize, usize), i64>,
+    /// Sessions that control processes have closed.
+    pub closed: BTreeSet<u64>,
     pub chance: oorandom::Rand64,
     pub answers: BTreeMap<u64, (usize, Reply)>,
     pub calls: u64,
@@ -104,6 +108,8 @@
             ways: BTreeMap::new(),
             gate_cuts: BTreeMap::new(),
             reached: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            closed: BTreeSet::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             answers: BTreeMap::new(),
             calls: 0,
@@ -265,6 +271,7 @@
                     let cut = self.cut(a, b);
                     let Some(core) = self.nodes[b].core.as_mut().filter(|_| a != b && !cut) else { continue };
                     if !core.knows_life(&hello.station, hello.life) {
+                        self.heard.insert((a, b), self.now);
                         core.peer_came(at(self.now), &hello);
                     }
                 }
@@ -284,6 +291,7 @@
             // The receiver's connection is of one life: once another has said hello, what the earlier one said is dropped.
             if let Some(core) = self.nodes[to].core.as_mut().filter(|core| core.knows_life(&station, life)) {
                 self.reached.insert((from, to), sent);
+                self.heard.insert((from, to), self.now);
                 core.peer_said(at(self.now), &station, word);
             }
         }
@@ -337,6 +345,7 @@
                     self.session_send(conn, false, Word::Items(Items { items }));
                 }
                 Act::Close(conn) => {
+                    self.closed.insert(conn);
                     let gate = self.gates.iter().position(|g| g.at.is_some_and(|(_, c)| c == conn));
                     if let Some(gate) = gate {
                         self.gates[gate].at = None;
--- a/crates/bond/tests/contact.rs
+++ b/crates/bond/tests/contact.rs
@@ -111,6 +111,12 @@
     // A process that stood still meanwhile is out at once, before anything is reckoned anew.
     assert!(contact.is_in(at(3_000)) && !contact.is_in(at(3_001)));
     assert_eq!(contact.judge(at(3_001), &casts), Some(State::Out));
+    // An answer is as old as what it answers.
+    contact.answered(at(3_050), "s1", at(2_000));
+    assert_eq!(contact.as_of("s1"), Some(at(2_000)));
+    contact.answered(at(3_060), "s1", at(500));
+    contact.answered(at(3_060), "s2", at(3_000));
+    assert_eq!((contact.as_of("s1"), contact.as_of("s2")), (Some(at(2_000)), None));
     // What it gives back itself is the last that it heard.
     assert_eq!(contact.next(at(3_100), "s1").1, 6);
 }
--- /dev/null
+++ b/crates/course/tests/link.rs
@@ -0,0 +1,94 @@
+//! The link's own defences against a control process that is out of contact with the core, told what it would hear.
+
+use kitepass::Moment;
+use kitepass_bond::words::{Beat, Buckets, Hello, ItemWord, Items, Live, Word};
+use kitepass_course::link::{Brought, Link, State};
+use kitepass_tenet::{Item, Kind, Ledger};
+use std::collections::BTreeMap;
+
+fn at(millis: i64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+fn hello(ip: &str, current: bool) -> Word {
+    Word::Hello(Hello { station: ip.into(), ip: ip.into(), control: true, current, ..Hello::default() })
+}
+
+fn items(edition: u64) -> Word {
+    let item = Item { kind: Kind::Line, name: "l".into(), edition, value: Some("{}".into()) };
+    Word::Items(Items { items: vec![ItemWord::from(&item)] })
+}
+
+fn back(ledger: &Ledger) -> Word {
+    Word::Buckets(Buckets { hashes: ledger.buckets().to_vec(), back: true })
+}
+
+/// A link that has opened a session with the first control process that it draws.
+fn link(now: i64, first: &[&str]) -> (Link, String) {
+    let hello = Hello { station: "g".into(), ..Hello::default() };
+    let mut link = Link::new(hello, first.iter().map(ToString::to_string).collect(), BTreeMap::new());
+    let ip = link.next(at(now), 0).expect("one is known");
+    (link, ip)
+}
+
+fn say(link: &mut Link, now: i64, words: Vec<Word>) -> Brought {
+    let mut brought = Brought::default();
+    words.into_iter().for_each(|word| link.said(at(now), word, &mut brought));
+    brought
+}
+
+#[test]
+fn a_first_configuration_is_taken_from_none_that_is_out_of_contact() {
+    // It says so in its hello, or in a beat before all has come.
+    for (current, beat) in [(false, true), (true, false)] {
+        let (mut link, ip) = link(0, &["a"]);
+        let told = back(&link.ledger);
+        let apart = Word::Beat(Beat { current: beat, ..Beat::default() });
+        let words = vec![hello(&ip, current), apart, items(3), told, Word::Live(Live::default())];
+        let words =
+            if current { words } else { words.into_iter().filter(|w| !matches!(w, Word::Beat(_))).collect() };
+        let brought = say(&mut link, 100, words);
+        assert!(brought.close && brought.items.is_empty() && !link.is_caught_up());
+        assert_eq!(link.ledger.len(), 0);
+    }
+    let (mut link, ip) = link(0, &["a"]);
+    let told = back(&link.ledger);
+    let brought = say(&mut link, 100, vec![hello(&ip, true), items(3), told, Word::Live(Live::default())]);
+    assert!(!brought.close && link.is_caught_up() && brought.items.len() == 1);
+    // Once it has caught up it says so, and stays where all are out of contact.
+    let brought = say(&mut link, 200, vec![Word::Beat(Beat::default()), items(4)]);
+    assert!(!brought.close && brought.items.len() == 1);
+    (2..40).for_each(|n| {
+        say(&mut link, n * 100, vec![Word::Beat(Beat::default())]);
+        assert!(!link.tick(at(n * 100)), "nobody else is known");
+    });
+    assert!(link.out.iter().any(|word| matches!(word, Word::Beat(beat) if beat.current)));
+}
+
+/// It leaves one that falls out of contact after a while, and one that it finds so as soon as it is synced, looks in on
+/// each once, and then stays for a time.
+#[test]
+fn all_are_looked_in_on_once_and_then_one_is_stayed_with() {
+    let (mut link, ip) = link(0, &["a", "b", "c"]);
+    let told = back(&link.ledger);
+    say(&mut link, 100, vec![hello(&ip, true), told, Word::Live(Live::default())]);
+    let (mut left, mut seen) = (Vec::new(), vec![ip]);
+    for now in (200..9_000).step_by(100) {
+        match link.state() {
+            State::Away => {
+                let ip = link.next(at(now), 0).expect("one is left");
+                let told = back(&link.ledger);
+                say(&mut link, now, vec![hello(&ip, false), told]);
+                seen.push(ip);
+            }
+            _ => _ = say(&mut link, now, vec![Word::Beat(Beat::default())]),
+        }
+        if link.tick(at(now)) {
+            left.push(now);
+            link.lost("left");
+        }
+    }
+    assert_eq!(left.first(), Some(&1_700), "{left:?}");
+    seen.sort();
+    assert_eq!((left.len(), seen), (2, vec!["a".to_owned(), "b".into(), "c".into()]));
+}
