--- a/crates/accord/src/core/sessions.rs
+++ b/crates/accord/src/core/sessions.rs
@@ -15,6 +15,13 @@
         self.acts.push(Act::Session(id, word));
     }
 
+    /// Bytes have come of a gateway that are no whole word yet.
+    pub fn session_alive(&mut self, now: Moment, id: u64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.heard = now;
+        }
+    }
+
     pub fn session_lost(&mut self, now: Moment, id: u64, why: &str) {
         if let Some(session) = self.sessions.remove(&id) {
             info!("event=session-lost station={} why={why}", session.hello.station);
@@ -47,7 +54,7 @@
             }
             // Repair: what a gateway was told by one that is lost.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::item).collect());
+                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
             }
             Word::Adds(adds) => match self.add(now, &adds) {
                 Some(totals) => self.totals(totals),
@@ -97,7 +104,7 @@
 
     /// Seats of the cast, and whether each is heard of now.
     pub fn seats(&self) -> Vec<(Seat, bool)> {
-        let heard = |seat: &Seat| seat.station == self.me.station || self.peers.contains_key(&seat.station);
+        let heard = |seat: &Seat| self.hears(&seat.name());
         self.cast().map_or(Vec::new(), |c| c.seats.into_iter().map(|s| (s.clone(), heard(&s))).collect())
     }
 }
--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -187,18 +187,18 @@
         }
         if now - self.beat >= BEAT || self.ready != self.told_ready {
             (self.beat, self.told_ready) = (now, self.ready);
-            let beat = Beat {
-                digest: self.ledger.digest(),
-                ready: self.ready,
-                current: false,
-                full: false,
-                duty: 0,
-            };
+            let beat = Beat { digest: self.ledger.digest(), ready: self.ready, ..Beat::default() };
             self.out.push(Word::Beat(beat));
         }
         false
     }
 
+    /// Bytes have come that are no whole word yet. Danger: over a slow line one of many MiB takes longer than a silence
+    /// is borne.
+    pub fn alive(&mut self, now: Moment) {
+        self.heard = now;
+    }
+
     pub fn said(&mut self, now: Moment, word: Word, brought: &mut Brought) {
         self.heard = now;
         match word {
