Emulator: the register's answers, a receiver that hangs up, and processes' logs in a replay

Cause: the world kept a peer's connection on which nothing came for ever, where the server closes it after 6 s: a process that had been deaf stayed apart for good in the world alone. Change: receivers hang up as the server does; conflicts are read as 409; a replay prints what processes log.

--- a/crates/ordeal/src/drive.rs
+++ b/crates/ordeal/src/drive.rs
@@ -85,7 +85,7 @@
 impl Process {
     pub fn start(now: Moment, birth: Birth) -> Process {
         let Place { station, ip, district, province } = birth.place;
-        let me = Seat { station, ip, district, province };
+        let me = Seat { station, ip, district, province, ..Seat::default() };
         let Birth { life, maiden, founder, records, .. } = birth;
         Process { core: Core::new(now, Start { me, life, maiden, founder, records, slack: SLACK }) }
     }
@@ -107,8 +107,8 @@
         self.core.peer_said(now, station, word)
     }
 
-    pub fn knows(&self, station: &str) -> bool {
-        self.core.knows(station)
+    pub fn knows(&self, station: &str, life: u64) -> bool {
+        self.core.knows_life(station, life)
     }
 
     /// Addresses of the control processes that it knows of.
@@ -218,6 +218,7 @@
         Reply::Done => Answer::Done,
         Reply::Body(body) => Answer::Shown(shown(&body)),
         Reply::Invalid(why) => Answer::Invalid(why),
+        Reply::Conflict(why) => Answer::Taken(why),
         Reply::Elsewhere(_) => Answer::Elsewhere(None),
     }
 }
--- a/crates/ordeal/src/main.rs
+++ b/crates/ordeal/src/main.rs
@@ -3,6 +3,7 @@
 use kitepass_ordeal::plan::{Plan, Script};
 use kitepass_ordeal::tally::Tally;
 use kitepass_ordeal::trial::{play, shorten, Outcome};
+use kitepass_ordeal::world::Logs;
 use lexopt::prelude::*;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 ordeal replay --seed K [--plan NAME]                         plays one, with its events
 ordeal shorten --seed K [--plan NAME]                        leaves out what a failing one does not need
 
+With --logs a replay prints what the processes log, too.
 With --no-rivals no two callers use one version of an item.
 Plans: calm, cuts, races, losses, away, disks, all (the default).
 ";
@@ -38,6 +40,7 @@
     jobs: Option<usize>,
     seed: u64,
     no_rivals: bool,
+    logs: bool,
 }
 
 impl Asked {
@@ -66,6 +69,7 @@
                 let name = parser.value().context(ArgumentsSnafu)?.to_string_lossy().into_owned();
                 asked.plan = Some(Plan::named(&name).ok_or(Error::NoPlan { name })?);
             }
+            Long("logs") => asked.logs = true,
             Long("no-rivals") => asked.no_rivals = true,
             Short('h') | Long("help") => return NoVerbSnafu.fail(),
             other => return Err(other.unexpected()).context(ArgumentsSnafu),
@@ -126,6 +130,9 @@
     let well = match asked.verb.as_str() {
         "run" => run(&asked, plan),
         "replay" => {
+            if asked.logs && log::set_logger(&Logs).is_ok() {
+                log::set_max_level(log::LevelFilter::Debug);
+            }
             println!("layout={:?}", script.layout);
             let outcome = play(&script, true);
             print!("{}", outcome.tally);
--- a/crates/ordeal/src/wire.rs
+++ b/crates/ordeal/src/wire.rs
@@ -8,6 +8,8 @@
 
 /// Bytes that are not taken end a connection after so long.
 pub const PATIENCE: i64 = 1_500_000;
+/// A process closes a peer's connection on which nothing has come for so long.
+pub const QUIET: i64 = PATIENCE * 4;
 
 /// One direction of a connection.
 pub struct Channel {
@@ -22,12 +24,14 @@
     pub held_since: i64,
     /// When its last word comes.
     pub last: i64,
+    /// When something came on it last.
+    pub heard: i64,
     /// It takes no more words.
     pub closed: bool,
     /// What would come later than this is lost.
     pub until: i64,
-    /// Who speaks, once it has said so.
-    pub station: Option<String>,
+    /// Who speaks, and in which life, once it has said so.
+    pub station: Option<(String, u64)>,
     /// The session that it belongs to, and whether it leads to the control process.
     pub session: Option<bool>,
 }
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -8,10 +8,11 @@
 use crate::operator::{Book, Caller, Task, SILENCE};
 use crate::plan::{Breadth, Layout, Script, Trouble, Way, Ways, MILLI, SECOND};
 use crate::tally::Tally;
-use crate::wire::{Channel, Cut, Net, PATIENCE};
+use crate::wire::{Channel, Cut, Net, PATIENCE, QUIET};
 use kitepass::Moment;
 use kitepass_accord::roster::Entry;
 use kitepass_bond::words::{Hello, Word};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Gateways' machines are numbered from here on.
@@ -28,6 +29,27 @@
 /// Readings of the platform's list are so far apart.
 const READING: i64 = 700 * MILLI;
 
+thread_local! {
+    /// The world's time, and the machine whose process runs, for its log lines.
+    static RUNS: Cell<(i64, usize)> = const { Cell::new((0, 0)) };
+}
+
+/// Prints what processes log, with the world's time and the machine.
+pub struct Logs;
+
+impl log::Log for Logs {
+    fn enabled(&self, _: &log::Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record) {
+        let (now, node) = RUNS.get();
+        println!("t={:.6} node=s{node} level={} {}", now as f64 / 1e6, record.level(), record.args());
+    }
+
+    fn flush(&self) {}
+}
+
 enum Event {
     Tick(usize, u64),
     Word(u64, Word),
@@ -37,6 +59,7 @@
     Start(usize),
     /// A process' own connection is gone.
     OutLost(usize, u64, u64),
+    HungUp(u64),
     /// A control process notices that a session is over.
     SessionLost(usize, u64, u64),
     GateLost(usize, u64),
@@ -246,8 +269,9 @@
         }
     }
 
-    /// A machine's steady time.
+    /// A machine's steady time. Whoever asks for it is about to run its process.
     fn moment(&self, node: usize) -> Moment {
+        RUNS.set((self.now, node));
         let (began, fast) = self.nodes[node].clock;
         Moment::from_micros(began + self.now + self.now / 1_000 * fast / 1_000)
     }
@@ -289,9 +313,11 @@
             Event::Start(node) => self.start(node),
             Event::OutLost(node, life, channel) => {
                 if self.nodes[node].life == life {
+                    self.tell(format_args!("event=out-lost node=s{node} channel={channel}"));
                     self.nodes[node].out.retain(|_, out| *out != channel);
                 }
             }
+            Event::HungUp(channel) => self.hung_up(channel),
             Event::SessionLost(node, life, session) => {
                 let now = self.moment(node);
                 if let Some(process) = self.alive(node, life) {
@@ -407,6 +433,7 @@
         let Some(process) = self.alive(number, life) else { return };
         process.tick(now);
         self.connect(number);
+        self.sweep(number);
         let at = self.now;
         if let Some(since) = self.nodes[number].leaves {
             let idle = self.nodes[number].process.as_ref().is_some_and(Process::is_idle);
@@ -534,6 +561,7 @@
             let (from_life, to_life) = (self.nodes[number].life, self.nodes[other].life);
             self.channel(id, number, other, (from_life, to_life), None);
             self.nodes[number].out.insert(other, id);
+            self.tell(format_args!("event=connect node=s{number} to=s{other} channel={id}"));
             let hello = self.nodes[number].process.as_ref().expect("found above").hello();
             // Both ways for the connection, then the word.
             let made = self.delay(other, number) + self.delay(number, other);
@@ -551,6 +579,7 @@
             held: VecDeque::new(),
             held_since: 0,
             last: 0,
+            heard: self.now,
             closed: false,
             until: i64::MAX,
             station: None,
@@ -654,7 +683,37 @@
         self.at(down, Event::GateLost(gate, session));
     }
 
+    /// Closes peers' connections on which nothing has come for long.
+    fn sweep(&mut self, number: usize) {
+        let (now, life) = (self.now, self.nodes[number].life);
+        let quiet = |c: &Channel| {
+            c.to == number && c.to_life == life && c.session.is_none() && !c.closed && now - c.heard > QUIET
+        };
+        let ids: Vec<u64> = self.net.channels.iter().filter(|(_, c)| quiet(c)).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.hang_up(id));
+    }
+
+    /// Whoever a connection leads to closes it.
+    fn hang_up(&mut self, id: u64) {
+        let Some(channel) = self.net.channels.get_mut(&id) else { return };
+        (channel.closed, channel.until) = (true, self.now);
+        channel.held.clear();
+        self.at(self.now, Event::HungUp(id));
+    }
+
+    /// The other end hears of it once a word could reach it.
+    fn hung_up(&mut self, id: u64) {
+        let Some(channel) = self.net.channels.get(&id) else { return };
+        let (from, to, from_life) = (channel.from, channel.to, channel.from_life);
+        if self.net.is_cut(self.now, to, from).is_some() {
+            return self.at(self.now + 200 * MILLI, Event::HungUp(id));
+        }
+        let notice = self.now + self.delay(to, from);
+        self.at(notice, Event::OutLost(from, from_life, id));
+    }
+
     fn arrive(&mut self, id: u64, word: Word) {
+        self.net.channels.entry(id).and_modify(|channel| channel.heard = self.now);
         let channel = &self.net.channels[&id];
         let (from, to, to_life, from_life) = (channel.from, channel.to, channel.to_life, channel.from_life);
         if to >= GATES {
@@ -675,24 +734,23 @@
         let process = node.process.as_mut().expect("found above");
         match (session, station, word) {
             (Some(_), None, Word::Hello(hello)) => {
-                self.net.channels.get_mut(&id).expect("found above").station = Some(hello.station.clone());
+                self.net.channels.get_mut(&id).expect("found above").station =
+                    Some((hello.station.clone(), hello.life));
                 process.session_came(now, id, hello);
             }
             (Some(_), _, word) => process.session_said(now, id, word),
             (None, None, Word::Hello(hello)) => {
-                self.net.channels.get_mut(&id).expect("found above").station = Some(hello.station.clone());
+                self.net.channels.get_mut(&id).expect("found above").station =
+                    Some((hello.station.clone(), hello.life));
                 node.ips.insert(hello.station.clone(), hello.ip.clone());
                 node.stops.insert(hello.ip.clone(), self.now);
                 process.peer_came(now, &hello);
             }
-            (None, Some(station), word) => {
-                if !process.knows(&station) {
+            (None, Some((station, life)), word) => {
+                if !process.knows(&station, life) {
                     // One that was given up has to say again who it is.
-                    self.net.close(id);
-                    let until = self.now;
-                    self.net.channels.get_mut(&id).expect("found above").until = until;
-                    let notice = self.now + self.delay(to, from);
-                    return self.at(notice, Event::OutLost(from, from_life, id));
+                    self.tally.count("word-of-one-given-up");
+                    return self.hang_up(id);
                 }
                 for ip in process.peer_said(now, &station, word) {
                     node.stops.entry(ip).or_insert(self.now);
