--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -11,8 +11,10 @@
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
 use bytes::Bytes;
+pub use contact::{millis, SeatContact};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
+use kitepass_bond::contact::{Contact, State as ContactState};
 use kitepass_bond::count::{Counts, Slack, Terms};
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::register::{
@@ -34,6 +36,8 @@
 /// large bodies, and so much more is borne for each MiB.
 const PATIENCE: Span = Span::from_micros(2_500_000);
 const PATIENCE_MIB: Span = Span::from_micros(1_000_000);
+/// After the last contact a look-up is answered for so long: what this process knows of the gateways is that old.
+const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
 /// For so long the founder waits for others after the last that came, and at the most.
@@ -77,10 +81,10 @@
     Blank,
     /// It knows of a core, and has yet to hear what was acknowledged while it was away.
     Behind,
-    /// It has caught up: it takes orders and sessions.
+    /// It has caught up, and is in contact with a majority: it takes orders and sessions.
     Current,
-    /// It had caught up, and hears too few of the core now to know of all that is acknowledged. Gateways are told,
-    /// and go to another if there is a better one.
+    /// It had caught up, and too few of the core have proved lately that they hear it: it cannot know of all that is
+    /// acknowledged, and hands nothing out as current. Gateways are told, and go to another if there is a better one.
     Apart,
     /// It ends: nothing new is taken.
     Leaving,
@@ -104,6 +108,17 @@
     differs: u32,
 }
 
+/// How far one has come with the duty. [`Core::serve`] alone changes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Another's, or nobody's.
+    Idle,
+    /// Won under a term. Danger: whoever acts on what it knew before would bring an older list, count or cast back.
+    Reading(u64),
+    /// It has read under that term what a majority holds, and acts.
+    Acting(u64),
+}
+
 enum Kept {
     /// What was accepted for an order of a station, and what it is told then.
     Copy {
@@ -145,7 +160,10 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
+    /// The ticket of the last inquiry for catching up, and when it was sent.
     inquiry: u64,
+    asked: Moment,
+    contact: Contact,
     peers: BTreeMap<String, Peer>,
     /// Seats that are not heard, by name, and since when.
     lost: BTreeMap<String, Moment>,
@@ -159,11 +177,8 @@
     voter: Voter,
     /// Whom the record on disk names.
     recorded: Vote,
-    /// It did the duty when that was looked at last.
-    held: bool,
+    service: Service,
     claimant: Claimant,
-    /// The term under which it has read what a majority holds, and acts.
-    acting: Option<u64>,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
     terms: BTreeMap<String, Terms>,
@@ -243,11 +258,13 @@
         let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
         let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
         info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
+        let mut chance = oorandom::Rand64::new(u128::from(start.life));
         let mut core = Core {
+            contact: Contact::new(&name, chance.rand_u64() as u32),
             voter: Voter::new(now, start.maiden && empty, recalled, seated),
             recorded,
-            held: false,
-            chance: oorandom::Rand64::new(u128::from(start.life)),
+            service: Service::Idle,
+            chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
             me,
@@ -261,6 +278,7 @@
             newest: now,
             caught: BTreeSet::new(),
             inquiry: 0,
+            asked: now,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -269,7 +287,6 @@
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
             claimant: Claimant::new(DUTY, start.life),
-            acting: None,
             counts: None,
             terms,
             slack: start.slack,
@@ -357,6 +374,17 @@
         let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         peer.heard = now;
         let (life, name) = (peer.hello.life, peer.name.clone());
+        match &word {
+            Word::Beat(beat) => self.contact.heard(now, &name, beat.number, beat.yours),
+            Word::Held(held) if (held.life, held.ticket) == (self.life, self.inquiry) => {
+                self.contact.answered(now, &name, self.asked);
+            }
+            _ => {}
+        }
+        if matches!(word, Word::Beat(_) | Word::Held(_)) {
+            self.judge_contact(now);
+        }
+        let Some(peer) = self.peers.get_mut(station) else { return Vec::new() };
         match word {
             Word::Beat(beat) => {
                 (peer.hello.current, peer.hello.full, peer.digest) = (beat.current, beat.full, beat.digest);
@@ -408,18 +436,12 @@
             self.beat = now;
             self.beat(now);
         }
+        self.judge_contact(now);
         match self.standing {
             Standing::Blank | Standing::Behind | Standing::Apart if now - self.inquired > BEAT => {
-                self.inquired = now;
-                self.inquire();
+                self.ask_core(now);
                 self.found(now);
             }
-            // Danger: cut off from the rest of the core, it would hold its gateways on an old configuration.
-            Standing::Current if !self.hears_enough() => {
-                self.caught.clear();
-                self.shift(Standing::Apart);
-                self.beat(now);
-            }
             _ => {}
         }
         self.claim(now);
@@ -433,8 +455,4 @@
             self.end(id, Reply::Elsewhere("the core did not bear it out in time"));
         }
     }
-
-    pub fn is_idle(&self) -> bool {
-        self.work.is_empty() && self.keeping.is_empty()
-    }
 }
