--- a/crates/ordeal/src/drive.rs
+++ b/crates/ordeal/src/drive.rs
@@ -6,7 +6,7 @@
 use kitepass_accord::core::{Act, Core, Standing, Start};
 use kitepass_accord::order::{Order, Reply};
 use kitepass_accord::roster::Entry;
-use kitepass_bond::cast::{Seat, NEXT, NOW};
+use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
 use kitepass_bond::count::Slack;
 use kitepass_bond::words::{Hello, ItemWord, Items, Word};
 use kitepass_tenet::{Item, Kind, Ledger};
@@ -149,8 +149,8 @@
         self.core.leave(now);
     }
 
-    pub fn is_idle(&self) -> bool {
-        self.core.is_idle()
+    pub fn has_left(&self) -> bool {
+        self.core.has_left()
     }
 
     pub fn does_the_duty(&self, now: Moment) -> bool {
@@ -183,7 +183,8 @@
 
     /// Stations of the cast in force, as far as it knows.
     pub fn seated(&self) -> Vec<String> {
-        self.core.seats().into_iter().map(|(seat, _)| seat.station).collect()
+        let cast = Cast::of(self.ledger(), NOW);
+        cast.map_or(Vec::new(), |cast| cast.seats.into_iter().map(|seat| seat.station).collect())
     }
 
     pub fn evacuated(&self) -> Vec<String> {
@@ -219,6 +220,7 @@
         Reply::Body(body) => Answer::Shown(shown(&body)),
         Reply::Invalid(why) => Answer::Invalid(why),
         Reply::Conflict(why) => Answer::Taken(why),
+        Reply::Redirect(ip) => Answer::Elsewhere(Some(ip)),
         Reply::Elsewhere(_) => Answer::Elsewhere(None),
     }
 }
--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -436,8 +436,8 @@
         self.sweep(number);
         let at = self.now;
         if let Some(since) = self.nodes[number].leaves {
-            let idle = self.nodes[number].process.as_ref().is_some_and(Process::is_idle);
-            if at - since > COURTESY || idle && at - since > 50 * MILLI {
+            let left = self.nodes[number].process.as_ref().is_some_and(Process::has_left);
+            if at - since > COURTESY || left {
                 let back = self.nodes[number].back - at;
                 return self.end(number, back);
             }
