--- a/crates/ordeal/src/world.rs
+++ b/crates/ordeal/src/world.rs
@@ -603,6 +603,7 @@
         channel.last = channel.last.max(due);
         let due = channel.last;
         self.tally.count("word");
+        self.tally.add("word-bytes", word.encoded_len() as u64);
         self.at(due, Event::Word(id, word));
     }
 
