The worst of a leg over sockets; late grants and another life's are told apart

Cause: an answer of the count to an ask that had been given up decided for those who waited for a later one: they were refused (429) though their own answer was still to come. Totals were matched by ticket alone, not by life. Totals went to the oldest session of a gateway that had come anew, where nobody reads. What the platform sent unasked stood in the place of the next reading's first page. A chunked body over the limit, silence, silence before SIGTERM, a reset on a resting connection, and a grant for another life had no test over sockets.

Change: an answer decides only for an ask that was made by the time it was sent for; totals are taken by life and ticket and go to the newest session; a carrier that speaks unasked is closed.

--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -128,7 +128,10 @@
     }
 
     pub(super) fn totals(&mut self, totals: Totals) {
-        let session = self.sessions.iter().find(|(_, s)| s.hello.life == totals.life).map(|(id, _)| *id);
+        // Danger: a gateway that has come anew may be held to be on its old connection too for a while; what went
+        // there would be lost. Numbers of connections grow.
+        let session =
+            self.sessions.iter().rev().find(|(_, s)| s.hello.life == totals.life).map(|(id, _)| *id);
         if let Some(id) = session {
             self.acts.push(Act::Session(id, Word::Totals(totals)));
         }
--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -769,6 +769,10 @@
         else {
             return Ok(());
         };
+        if self.reading.is_none() && !wire.input.is_empty() {
+            // Danger: what comes unasked would stand in the place of the next reading's first page.
+            return Err("unasked");
+        }
         if stage.is_none() {
             let kind = Which::Answer { to_head: false };
             let Some((head, framing)) =
--- a/crates/course/src/quota.rs
+++ b/crates/course/src/quota.rs
@@ -221,6 +221,12 @@
             customer.held = customer.held.saturating_add(total.granted);
             customer.part = Some((f64::from(total.part), now));
             if totals.asks {
+                // Danger: a late answer to an earlier ask, given up since, would decide for those who wait for the
+                // answer to this one.
+                if customer.asked.is_none_or(|(at, _)| at > sent_at) {
+                    customer.serve(&mut self.decided);
+                    continue;
+                }
                 let wanted = customer.asked.take().map_or(0, |(_, wanted)| wanted);
                 let short = total.granted < wanted;
                 customer.serve(&mut self.decided);
@@ -462,6 +468,35 @@
         assert!(quota.draw(at(1), &"free".into(), free, 0) == Verdict::Passes && quota.len() == 1);
     }
 
+    /// The answer to an ask that was given up decides nothing for those who wait for a later one; what it grants counts.
+    #[rstest]
+    #[case::nothing(0, vec![])]
+    #[case::one(1, vec![(2, true)])]
+    fn a_late_answer_to_an_earlier_ask_refuses_nobody(
+        #[case] granted: u32,
+        #[case] decided: Vec<(u64, bool)>,
+    ) {
+        let at = |millis: i64| Moment::from_micros(millis * 1000);
+        let mut quota = Quota::new(at(-9_000), 1, SLACK);
+        let (tenant, terms) = ("t".into(), Terms { rate: 10.0, surge: 10.0 });
+        let total = |granted| Total { tenant: "t".into(), granted, ..Total::default() };
+        let answer = |granted| Totals { totals: vec![total(granted)], asks: true, ..Totals::default() };
+        quota.totals(at(0), at(0), &Totals::default());
+        assert_eq!((quota.draw(at(10), &tenant, terms, 1), quota.asks().len()), (Verdict::Waits, 1));
+        quota.tick(at(500));
+        assert_eq!(quota.decided().len(), 1, "given up");
+        quota.totals(at(510), at(505), &Totals::default());
+        for request in [2, 3] {
+            assert_eq!(quota.draw(at(520), &tenant, terms, request), Verdict::Waits);
+        }
+        assert_eq!(quota.asks().len(), 1);
+        quota.totals(at(600), at(10), &answer(granted));
+        assert_eq!(quota.decided(), decided);
+        quota.totals(at(650), at(520), &answer(2));
+        let passed = quota.decided();
+        assert!(passed.iter().all(|(_, passes)| *passes) && passed.len() + decided.len() == 2, "{passed:?}");
+    }
+
     /// Whoever waits where no answer comes is refused or passed by the gateway's part, and nobody twice.
     #[test]
     fn nobody_waits_for_long_and_what_is_beyond_is_refused_at_once() {
--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -501,7 +501,7 @@
             self.quota.live(live);
             self.pick.live(stations);
         }
-        for totals in &brought.totals {
+        for totals in brought.totals.iter().filter(|totals| totals.life == self.life) {
             if let Some(sent) = self.asked.remove(&totals.ticket) {
                 self.quota.totals(now, sent, totals);
             }
--- a/crates/course/tests/sockets/main.rs
+++ b/crates/course/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod legs;
 mod life;
 mod stand;
+mod worst;
 
 use rstest::rstest;
 use stand::*;
