--- a/crates/accord/src/server.rs
+++ b/crates/accord/src/server.rs
@@ -846,6 +846,12 @@
                         }
                     }
                     Act::Answer(id, reply) => {
+                        let waits = |conn: &Conn| matches!(&conn.role, Role::Caller(caller) if caller.waits);
+                        if !self.conns.get(&id).is_some_and(waits) {
+                            // Danger: an answer to a caller that is gone, or has had one, in another's place.
+                            debug!("event=answer-to-nobody");
+                            continue;
+                        }
                         match reply {
                             Reply::Done => self.answer(id, 200, "application/json", b"{}", None),
                             Reply::Body(body) => self.answer(id, 200, "application/json", &body, None),
