An answer before the body is whole reaches a client that still sends; what came before a failed write is read

Cause: a client that was answered before its body was whole had its connection closed with bytes unread, which resets it, and the answer with it. A write that failed before any edge had told of the reset left the backend's answer unread in the socket: a long request that was turned away got 502 in place of 503.

Change: such a client's connection is half closed, and what still comes is dropped for a second. A failed write marks the connection to be read to its end.

--- a/crates/course/src/server.rs
+++ b/crates/course/src/server.rs
@@ -37,6 +37,8 @@
 const REST: Span = Span::from_micros(8_000_000);
 /// Idle connections kept to one backend.
 const MOST_IDLE: usize = 8;
+/// What still comes of a body that was answered before it was whole is read off for so long.
+const DRAIN: Span = Span::from_micros(1_000_000);
 /// After SIGTERM: clients are served for so long, on connections that say they close; then nothing new is taken.
 const PARTING: Span = Span::from_micros(3_000_000);
 /// Memory that bodies may take together.
@@ -69,6 +71,9 @@
     skips: bool,
     closes: bool,
     ends: bool,
+    /// It was answered before its body was whole, and what still comes is dropped for a while. Danger: a socket that is
+    /// closed with bytes unread is reset, and the answer with it.
+    drains: bool,
     /// The readiness check's.
     checks: bool,
     at: Moment,
@@ -367,7 +372,11 @@
             let slow = client.begun.is_some_and(|begun| now - begun > head);
             // A request that has come whole has a deadline of its own, however long that is.
             let owes = client.job.is_none() || client.body.is_some();
-            let silent = if client.job.is_none() { idle } else { idle * 4 };
+            let silent = match client.job {
+                _ if client.drains => DRAIN,
+                None => idle,
+                Some(_) => idle * 4,
+            };
             if slow || owes && now - client.at > silent {
                 late.push((*id, slow));
             }
@@ -540,6 +549,7 @@
                 skips: false,
                 closes: false,
                 ends: false,
+                drains: false,
                 checks: token == READINESS,
                 at: self.clock.now(),
                 begun: None,
@@ -565,6 +575,16 @@
                 Err(error) => return self.lose_client(id, cause(error)),
             };
             client.half |= ended;
+            if client.drains {
+                client.wire.input.clear();
+                if client.half {
+                    return self.lose_client(id, "done");
+                }
+                if client.wire.is_readable() {
+                    continue;
+                }
+                return;
+            }
             if client.half && client.job.is_some() {
                 // Nobody is there for the answer any longer.
                 return self.lose_client(id, "gone");
@@ -588,6 +608,14 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         let was = client.wire.unsent();
         match client.wire.flush() {
+            Ok(true) if client.drains => {}
+            Ok(true) if client.ends && client.body.is_some() && !client.half => {
+                (client.drains, client.at) = (true, self.clock.now());
+                if client.wire.end().is_err() {
+                    return self.lose_client(id, "done");
+                }
+                self.serve_client(id, None); // what stands in its socket is told of by no further edge
+            }
             Ok(true) if client.ends => self.lose_client(id, "done"),
             Ok(_) => {
                 // There is room again for an answer that passes through.
--- a/crates/course/tests/sockets/stand.rs
+++ b/crates/course/tests/sockets/stand.rs
@@ -4,7 +4,7 @@
 use kitepass_bond::words::*;
 use kitepass_tenet::{read_call, Checker, Item, Kind, Ledger};
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -510,6 +510,13 @@
         kill_process(Pid::from_child(&self.child), signal).expect("it runs");
     }
 
+    /// It stands still from here on, until it is told to go on.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        let stopped = waitpid(Some(Pid::from_child(&self.child)), WaitOptions::UNTRACED).expect("a child");
+        assert!(stopped.is_some_and(|(_, status)| status.stopped()), "{stopped:?}");
+    }
+
     /// Waits for a line of its log that holds this.
     pub fn logs(&self, text: &str) {
         while !self.log.recv_timeout(PATIENCE).expect("a line").contains(text) {}
--- a/crates/course/tests/sockets/worst.rs
+++ b/crates/course/tests/sockets/worst.rs
@@ -41,9 +41,10 @@
 
 /// Where it breaks decides: a request of which no byte left goes elsewhere, one that was read by the backend does not.
 #[rstest]
-#[case::as_it_is_taken(false)]
-#[case::with_the_request(true)]
-fn a_resting_connection_that_breaks(#[case] reads: bool) {
+#[case::with_the_request("502")]
+#[case::reset_as_it_is_taken("reset")]
+#[case::ended_as_it_is_taken("ended")]
+fn a_resting_connection_that_breaks(#[case] how: &str) {
     let (gateway, _control, stand) = serving(1);
     let mut client = gateway.line();
     client.say(get("/once/", "t1"));
@@ -51,15 +52,22 @@
     line.hear();
     line.say(ok("t1", "one"));
     assert_eq!(client.hear().body, b"one");
-    if reads {
+    if how == "502" {
         client.say(get("/once/", "t2"));
         assert_eq!(line.hear().field("X-Try-Id"), Some("t2"));
         line.reset();
         let answer = client.hear();
         assert_eq!((answer.status(), answer.field("Retry-After")), (502, None));
     } else {
-        line.reset();
+        // Both stand in the gateway's sockets when it looks, the request first.
+        gateway.stop();
         client.say(get("/once/", "t2"));
+        if how == "reset" {
+            line.reset();
+        } else {
+            line.end();
+        }
+        gateway.signal(Signal::CONT);
         let mut line = stand.line();
         assert_eq!(line.hear().field("X-Try-Id"), Some("t2"));
         line.say(ok("t2", "two"));
@@ -93,6 +101,30 @@
     assert_eq!(client.hear().body, b"fine");
 }
 
+/// The same with more than there is room for on the way: the connection breaks as it is written to. Nothing of the body is
+/// left for another leg; the client is told that it never ran, and may say the rest before it hears that.
+#[test]
+fn one_turned_away_as_its_body_is_written_is_the_clients_to_send_again() {
+    let (gateway, _control, stand) = serving(2);
+    let mut client = gateway.line();
+    let length = 24 << 20;
+    let mut hand = client.hand();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let head = request("POST", "/once/x", "t1") + &format!("Content-Length: {length}\r\n\r\n");
+            hand.say(head).say("b".repeat(length));
+        });
+        let mut line = stand.line();
+        line.until(1);
+        line.say(answer("503 Service Unavailable", "t1", "X-Not-Delivered: full\r\n", ""));
+        line.reset();
+        let answer = client.hear();
+        assert_eq!((answer.status(), answer.field("Connection")), (503, Some("close")));
+        assert!(answer.field("Retry-After").is_some(), "{}", answer.head);
+    });
+    assert!(client.ends() && stand.is_untouched());
+}
+
 /// A body without a length is whole where the connection ends in order, and not where it breaks.
 #[rstest]
 #[case::ends(true)]
@@ -227,6 +259,7 @@
         let mut held = stand.line();
         held.hear();
         gone.reset();
+        assert!(held.ends(), "a backend is at work for nobody");
         let mut client = gateway.line();
         client.say(get("/once/", &format!("t{n}")));
         held.try_say(ok(&format!("gone{n}"), "of one that is gone"));
--- a/crates/strand/src/wire.rs
+++ b/crates/strand/src/wire.rs
@@ -83,7 +83,10 @@
         if !self.made || self.output.is_empty() {
             return Ok(self.output.is_empty());
         }
-        let whole = poll::write(&self.socket, &self.output, &mut self.written)?;
+        let whole = poll::write(&self.socket, &self.output, &mut self.written).inspect_err(|_| {
+            // What came before it broke is still to be read, and no edge may have told of it yet.
+            (self.readable, self.ended) = (true, true);
+        })?;
         if whole {
             poll::empty(&mut self.output);
             self.written = 0;
