--- a/crates/bond/examples/register.rs
+++ b/crates/bond/examples/register.rs
@@ -8,7 +8,7 @@
 mod ballots;
 
 /// Attempts, restarts and lost answers.
-const MODELS: [(&str, (u8, u8, u8)); 16] = [
+const MODELS: [(&str, (u8, u8, u8)); 18] = [
     ("pair", (1, 3, 3)),
     ("pair", (2, 0, 0)),
     ("pair", (2, 1, 0)),
@@ -20,6 +20,8 @@
     ("same", (1, 0, 0)),
     ("same", (1, 1, 0)),
     ("versions", (1, 0, 0)),
+    ("spoiled", (1, 0, 0)),
+    ("spoiled", (2, 0, 0)),
     ("eras-one", (1, 1, 1)),
     ("eras-one", (2, 0, 0)),
     ("eras-two", (1, 1, 0)),
@@ -27,6 +29,10 @@
     ("eras-apart", (1, 0, 0)),
 ];
 
+/// Between which a pause after a refusal is drawn, and how often the upper one doubles.
+const PAUSES: [((f64, f64), u32); 3] = [((20.0, 150.0), 0), ((0.0, 100.0), 0), ((0.0, 100.0), 3)];
+const RACES: u64 = 2_000;
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1).filter_map(|arg| arg.parse::<u64>().ok());
     let (steps, seeds) = (args.next().unwrap_or(3_000_000) as usize, args.next().unwrap_or(10_000));
@@ -42,7 +48,9 @@
     }
     for rivals in [2, 3, 8] {
         for round_trip in [0.2, 0.9, 55.0] {
-            is_well &= race(rivals, round_trip, 2_000);
+            for (pause, doubles) in PAUSES {
+                is_well &= race(rivals, round_trip, pause, doubles);
+            }
         }
     }
     println!("well={is_well}");
@@ -53,11 +61,10 @@
     }
 }
 
-fn race(rivals: usize, round_trip: f64, many: u64) -> bool {
+fn race(rivals: usize, round_trip: f64, pause: (f64, f64), doubles: u32) -> bool {
     let setup = Setup::rivals(rivals);
-    let race =
-        Race { round_trip, sync: 2.0, spread: 2.0 * round_trip + 10.0, pause: (20.0, 150.0), doubles: 0 };
-    let raced: Vec<Raced> = (0..many).filter_map(|seed| race.run(&setup, seed)).collect();
+    let race = Race { round_trip, sync: 2.0, spread: 2.0 * round_trip + 10.0, pause, doubles };
+    let raced: Vec<Raced> = (0..RACES).filter_map(|seed| race.run(&setup, seed)).collect();
     let told = |of: fn(&Raced) -> f64| {
         let mut times: Vec<f64> = raced.iter().map(of).collect();
         times.sort_by(f64::total_cmp);
@@ -66,10 +73,10 @@
     };
     let attempts = raced.iter().map(|raced| raced.attempts).max().unwrap_or_default();
     println!(
-        "race rivals={rivals} round-trip-ms={round_trip} races={} first {} all {} attempts={attempts}",
+        "race rivals={rivals} round-trip-ms={round_trip} pause-ms={pause:?} doubles={doubles} races={} first {} all {} attempts={attempts}",
         raced.len(),
         told(|raced| raced.first),
         told(|raced| raced.all),
     );
-    raced.len() as u64 == many
+    raced.len() as u64 == RACES
 }
--- a/crates/bond/tests/ballots/mod.rs
+++ b/crates/bond/tests/ballots/mod.rs
@@ -383,6 +383,7 @@
 
     fn write(&self, station: &mut Station, reserve: Option<Reserve>, records: Vec<Record>) {
         station.disk.extend(reserve.map(Reserve::record).into_iter().chain(records));
+        station.disk.retain(|_, value| !value.is_empty());
         if let Some(reserve) = reserve {
             station.acceptor.on_disk(reserve);
         }
