--- a/crates/accord/tests/contact.rs
+++ b/crates/accord/tests/contact.rs
@@ -415,29 +415,34 @@
         world.run(5_000);
         let n = seed as usize % 6;
         let mut log = Log::default();
-        // It reads, asks for promises, waits for copies; the answers wait in its sockets, and another is asked meanwhile.
+        // It reads, asks for promises, waits for copies and for others' calls; another is asked meanwhile.
         for _ in 0..8 {
             log.ask(&mut world, n);
+            log.ask(&mut world, (n + 2) % 6);
             (0..6).for_each(|_| _ = log.step(&mut world));
         }
         world.frozen[n] = world.now + 6_000;
-        world.run(2_000);
+        (0..200).for_each(|_| _ = log.step(&mut world));
         log.edition += 1;
         let edition = log.edition;
         let call = world.patch((n + 1) % 6, "l", edition, Some(LINE));
-        world.run(4_000);
+        (0..399).for_each(|_| _ = log.step(&mut world));
         assert_eq!(world.answers[&call].1, Reply::Done, "seed {seed}");
+        if seed % 2 == 0 {
+            // In its sockets is what would answer its orders, and nothing that tells it how late it is.
+            world
+                .wire
+                .retain(|w| w.2 != n || matches!(w.4, Word::Stored(_) | Word::Decided(_) | Word::Items(_)));
+        }
         // The first that it does is to take an order that has come meanwhile.
-        log.ask(&mut world, n);
+        let first = world.ask(n, Order::Get);
+        let reply = &world.answers[&first].1;
+        assert!(matches!(reply, Reply::Redirect(_) | Reply::Elsewhere(_)), "seed {seed}: {reply:?}");
         while log.asked.values().any(|asked| asked.answered.is_none())
             || standing(&world, n) != Some(Standing::Current)
         {
-            let thawed = world.frozen[n];
-            for (n, after, reply) in log.step(&mut world) {
-                let at_once = world.now - after < thawed || after == 0;
-                assert!(at_once, "seed {seed}: s{n} answers {reply:?} after {after}");
-            }
-            assert!(world.now <= thawed + BACK, "seed {seed}: it does not come back");
+            log.step(&mut world);
+            assert!(world.now <= world.frozen[n] + BACK, "seed {seed}: it does not come back");
             let core = world.nodes[n].core.as_ref().unwrap();
             if core.is_in_contact(at(world.now)) && core.standing() == Standing::Current {
                 let known = core.ledger().get(Kind::Line, "l").map(|item| item.edition);
@@ -453,8 +458,8 @@
 /// What was heard before contact was lost, or by others that were cut off alike, is no part of a fresh reading.
 #[test]
 fn one_that_comes_back_counts_nothing_that_it_heard_before() {
-    let mut fresh = 0;
-    for seed in 0..seeds().end * 12 {
+    let mut in_contact = 0;
+    for seed in seeds() {
         let mut world = World::new(seed);
         world.run(5_000);
         let far = i64::MAX;
@@ -469,19 +474,27 @@
         let call = world.patch(3, "l", 7, Some(LINE));
         world.run(1_500);
         assert_eq!(world.answers[&call].1, Reply::Done, "seed {seed}");
-        // It finds the one that knows no more than itself, and two of the four.
+        // It finds the one that knows no more than itself, and two of the four, of whom at first nothing but beats comes
+        // through: it is in contact, and has read nothing of what was confirmed.
         [1, 2, 3].into_iter().for_each(|m| _ = world.cuts.remove(&(0, m)));
         let joined = world.now;
         while standing(&world, 0) != Some(Standing::Current) {
+            if world.now - joined < 3_000 {
+                let news = |word: &Word| {
+                    matches!(word, Word::Held(_) | Word::Items(_) | Word::Decided(_) | Word::Store(_))
+                };
+                world.wire.retain(|w| w.2 != 0 || w.1 == 1 || !news(&w.4));
+                let core = world.nodes[0].core.as_ref().unwrap();
+                in_contact += u64::from(core.is_in_contact(at(world.now)));
+            }
             world.step();
             nobody_is_wrong_about_its_contact(&world);
-            assert!(world.now - joined <= BACK, "seed {seed}: it does not come back");
+            assert!(world.now - joined <= 3_000 + BACK, "seed {seed}: it does not come back");
         }
         let known = world.nodes[0].core.as_ref().unwrap().ledger().get(Kind::Line, "l").map(|i| i.edition);
         assert_eq!(known, Some(7), "seed {seed}: current without what was confirmed");
-        fresh += 1;
     }
-    assert!(fresh >= 12);
+    assert!(in_contact > 0, "it came into contact with nothing read");
 }
 
 /// A gateway that has not caught up is told nothing by one out of contact: its session is closed, and none is opened. One
