--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -49,9 +49,10 @@
     pub(super) fn ask_core(&mut self, now: Moment) {
         if self.contact.state() == ContactState::Out {
             self.caught.clear();
+            self.inquiry = 0;
         }
-        (self.inquired, self.asked) = (now, now);
-        self.inquire();
+        self.inquired = now;
+        self.inquire(now);
     }
 
     /// Whether an order may be taken, gone on with and answered now.
@@ -125,6 +126,7 @@
             self.newest = now;
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
+        self.unread(&station);
         let name = Seat::from(hello).name();
         self.lost.remove(&name);
         self.leaving.remove(&name);
@@ -160,6 +162,7 @@
     }
 
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
+        self.unread(station);
         if let Some(peer) = self.peers.remove(station) {
             info!("event=peer-lost station={station} why={why}");
             self.lost.insert(peer.name, now);
@@ -215,13 +218,14 @@
         let duty = self.acts(now).unwrap_or(0);
         let beat = Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
         let leaving = self.standing == Standing::Leaving;
-        let digest = self.ledger.whole_digest();
+        let (digest, kept) = (self.ledger.whole_digest(), self.is_kept());
         for (station, peer) in &self.peers {
             let (number, yours) = self.contact.next(now, &peer.name);
-            let word = Word::Beat(Beat { digest, leaving, number, yours, ..beat.clone() });
+            let word = Word::Beat(Beat { digest, leaving, number, yours, kept, ..beat.clone() });
             self.acts.push(Act::Peer(station.clone(), word));
         }
         self.contact.sweep(now);
+        self.bury(now);
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
             self.peers.iter().filter(|(_, p)| silent(p.heard)).map(|(s, _)| s.clone()).collect();
--- a/crates/tenet/src/lib.rs
+++ b/crates/tenet/src/lib.rs
@@ -14,7 +14,7 @@
 pub use call::{read_back, read_back_as_call, read_call, Checker};
 pub use item::{Item, Kind};
 pub use judge::judge;
-pub use ledger::{Ledger, BUCKETS};
+pub use ledger::{piece_digest, Ledger, Piece, BUCKETS};
 pub use past::{record, record_key, unrecord, Entry, Merged, Verdict, Version, REMEMBERED};
 pub use reading::{Limits, Line, Mail, Route, Tenant};
 pub use refusal::Refusal;
