--- a/crates/accord/tests/stream.rs
+++ b/crates/accord/tests/stream.rs
@@ -220,6 +220,59 @@
     }
 }
 
+/// A call of 12 MiB over lines of 1 MiB a second: it is confirmed, nobody falls out of contact, and nobody else pushes it.
+#[test]
+fn a_long_call_over_slow_lines_is_confirmed_and_costs_no_contact() {
+    let mut world = World::new(9);
+    world.run(4_000);
+    world.rate = Some(1_050);
+    let value = |n: u8| Some(vec![n; 1 << 20].into());
+    let item = |n: u8| Item { kind: Kind::Line, name: format!("l{n}").into(), edition: 1, value: value(n) };
+    let call = world.ask(2, Order::Patch((0..12).map(item).collect()));
+    let (since, mut most) = (world.now, 0);
+    while !world.answers.contains_key(&call) {
+        world.step();
+        assert_eq!(world.current(), 6, "somebody is out of contact after {} ms", world.now - since);
+        let long = world.wire.iter().filter(|w| matches!(&w.4, Word::Store(s) if s.items.len() > 1));
+        most = most.max(long.count());
+    }
+    assert_eq!(world.answers[&call].1, Reply::Done);
+    println!("12 MiB over lines of 1 MiB a second: {} ms", world.now - since);
+    assert!(most <= 5, "{most} copies of the call on their way at once");
+    assert!(world.now - since < 14_500);
+}
+
+/// Calls of many MiB at once, and readings meanwhile: no word is longer than one may be, and all are answered.
+#[test]
+fn readings_among_long_undecided_calls_fit_in_a_word() {
+    let mut world = World::new(10);
+    world.run(4_000);
+    let value = |n: u8| Some(vec![n; 3 << 20].into());
+    let item = |n: u8| Item { kind: Kind::Line, name: format!("l{n}").into(), edition: 1, value: value(n) };
+    let calls: Vec<u64> = (0..10).map(|n| world.ask(n as usize % 6, Order::Patch(vec![item(n)]))).collect();
+    let (mut gets, until) = (Vec::new(), world.now + 6_000);
+    let mut most = 0;
+    while world.now < until {
+        if world.now < until - 5_000 && world.now % 200 == 0 {
+            gets.push(world.ask(world.now as usize / 200 % 6, Order::Get));
+        }
+        world.step();
+        for (_, _, _, _, word, _) in &world.wire {
+            if let Word::Held(held) = word {
+                let calls = held.calls.iter().map(|call| call.clone().call().unwrap().1.bytes());
+                let items = held.items.iter().map(|i| i.value.as_ref().map_or(0, |value| value.len()));
+                most = most.max(calls.sum::<usize>() + items.sum::<usize>());
+            }
+        }
+    }
+    assert!(calls.iter().all(|call| world.answers[call].1 == Reply::Done));
+    let whole = gets.iter().filter(|get| matches!(world.answers.get(get), Some((_, Reply::Body(_))))).count();
+    println!("{most} bytes in one answer at most; {whole} of {} readings answered in time", gets.len());
+    // The 4 MiB of calls that are told, or one more than that, and a bucket.
+    assert!(most > 3 << 20 && most < 9 << 20, "{most}");
+    assert!(whole * 2 > gets.len(), "{whole} of {}", gets.len());
+}
+
 /// What a gateway holds of the configuration goes to nobody; of backends it does.
 #[test]
 fn gateways_give_back_backends_alone() {
--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -7,7 +7,7 @@
 use kitepass_accord::order::{Order, Reply};
 use kitepass_bond::cast::Seat;
 use kitepass_bond::count::Slack;
-use kitepass_bond::words::{Hello, ItemWord, Items, Word};
+use kitepass_bond::words::{pack, Hello, ItemWord, Items, Word};
 use kitepass_course::link::{Brought, Link};
 use kitepass_tenet::{Item, Kind};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +57,9 @@
     pub frozen: [i64; 6],
     /// Disks that take so long for each sync, milliseconds.
     pub slow: [i64; 6],
+    /// Bytes that a line between two control processes carries in a millisecond, if that is bounded; signs of life go past
+    /// what waits, as the server has them do.
+    pub rate: Option<i64>,
     /// Drops are forgotten after so long, milliseconds, if it is not the usual time.
     pub age: Option<i64>,
     /// Sessions that were opened so far.
@@ -120,6 +123,7 @@
             session_wire: Vec::new(),
             frozen: [0; 6],
             slow: [0; 6],
+            rate: None,
             age: None,
             conns: 0,
         };
@@ -372,9 +376,22 @@
                     let to = station[1..].parse().unwrap();
                     if self.chance.rand_range(0..100) >= self.loss {
                         let late = self.now + self.chance.rand_range(1..120) as i64;
+                        let slow = self.rate.is_some();
+                        let urgent = |word: &Word| {
+                            slow && matches!(word, Word::Beat(_) | Word::Claim(_) | Word::Grant(_))
+                        };
                         // One connection: words do not overtake each other.
-                        let last = self.wire.iter().filter(|w| (w.1, w.2) == (n, to)).map(|w| w.0).max();
-                        let due = late.max(last.unwrap_or(0));
+                        let same = |w: &&Flight| (w.1, w.2) == (n, to) && urgent(&w.4) == urgent(&word);
+                        let last = self.wire.iter().filter(same).map(|w| w.0).max().unwrap_or(0);
+                        let due = match self.rate {
+                            Some(rate) if !urgent(&word) => {
+                                let mut bytes = Vec::new();
+                                pack(word.clone(), &mut bytes);
+                                late.max(last + bytes.len() as i64 / rate)
+                                    .max(self.now + bytes.len() as i64 / rate)
+                            }
+                            _ => late.max(last),
+                        };
                         self.wire.push((due, n, to, self.nodes[n].life, word, self.now));
                     }
                 }
