--- a/crates/accord/tests/world/mod.rs
+++ b/crates/accord/tests/world/mod.rs
@@ -12,6 +12,9 @@
 use kitepass_tenet::{Item, Kind};
 use std::collections::BTreeMap;
 
+/// A word on its way: when it comes, from whom, to whom, of which life, when it was sent.
+type Flight = (i64, usize, usize, u64, Word, i64);
+
 type Records = Vec<(Vec<u8>, Vec<u8>)>;
 
 pub const SLACK: Slack = Slack { window: 5.0, excess: 0.1, margin: 20.0 };
@@ -31,9 +34,15 @@
 pub struct World {
     pub now: i64,
     pub nodes: Vec<Node>,
-    pub wire: Vec<(i64, usize, usize, u64, Word)>,
+    pub wire: Vec<Flight>,
     /// Pairs that hear nothing of each other, until a moment.
     pub cuts: BTreeMap<(usize, usize), i64>,
+    /// Ways from one to another on which nothing comes through, until a moment.
+    pub ways: BTreeMap<(usize, usize), i64>,
+    /// Gateways that reach a process no longer, until a moment.
+    pub gate_cuts: BTreeMap<(usize, usize), i64>,
+    /// When the newest word that came from one to another was sent.
+    pub reached: BTreeMap<(usize, usize), i64>,
     pub chance: oorandom::Rand64,
     pub answers: BTreeMap<u64, (usize, Reply)>,
     pub calls: u64,
@@ -44,7 +53,8 @@
     pub frozen: [i64; 6],
     /// Disks that take so long for each sync, milliseconds.
     pub slow: [i64; 6],
-    conns: u64,
+    /// Sessions that were opened so far.
+    pub conns: u64,
 }
 
 /// A gateway: its true link, and the connection that it has to a control process.
@@ -53,6 +63,17 @@
     pub at: Option<(usize, u64)>,
 }
 
+/// As the store does: an empty value takes a record away.
+fn take(disk: &mut BTreeMap<Vec<u8>, Vec<u8>>, records: Records) {
+    for (key, value) in records {
+        if value.is_empty() {
+            disk.remove(&key);
+        } else {
+            disk.insert(key, value);
+        }
+    }
+}
+
 pub fn at(millis: i64) -> Moment {
     Moment::from_micros(millis * 1000)
 }
@@ -80,6 +101,9 @@
             nodes: nodes.collect(),
             wire: Vec::new(),
             cuts: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            gate_cuts: BTreeMap::new(),
+            reached: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             answers: BTreeMap::new(),
             calls: 0,
@@ -96,10 +120,11 @@
 
     /// Adds gateways, spread over the districts.
     pub fn gateways(&mut self, number: usize) {
+        let number = self.gates.len() + number;
         let provinces: BTreeMap<String, String> =
             self.nodes.iter().map(|n| (n.seat.district.clone(), n.seat.province.clone())).collect();
         let first: Vec<String> = [0, 2, 4].map(|n| format!("10.0.0.{n}")).into();
-        for gate in 0..number {
+        for gate in self.gates.len()..number {
             let seat = &self.nodes[gate % 6].seat;
             let hello = Hello {
                 station: format!("g{gate}"),
@@ -163,7 +188,9 @@
                 continue;
             };
             let (node, _) = self.gates[gate].at.unwrap();
-            if !up {
+            if self.gate_cut(gate, node) {
+                self.session_wire.push((due + 50, conn, up, word));
+            } else if !up {
                 let mut brought = Brought::default();
                 self.gates[gate].link.said(now, word, &mut brought);
                 if brought.close {
@@ -201,7 +228,7 @@
         for (_, _, records) in syncing {
             // Of what was written and not synced anything may be there after a loss of power, in any part.
             if !power || self.chance.rand_range(0..2) == 0 {
-                self.nodes[n].disk.extend(records);
+                take(&mut self.nodes[n].disk, records);
             }
         }
         let node = &mut self.nodes[n];
@@ -213,8 +240,14 @@
         }
     }
 
-    pub fn cut(&self, a: usize, b: usize) -> bool {
-        self.cuts.get(&(a.min(b), a.max(b))).is_some_and(|until| *until > self.now)
+    /// Whether nothing comes through from one to another.
+    pub fn cut(&self, from: usize, to: usize) -> bool {
+        let pair = self.cuts.get(&(from.min(to), from.max(to)));
+        [pair, self.ways.get(&(from, to))].into_iter().flatten().any(|until| *until > self.now)
+    }
+
+    fn gate_cut(&self, gate: usize, node: usize) -> bool {
+        self.gate_cuts.get(&(gate, node)).is_some_and(|until| *until > self.now)
     }
 
     pub fn step(&mut self) {
@@ -238,9 +271,9 @@
             }
         }
         let due: Vec<_> = self.wire.extract_if(.., |word| word.0 <= self.now).collect();
-        for (due, from, to, life, word) in due {
+        for (due, from, to, life, word, sent) in due {
             if self.frozen[to] > self.now {
-                self.wire.push((due + 50, from, to, life, word));
+                self.wire.push((due + 50, from, to, life, word, sent));
                 continue;
             }
             // What a process had sent before it was killed still arrives; with its power such words are gone.
@@ -250,6 +283,7 @@
             let station = self.nodes[from].seat.station.clone();
             // The receiver's connection is of one life: once another has said hello, what the earlier one said is dropped.
             if let Some(core) = self.nodes[to].core.as_mut().filter(|core| core.knows_life(&station, life)) {
+                self.reached.insert((from, to), sent);
                 core.peer_said(at(self.now), &station, word);
             }
         }
@@ -257,7 +291,7 @@
             let now = self.now;
             let synced: Vec<_> = self.nodes[n].syncing.extract_if(.., |s| s.0 <= now).collect();
             for (_, ticket, records) in synced {
-                self.nodes[n].disk.extend(records);
+                take(&mut self.nodes[n].disk, records);
                 if let Some(core) = &mut self.nodes[n].core {
                     core.kept(at(now), ticket);
                 }
@@ -286,7 +320,7 @@
                         // One connection: words do not overtake each other.
                         let last = self.wire.iter().filter(|w| (w.1, w.2) == (n, to)).map(|w| w.0).max();
                         let due = late.max(last.unwrap_or(0));
-                        self.wire.push((due, n, to, self.nodes[n].life, word));
+                        self.wire.push((due, n, to, self.nodes[n].life, word, self.now));
                     }
                 }
                 Act::Keep(ticket, records) => {
@@ -334,6 +368,12 @@
         self.ask(n, Order::Patch(vec![Item { kind: Kind::Line, name: name.into(), edition, value }]))
     }
 
+    /// One that is current.
+    pub fn current_one(&self) -> usize {
+        let is = |n: &Node| n.core.as_ref().is_some_and(|c| c.standing() == Standing::Current);
+        self.nodes.iter().position(is).expect("one is current")
+    }
+
     /// All that stand by and current.
     pub fn current(&self) -> usize {
         self.nodes
