--- a/crates/bond/src/words.rs
+++ b/crates/bond/src/words.rs
@@ -1,6 +1,7 @@
 //! The messages between the system's own processes; [`frame`](crate::frame) carries them.
 
 use crate::register::{Ballot, CallWord};
+use crate::tomb::Due;
 use bytes::Bytes;
 use kitepass_tenet::{Entry, Item, Kind, Version};
 use prost::Message;
@@ -13,7 +14,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Parcel {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub word: Option<Word>,
 }
 
@@ -50,6 +51,8 @@
     Live(Live),
     #[prost(message, tag = "15")]
     Decided(Decided),
+    #[prost(message, tag = "16")]
+    Forget(Forget),
 }
 
 /// Who speaks: the first word on each connection, from both ends.
@@ -109,6 +112,9 @@
     /// A control process that ends in order: its seat may go at once, before it is silent.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// A control process: all that it holds is on disk, and nothing is accepted there and undecided.
+    #[prost(bool, tag = "12")]
+    pub kept: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -246,7 +252,7 @@
     pub under: Option<Ballot>,
 }
 
-/// Asks a control process for all that it holds and the asker does not.
+/// Asks a control process for what it holds and the asker does not, in pieces: see [`Held`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Inquire {
     #[prost(uint64, tag = "1")]
@@ -268,6 +274,9 @@
     /// All calls that are accepted and undecided are to be told, whatever their keys.
     #[prost(bool, tag = "7")]
     pub all: bool,
+    /// The bucket to go on with; 0 at first.
+    #[prost(uint32, tag = "10")]
+    pub from: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -284,6 +293,17 @@
     /// The asker's life, as it was told.
     #[prost(fixed64, tag = "5")]
     pub life: u64,
+    /// The buckets from this one up to `next` are covered: what differs in them is here, as it was held in one moment.
+    /// Whoever has taken it asks on at `next`, until that is past the last bucket.
+    #[prost(uint32, tag = "10")]
+    pub from: u32,
+    #[prost(uint32, tag = "11")]
+    pub next: u32,
+    /// See `tenet::Piece`.
+    #[prost(bytes = "vec", tag = "12")]
+    pub differs: Vec<u8>,
+    #[prost(fixed64, tag = "13")]
+    pub digest: u64,
     /// No reading and no promise: the asker counts by an older era, or a higher ballot was promised.
     #[prost(bool, tag = "6")]
     pub refused: bool,
@@ -307,6 +327,30 @@
     pub mark: Bytes,
 }
 
+/// Drops that are forgotten, each of exactly this version.
+#[derive(Clone, PartialEq, Message)]
+pub struct Forget {
+    #[prost(message, repeated, tag = "1")]
+    pub drops: Vec<ItemWord>,
+}
+
+impl Forget {
+    pub fn of(due: &[Due]) -> Forget {
+        let drop = |(kind, name, edition): &Due| ItemWord {
+            kind: *kind as u32,
+            name: name.to_string(),
+            edition: *edition,
+            ..ItemWord::default()
+        };
+        Forget { drops: due.iter().map(drop).collect() }
+    }
+
+    pub fn due(self) -> Vec<Due> {
+        let items = self.drops.into_iter().filter_map(ItemWord::item);
+        items.map(|item| (item.kind, item.name, item.edition)).collect()
+    }
+}
+
 /// A call is decided: who has accepted it takes it up.
 #[derive(Clone, PartialEq, Message)]
 pub struct Decided {
@@ -461,16 +505,22 @@
 
 /// Appends items in as many words as they need.
 pub fn pack_items<'a>(items: impl Iterator<Item = &'a Item>, into: &mut Vec<u8>) {
-    let (mut batch, mut size) = (Vec::new(), 0);
+    batches(items).into_iter().for_each(|word| pack(word, into));
+}
+
+/// Items in as many words as they need.
+pub fn batches<'a>(items: impl Iterator<Item = &'a Item>) -> Vec<Word> {
+    let (mut batch, mut size, mut words) = (Vec::new(), 0, Vec::new());
     for item in items {
         size += item.bytes();
         batch.push(ItemWord::from(item));
         if size > BATCH {
-            pack(Word::Items(Items { items: std::mem::take(&mut batch) }), into);
+            words.push(Word::Items(Items { items: std::mem::take(&mut batch) }));
             size = 0;
         }
     }
     if !batch.is_empty() {
-        pack(Word::Items(Items { items: batch }), into);
+        words.push(Word::Items(Items { items: batch }));
     }
+    words
 }
