Where majorities of two casts meet, a change of the cast keeps elections open

Cause: each change of the cast closed elections for two seconds at every voter, also where one seat came or went and each majority of the next cast has a seat of each majority of the one before, which goes by what it granted.

Change: a voter grants renewals alone for a span only where the two casts' majorities need not meet, or the one before was itself known for less than a span.

--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -28,8 +28,10 @@
     /// `who` is the claimant's seat, at `station`.
     pub(super) fn vote(&mut self, now: Moment, station: &str, who: &str, claim: &Claim) {
         let era = self.era();
-        let newest = era.as_ref().map_or(0, Era::newest);
-        self.voter.cast(now, newest);
+        let newest = era.as_ref().map_or(0, |era| era.newest().edition);
+        if let Some(era) = &era {
+            self.voter.cast(now, era.newest());
+        }
         // Danger: a cast that was accepted here may be decided; a holder that counts by the one before would be granted on.
         let fence = self.undecided_cast().map_or(0, |_| self.era_number() | 1);
         let number = era.as_ref().map_or(0, Era::number).max(fence);
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -283,9 +283,9 @@
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         let name = me.name();
-        let newest = Era::of(&ledger).map_or(0, |era| era.newest());
+        let newest = Era::of(&ledger).map(|era| era.newest().clone());
         // Danger: a vote given before this cast was known says nothing of what a majority of it may have granted since.
-        let stood = newest == recorded.1;
+        let stood = newest.as_ref().is_some_and(|cast| cast.edition == recorded.1);
         let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
         info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
         let mut chance = oorandom::Rand64::new(u128::from(start.life));
--- a/crates/bond/src/cast.rs
+++ b/crates/bond/src/cast.rs
@@ -143,6 +143,12 @@
         all
     }
 
+    /// Whether each majority of this one has a seat in common with each of the other.
+    pub fn meets(&self, other: &Cast) -> bool {
+        let all = self.seats.iter().chain(&other.seats).map(Seat::name).collect::<BTreeSet<String>>().len();
+        self.majority() + other.majority() > all
+    }
+
     fn without(&self, name: &str) -> Cast {
         let seats = self.seats.iter().filter(|seat| seat.name() != name).cloned().collect();
         Cast { seats, edition: self.edition }
@@ -228,9 +234,9 @@
         self.both(|cast| cast.is_elected(votes))
     }
 
-    /// The edition of the newest of them.
-    pub fn newest(&self) -> u64 {
-        self.next.as_ref().unwrap_or(&self.now).edition
+    /// The newest of them.
+    pub fn newest(&self) -> &Cast {
+        self.next.as_ref().unwrap_or(&self.now)
     }
 
     /// Whether the seat of this name is in either.
--- a/crates/bond/src/lease.rs
+++ b/crates/bond/src/lease.rs
@@ -6,9 +6,10 @@
 //! Votes are told apart by seat names, and counted within an era (see [`Era`](crate::cast::Era)): in an odd era a majority
 //! of both casts is needed. Two holders at once would need votes of one seat for both, or of two eras. A voter that knows
 //! of a later era refuses a claim of an earlier one, so that a lease of an earlier era was asked for before the next cast
-//! was decided; and each voter, for a span after it hears that a cast is decided, grants nothing but renewals, by the end
-//! of which such a lease has run out.
+//! was decided; and where majorities of the two casts need not have a seat in common, each voter, for a span after it hears
+//! that the next one is decided, grants nothing but renewals, by the end of which such a lease has run out.
 
+use crate::cast::Cast;
 use crate::words::{Claim, Grant};
 use kitepass::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,31 +26,40 @@
     granted: BTreeMap<String, (String, u64, Moment)>,
     highest: BTreeMap<String, u64>,
     abstains: Moment,
-    /// The edition of the newest cast that is decided, in force or being brought in; and until when, as it is new, only
-    /// renewals are granted.
-    cast: u64,
+    /// The newest cast that is decided, in force or being brought in, and since when it is known here.
+    cast: Option<Cast>,
+    since: Moment,
+    /// Until then, as that cast is new, only renewals are granted.
     renews: Moment,
     /// Whom it granted each duty in an earlier life, as far as that is on disk.
     recalled: BTreeMap<String, String>,
 }
 
 impl Voter {
-    /// `cast` is the newest decided one on disk, 0 if none, and `recalled` whom it granted each duty while it knew of that
-    /// one. Danger: in an earlier life it may have granted what still holds, so for a span it grants to nobody else than
-    /// it did then, except at the first start of all. Whoever uses it keeps on disk whom it grants before it says so.
-    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>, cast: u64) -> Voter {
+    /// `cast` is the newest decided one on disk, and `recalled` whom it granted each duty while it knew of that one. Danger:
+    /// in an earlier life it may have granted what still holds, so for a span it grants to nobody else than it did then,
+    /// except at the first start of all. Whoever uses it keeps on disk whom it grants before it says so.
+    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>, cast: Option<Cast>) -> Voter {
         let abstains = if maiden { now } else { now + SPAN };
-        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains, cast, renews: now, recalled }
+        let (granted, highest) = (BTreeMap::new(), BTreeMap::new());
+        Voter { granted, highest, abstains, cast, since: now, renews: now, recalled }
     }
 
-    /// Tells the edition of the newest cast that is decided. Danger: a majority of it may have no seat that granted what a
-    /// majority of the one before did, and seats in whose place others came may have granted it.
-    pub fn cast(&mut self, now: Moment, edition: u64) {
+    /// Tells the newest cast that is decided. Danger: a majority of it may have no seat that granted what a majority of the
+    /// one before did. Where each majority has one, it is enough that it goes by what it granted; but only if the cast
+    /// before was not as new itself.
+    pub fn cast(&mut self, now: Moment, newest: &Cast) {
+        let known = self.cast.as_ref().map_or(0, |cast| cast.edition);
+        if newest.edition <= known {
+            return;
+        }
+        let meets =
+            self.cast.as_ref().is_some_and(|cast| cast.edition + 1 == newest.edition && cast.meets(newest));
         // Before the first cast there was nothing to grant.
-        if edition > self.cast.max(1) {
+        if newest.edition > 1 && !(meets && now - self.since >= SPAN) {
             self.renews = now + SPAN;
         }
-        self.cast = self.cast.max(edition);
+        (self.cast, self.since) = (Some(newest.clone()), now);
     }
 
     /// `who` is the claimant's seat, `era` the voter's own.
@@ -242,7 +252,7 @@
             let mut chance = oorandom::Rand64::new(seed);
             let at = |millis: i64| Moment::from_micros(millis * 1000);
             let mut voters: Vec<Voter> =
-                (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), 1)).collect();
+                (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), None)).collect();
             let mut recorded: Vec<BTreeMap<String, String>> = vec![BTreeMap::new(); 6];
             let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty", 0)).collect();
             let mut paused = [0i64; 6];
@@ -253,7 +263,7 @@
                 for who in 0..6 {
                     match chance.rand_range(0..12_000) {
                         0 => paused[who] = now + chance.rand_range(0..4_000) as i64,
-                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone(), 1),
+                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone(), None),
                         2 => claimants[who] = Claimant::new("duty", chance.rand_u64()),
                         _ => {}
                     }
@@ -309,7 +319,7 @@
     #[test]
     fn a_holder_is_granted_by_all_in_the_end_and_at_once_after_a_restart() {
         let at = |millis: i64| Moment::from_micros(millis * 1000);
-        let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), 1)).collect();
+        let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), None)).collect();
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         let (_, _) = (one.tick(at(0), true, Span::ZERO, 0), two.tick(at(0), true, Span::ZERO, 0));
         let (a, b) =
@@ -326,7 +336,7 @@
             voter.vote(at(600), "two", &back, 0);
             assert!(voter.vote(at(601), "one", &renewal, 0).granted);
         }
-        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into(), 1);
+        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into(), None);
         assert!(!back.vote(at(701), "two", &Claim { term: 9, ..renewal.clone() }, 0).granted);
         assert!(back.vote(at(702), "one", &renewal, 0).granted);
     }
@@ -334,7 +344,7 @@
     #[test]
     fn a_duty_that_is_given_back_is_free_at_once() {
         let now = Moment::from_micros(1);
-        let mut voter = Voter::new(now, true, BTreeMap::new(), 1);
+        let mut voter = Voter::new(now, true, BTreeMap::new(), None);
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         assert_eq!(one.tick(now, true, Span::ZERO, 0), None);
         let claim = one.tick(now, true, Span::ZERO, 0).unwrap();
