--- a/crates/bond/src/lease.rs
+++ b/crates/bond/src/lease.rs
@@ -4,10 +4,12 @@
 //! the moment at which it asked, a voter from the moment at which it granted, which is later.
 //!
 //! Votes are told apart by seat names, and counted within an era (see [`Era`](crate::cast::Era)): in an odd era a majority
-//! of both casts is needed. Two holders at once would need votes of one seat for both, or votes of two eras: a voter that
-//! knows of a later era refuses a claim of an earlier one, and a seat that is new in the cast abstains for a span, by the
-//! end of which whatever was granted without it has run out.
+//! of both casts is needed. Two holders at once would need votes of one seat for both, or of two eras. A voter that knows
+//! of a later era refuses a claim of an earlier one, so that a lease of an earlier era was asked for before the next cast
+//! was decided; and where majorities of the two casts need not have a seat in common, each voter, for a span after it hears
+//! that the next one is decided, grants nothing but renewals, by the end of which such a lease has run out.
 
+use crate::cast::Cast;
 use crate::words::{Claim, Grant};
 use kitepass::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,33 +26,40 @@
     granted: BTreeMap<String, (String, u64, Moment)>,
     highest: BTreeMap<String, u64>,
     abstains: Moment,
-    /// Until when it grants to nobody, as its seat is new.
-    new: Moment,
-    /// The newest cast by decided items in which this voter's seat stands.
-    seated: Option<u64>,
+    /// The newest cast that is decided, in force or being brought in, and since when it is known here.
+    cast: Option<Cast>,
+    since: Moment,
+    /// Until then, as that cast is new, only renewals are granted.
+    renews: Moment,
     /// Whom it granted each duty in an earlier life, as far as that is on disk.
     recalled: BTreeMap<String, String>,
 }
 
 impl Voter {
-    /// `seated` is the newest cast on disk that has its seat. Danger: in an earlier life it may have granted what still
-    /// holds, so for a span it grants to nobody else than it did then, except at the first start of all. Whoever uses it
-    /// keeps on disk whom it grants, and in which cast, before it says so.
-    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>, seated: Option<u64>) -> Voter {
+    /// `cast` is the newest decided one on disk, and `recalled` whom it granted each duty while it knew of that one. Danger:
+    /// in an earlier life it may have granted what still holds, so for a span it grants to nobody else than it did then,
+    /// except at the first start of all. Whoever uses it keeps on disk whom it grants before it says so.
+    pub fn new(now: Moment, maiden: bool, recalled: BTreeMap<String, String>, cast: Option<Cast>) -> Voter {
         let abstains = if maiden { now } else { now + SPAN };
-        let seated = if maiden { Some(0) } else { seated };
-        Voter { granted: BTreeMap::new(), highest: BTreeMap::new(), abstains, new: now, seated, recalled }
+        let (granted, highest) = (BTreeMap::new(), BTreeMap::new());
+        Voter { granted, highest, abstains, cast, since: now, renews: now, recalled }
     }
 
-    /// Tells the edition of the newest decided cast, in force or being brought in, if this voter's seat stands in it.
-    /// Danger: seats in whose place it came may have granted what still holds. Once a cast is decided nobody gets a
-    /// majority of the one before under an earlier era, so all that was granted so runs out within a span.
-    pub fn seat(&mut self, now: Moment, edition: Option<u64>) {
-        let stood = self.seated.zip(edition).is_some_and(|(was, is)| is <= was + 1);
-        if edition.is_some() && !stood {
-            self.new = now + SPAN;
+    /// Tells the newest cast that is decided. Danger: a majority of it may have no seat that granted what a majority of the
+    /// one before did. Where each majority has one, it is enough that it goes by what it granted; but only if the cast
+    /// before was not as new itself.
+    pub fn cast(&mut self, now: Moment, newest: &Cast) {
+        let known = self.cast.as_ref().map_or(0, |cast| cast.edition);
+        if newest.edition <= known {
+            return;
         }
-        self.seated = edition;
+        let meets =
+            self.cast.as_ref().is_some_and(|cast| cast.edition + 1 == newest.edition && cast.meets(newest));
+        // Before the first cast there was nothing to grant.
+        if newest.edition > 1 && !(meets && now - self.since >= SPAN) {
+            self.renews = now + SPAN;
+        }
+        (self.cast, self.since) = (Some(newest.clone()), now);
     }
 
     /// `who` is the claimant's seat, `era` the voter's own.
@@ -64,9 +73,8 @@
             // them. Without it a voter that once voted for a rival would never be the holder's again.
             None => claim.holds || claim.term > highest || claim.term == highest && self.was(who, claim),
         };
-        let may = now >= self.new;
-        let may = may
-            && (now >= self.abstains || self.recalled.get(&claim.duty).is_some_and(|holder| holder == who));
+        let may = now >= self.abstains || self.recalled.get(&claim.duty).is_some_and(|holder| holder == who);
+        let may = may && (now >= self.renews || claim.holds);
         // Danger: a claimant that has not heard of the cast that is being brought in would count votes by the one before.
         let timely = claim.era >= era;
         let granted = free && may && timely && !claim.release;
@@ -244,7 +252,7 @@
             let mut chance = oorandom::Rand64::new(seed);
             let at = |millis: i64| Moment::from_micros(millis * 1000);
             let mut voters: Vec<Voter> =
-                (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), Some(0))).collect();
+                (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), None)).collect();
             let mut recorded: Vec<BTreeMap<String, String>> = vec![BTreeMap::new(); 6];
             let mut claimants: Vec<Claimant> = (0..6).map(|_| Claimant::new("duty", 0)).collect();
             let mut paused = [0i64; 6];
@@ -255,7 +263,7 @@
                 for who in 0..6 {
                     match chance.rand_range(0..12_000) {
                         0 => paused[who] = now + chance.rand_range(0..4_000) as i64,
-                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone(), Some(0)),
+                        1 => voters[who] = Voter::new(at(now), false, recorded[who].clone(), None),
                         2 => claimants[who] = Claimant::new("duty", chance.rand_u64()),
                         _ => {}
                     }
@@ -311,8 +319,7 @@
     #[test]
     fn a_holder_is_granted_by_all_in_the_end_and_at_once_after_a_restart() {
         let at = |millis: i64| Moment::from_micros(millis * 1000);
-        let mut voters: Vec<Voter> =
-            (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), Some(0))).collect();
+        let mut voters: Vec<Voter> = (0..6).map(|_| Voter::new(at(0), true, BTreeMap::new(), None)).collect();
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         let (_, _) = (one.tick(at(0), true, Span::ZERO, 0), two.tick(at(0), true, Span::ZERO, 0));
         let (a, b) =
@@ -329,7 +336,7 @@
             voter.vote(at(600), "two", &back, 0);
             assert!(voter.vote(at(601), "one", &renewal, 0).granted);
         }
-        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into(), Some(0));
+        let mut back = Voter::new(at(700), false, [("d".into(), "one".into())].into(), None);
         assert!(!back.vote(at(701), "two", &Claim { term: 9, ..renewal.clone() }, 0).granted);
         assert!(back.vote(at(702), "one", &renewal, 0).granted);
     }
@@ -337,7 +344,7 @@
     #[test]
     fn a_duty_that_is_given_back_is_free_at_once() {
         let now = Moment::from_micros(1);
-        let mut voter = Voter::new(now, true, BTreeMap::new(), Some(0));
+        let mut voter = Voter::new(now, true, BTreeMap::new(), None);
         let (mut one, mut two) = (Claimant::new("d", 0), Claimant::new("d", 0));
         assert_eq!(one.tick(now, true, Span::ZERO, 0), None);
         let claim = one.tick(now, true, Span::ZERO, 0).unwrap();
