What is decided goes to disk with the next sync, not by one of its own

Change: records of what is decided wait for the next records or the next tick; it is on enough disks as accepted already.

--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -47,9 +47,10 @@
             return false;
         }
         let entries = changed.iter().filter_map(|item| self.ledger.entry(item.kind, &item.name));
-        let mut records: Vec<(Vec<u8>, Vec<u8>)> = entries.map(kitepass_tenet::record).collect();
-        records.extend(self.acceptor.settle(&self.ledger, &changed));
-        self.keep_records(records, Kept::Nothing);
+        // What is decided is on enough disks as accepted already: that it is decided can wait for the next sync. Danger: a
+        // sync of its own would hold up the next call's for as long as a disk takes.
+        self.later.extend(entries.map(kitepass_tenet::record));
+        self.later.extend(self.acceptor.settle(&self.ledger, &changed));
         self.spread(&news);
         self.founded();
         true
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -226,6 +226,8 @@
     /// It holds what it held before it was away for long, and has yet to be found in the cast.
     unproven: bool,
     keeping: BTreeMap<u64, Kept>,
+    /// Records that go to disk with the next ones, or at the next tick.
+    later: Vec<(Vec<u8>, Vec<u8>)>,
     ticket: u64,
     beat: Moment,
     inquired: Moment,
@@ -338,6 +340,7 @@
             touched: now,
             unproven: is_held,
             keeping: BTreeMap::new(),
+            later: Vec::new(),
             ticket: 0,
             beat: now,
             inquired: Moment::default(),
@@ -394,8 +397,13 @@
         self.ticket
     }
 
+    /// Records go to disk, behind those that could wait.
     fn keep_records(&mut self, records: Vec<(Vec<u8>, Vec<u8>)>, why: Kept) {
         let ticket = self.ticket();
+        let records = match self.later.is_empty() {
+            true => records,
+            false => std::mem::take(&mut self.later).into_iter().chain(records).collect(),
+        };
         self.keeping.insert(ticket, why);
         self.acts.push(Act::Keep(ticket, records));
     }
@@ -490,6 +498,9 @@
         self.claim(now);
         self.settle(now);
         self.pursue(now);
+        if !self.later.is_empty() {
+            self.keep_records(Vec::new(), Kept::Nothing);
+        }
         let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
         let is_late = |work: &Work| now - work.since > patience(&work.order);
         let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
