One that forgets its accepted calls forgets its denials' index as well

Change: denials go one by one, by the function that keeps the index. The unit test forgets and goes on.

--- a/crates/bond/src/register.rs
+++ b/crates/bond/src/register.rs
@@ -514,6 +514,7 @@
     }
 
     fn insert_denial(&mut self, ballot: Ballot, mark: Mark, keys: Vec<u64>) {
+        self.remove_denial(mark);
         self.denied_keys += keys.len();
         keys.iter().for_each(|key| _ = self.denied_by_key.entry(*key).or_default().insert(mark));
         self.denied.insert(mark, (ballot, keys));
@@ -560,9 +561,10 @@
     pub fn forget_calls(&mut self) -> Vec<Record> {
         let marks: Vec<Mark> = self.calls.keys().copied().collect();
         marks.iter().for_each(|mark| self.remove(*mark));
-        let denied = std::mem::take(&mut self.denied);
-        let records = marks.into_iter().map(record_key).chain(denied.into_keys().map(denial_key));
-        records.map(|key| (key, Vec::new())).collect()
+        let mut records: Vec<Record> = marks.into_iter().map(|mark| (record_key(mark), Vec::new())).collect();
+        let denied: Vec<Mark> = self.denied.keys().copied().collect();
+        records.extend(denied.into_iter().filter_map(|mark| self.remove_denial(mark)));
+        records
     }
 
     /// The accepted, undecided calls that touch any of the keys, by their marks.
--- a/crates/bond/src/register/tests.rs
+++ b/crates/bond/src/register/tests.rs
@@ -152,6 +152,13 @@
     }
     assert_eq!((acceptor.denials(&[0]).count(), acceptor.denials(&[1]).count()), (0, 1));
     assert_eq!((acceptor.denied.len(), acceptor.denied_keys), (MOST_DENIED, MOST_DENIED));
+    // One that has no seat any more forgets all of it, and goes on from there.
+    acceptor.accept(ballot(2, 1), two, Bid::First, &ledger).unwrap();
+    assert_eq!(acceptor.forget_calls().len(), MOST_DENIED + 2);
+    assert_eq!((acceptor.denials(&[1]).count(), acceptor.denied_keys, acceptor.pending().count()), (0, 0, 0));
+    assert!(acceptor.denied_by_key.is_empty() && acceptor.by_key.is_empty() && acceptor.by_name.is_empty());
+    acceptor.deny(ballot(2, 2), one.mark(), &[1]).unwrap();
+    assert_eq!(acceptor.denials(&[1]).count(), 1);
 }
 
 /// W={a,b}, V={b,c}, X={c,a}, each with another content: whoever is behind another leads to the highest ballot.
