--- a/crates/accord/src/core/duty.rs
+++ b/crates/accord/src/core/duty.rs
@@ -206,6 +206,7 @@
             Some((edition, _)) if edition == next.edition => {
                 self.odd = Some((edition, pause(HALF_WAY)));
                 if !self.recasts() {
+                    info!("event=cast-taken-up edition={edition}");
                     self.begin(now, None, Order::Fill(next.clone()));
                 }
             }
