--- a/crates/accord/tests/cast.rs
+++ b/crates/accord/tests/cast.rs
@@ -4,9 +4,11 @@
 
 mod world;
 
-use kitepass_accord::core::{Core, Standing};
+use kitepass_accord::core::{Act, Core, Standing};
 use kitepass_accord::order::{Order, Reply};
 use kitepass_bond::cast::{Cast, Seat, NEXT, NOW};
+use kitepass_bond::register::Ballot;
+use kitepass_bond::words::{ItemWord, Store, Word};
 use kitepass_tenet::Kind;
 use std::collections::{BTreeMap, BTreeSet};
 use world::{at, World};
@@ -32,12 +34,19 @@
     /// What each call set.
     calls: BTreeMap<u64, (String, u64)>,
     casts: BTreeMap<(&'static str, u64), Cast>,
+    /// Terms that were won, by process.
+    won: BTreeSet<(usize, u64)>,
 }
 
 impl Play {
     fn new(seed: u64) -> Play {
-        let mut play =
-            Play { world: World::new(seed), newest: 0, calls: BTreeMap::new(), casts: BTreeMap::new() };
+        let mut play = Play {
+            world: World::new(seed),
+            newest: 0,
+            calls: BTreeMap::new(),
+            casts: BTreeMap::new(),
+            won: BTreeSet::new(),
+        };
         play.run(5_000, false);
         assert_eq!(play.world.current(), 6, "seed {seed}");
         play
@@ -49,8 +58,13 @@
 
     fn step(&mut self) {
         self.world.step();
-        for node in &self.world.nodes {
+        let now = at(self.world.now);
+        for (n, node) in self.world.nodes.iter().enumerate() {
             let Some(core) = &node.core else { continue };
+            // Whoever has just won the duty has not read yet, which takes a way there and back.
+            if let Some(term) = core.holds(now).filter(|term| self.won.insert((n, *term))) {
+                assert_eq!(core.acts(now), None, "s{n} acts as it wins term {term}, at {}", self.world.now);
+            }
             for name in [NOW, NEXT] {
                 if let Some(cast) = Cast::of(core.ledger(), name) {
                     let first = self.casts.entry((name, cast.edition)).or_insert_with(|| cast.clone());
@@ -97,12 +111,16 @@
 
     /// Until the cast is of all who run, and all are current; how long that takes.
     fn repaired(&mut self, what: &str) -> i64 {
+        self.repaired_with(what, true)
+    }
+
+    fn repaired_with(&mut self, what: &str, orders: bool) -> i64 {
         let since = self.world.now;
         let whole = |play: &Play| {
             play.running().len() == 6 && play.seats() == play.running() && play.world.current() == 6
         };
         while !whole(self) {
-            self.run(50, true);
+            self.run(50, orders);
             let took = self.world.now - since;
             assert!(took <= REPAIRED, "{what}: {:?} of {:?}", self.seats(), self.running());
         }
@@ -338,3 +356,78 @@
         play.check(&format!("seed {seed}"));
     }
 }
+
+/// Whoever is to be a copy of a cast that comes in force, and lacks some of what its writer holds, asks for that first;
+/// whoever holds the same accepts at once. Each such word on the way says what its writer holds.
+#[test]
+fn a_copy_of_a_cast_in_force_waits_for_all_that_its_writer_holds() {
+    let mut play = Play::new(3);
+    let next = Cast { edition: 2, ..play.cast() };
+    let now = at(play.world.now);
+    for (lacks, node) in [(true, 4), (false, 5)] {
+        let life = play.world.nodes[0].life;
+        let core = play.world.nodes[node].core.as_mut().expect("it runs");
+        let mut whole = core.ledger().whole_buckets().to_vec();
+        whole[7] ^= u64::from(lacks);
+        let ballot = Some(Ballot { era: 3, round: 1, who: life });
+        let items = vec![(&next.item(NOW)).into()];
+        let store = Store { ticket: 1 << 40, items, life, era: 3, ballot, whole, ..Store::default() };
+        core.acts.clear();
+        core.peer_said(now, "s0", Word::Store(store));
+        let asks = core.acts.iter().any(|act| matches!(act, Act::Peer(to, Word::Inquire(_)) if to == "s0"));
+        let accepts = core.acts.iter().any(|act| {
+            matches!(act, Act::Keep(_, records) if records.iter().any(|(key, _)| key.starts_with(b"call:")))
+        });
+        assert_eq!((asks, accepts), (lacks, !lacks));
+    }
+    let mut play = Play::new(4);
+    play.world.kill(3, true, true, 300);
+    let until = play.world.now + REPAIRED;
+    let mut told = 0;
+    while play.seats() != play.running() {
+        play.run(10, true);
+        for (.., word, _) in &play.world.wire {
+            if let Word::Store(store) = word {
+                let in_force = |item: &ItemWord| item.kind == Kind::Cast as u32 && item.name == NOW;
+                if store.items.iter().any(in_force) {
+                    told += 1;
+                    assert!(!store.whole.is_empty());
+                }
+            }
+        }
+        assert!(play.world.now < until);
+    }
+    assert!(told > 0);
+}
+
+/// A disk is lost, and as the next cast is decided and nobody has accepted it to be in force, a region's disks go and all
+/// others are killed: of the cast before three of six are left, which elect nobody, but read; the change is ended, as no
+/// call stands open that only the cast before could have decided.
+#[test]
+fn a_change_that_half_of_the_cast_before_is_left_to_end_is_ended() {
+    let mut latest = 0;
+    for seed in seeds(8) {
+        let mut play = Play::new(seed);
+        play.run(1_000, true);
+        play.run(1_500, false);
+        let lost = seed as usize % 6;
+        let region = (lost / 2 * 2 + 2) % 6;
+        play.world.kill(lost, true, true, 300);
+        let knows = |play: &Play, n: usize| {
+            play.core(n)
+                .is_some_and(|core| Cast::of(core.ledger(), NEXT).is_some_and(|cast| cast.edition == 2))
+        };
+        let stays = |n: &usize| ![region, region + 1].contains(n);
+        let until = play.world.now + REPAIRED;
+        while !(0..6).filter(stays).all(|n| knows(&play, n)) {
+            play.run(10, false);
+            assert!(play.world.now < until, "seed {seed}: no change of the cast");
+        }
+        assert_eq!(play.cast().edition, 1, "seed {seed}: too late");
+        (0..6).for_each(|n| play.world.kill(n, false, !stays(&n), 300));
+        play.run(600, false);
+        latest = latest.max(play.repaired_with(&format!("seed {seed}"), false));
+        play.check(&format!("seed {seed}"));
+    }
+    println!("ended and repaired after {latest} ms at the latest");
+}
