--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -612,13 +612,23 @@
 
     /// Begins to settle what is due; to be called at each tick.
     pub(super) fn settle(&mut self, now: Moment) {
-        if self.standing != Standing::Current {
-            return;
+        // Danger: where all lost power while a cast was brought in, each would refuse the others what they need to catch up,
+        // for its sake, and none would settle it. So that alone is settled by one that has yet to catch up.
+        let fence = self.undecided_cast().map(|(_, cast)| cast);
+        let catches_up = matches!(self.standing, Standing::Behind | Standing::Apart);
+        let only = match (self.standing, &fence) {
+            (Standing::Current, _) => None,
+            (_, Some(cast)) if catches_up && self.full && self.is_in_contact(now) => Some(cast.mark()),
+            _ => return,
+        };
+        if let Some(cast) = &fence {
+            self.watch(now, cast);
         }
         let busy: BTreeSet<Mark> = self.work.values().filter_map(|w| Some(w.call.as_ref()?.mark())).collect();
         let mut calls = Vec::new();
         for (mark, watched) in &mut self.watch {
-            if watched.due <= now && !busy.contains(mark) && calls.len() < MOST_SETTLED {
+            let may = only.is_none_or(|only| only == *mark) && !busy.contains(mark);
+            if watched.due <= now && may && calls.len() < MOST_SETTLED {
                 let most = RETRY << watched.tries.min(MOST_DOUBLED);
                 watched.tries += 1;
                 let size = on_its_way(watched.call.bytes());
