Copies lie in more than one place of both casts together; pauses are drawn flat

Pauses that double kept eight rivals waiting up to 4.1 s, beyond a caller's patience of 2.5 (register's walks). Change: in a joint era copies need a majority of both casts, and more than one place among the seats of both.

--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -13,10 +13,10 @@
 const OTHERS: u64 = 1_000_000;
 /// A drawn time before another try at it is up to so long after the first, and doubles with each.
 const RETRY: u64 = 1_000_000;
-/// A drawn pause before an order's next reading is up to so long after the first that was refused, and doubles with each.
-/// Danger: two that outbid each other at once never end.
+/// A drawn pause before an order's next reading is up to so long. Danger: two that outbid each other at once never end;
+/// pauses that double keep callers waiting beyond their patience (docs/control-register.md).
 const PAUSE: u64 = 100_000;
-/// How often these double.
+/// How often the former doubles.
 const MOST_DOUBLED: u32 = 3;
 /// Calls that are watched until they are settled, and denials that are remembered.
 const MOST_WATCHED: usize = 1_024;
@@ -53,8 +53,6 @@
     seen: Seen,
     /// The highest that was told in this reading: see [`Held`].
     whole: u64,
-    /// How often it was refused by somebody who had promised more.
-    refused: u32,
     step: Step,
     pub(super) since: Moment,
 }
@@ -103,10 +101,8 @@
         };
         let step = Step::Paused(now);
         let (ballot, seen) = (Ballot::default(), Seen::new());
-        self.work.insert(
-            id,
-            Work { caller, order, call, ballot, attempt: 0, seen, whole: 0, refused: 0, step, since: now },
-        );
+        self.work
+            .insert(id, Work { caller, order, call, ballot, attempt: 0, seen, whole: 0, step, since: now });
         self.read(now, id);
     }
 
@@ -303,9 +299,7 @@
         if matches!(work.order, Order::Settle(_)) {
             return self.end(id, Reply::Done); // another is at it; if it comes to nothing, this one's turn comes again
         }
-        let most = PAUSE << work.refused.min(MOST_DOUBLED);
-        work.refused += 1;
-        let pause = Span::from_micros(self.chance.rand_range(0..most) as i64);
+        let pause = Span::from_micros(self.chance.rand_range(0..PAUSE) as i64);
         self.step(id, Step::Paused(now + pause));
     }
 
@@ -341,7 +335,9 @@
         }
         let items = work.call.iter().flat_map(|call| call.items().iter());
         let mut casts = items.filter(|item| item.kind == Kind::Cast).filter_map(Cast::from_item);
-        self.is_safe(copies) && casts.all(|cast| cast.is_safe(copies))
+        let Some(era) = self.era() else { return false };
+        let with = casts.next().map_or(era.clone(), |next| era.fenced(Some(next)));
+        with.is_safe(copies)
     }
 
     /// All that was decided anywhere before this reading is known here by now, or was told as accepted.
--- a/crates/bond/src/cast.rs
+++ b/crates/bond/src/cast.rs
@@ -106,13 +106,7 @@
     /// Whether these seats' copies make a write safe: a majority, and not all in one province or district.
     /// Danger: a zone's or a region's disks may be lost at once, while the others lose power.
     pub fn is_safe(&self, copies: &BTreeSet<String>) -> bool {
-        let with: Vec<&Seat> = self.among(copies).collect();
-        let spread = |of: fn(&Seat) -> &str| {
-            let all: BTreeSet<&str> = self.seats.iter().map(of).collect();
-            let these: BTreeSet<&str> = with.iter().map(|seat| of(seat)).collect();
-            all.len() < 2 || these.len() > 1
-        };
-        with.len() >= self.majority() && spread(|seat| &seat.province) && spread(|seat| &seat.district)
+        self.is_elected(copies) && is_spread(&self.seats, copies)
     }
 
     /// Whether these full seats together know all that was acknowledged.
@@ -193,6 +187,17 @@
     }
 }
 
+/// Whether the copies lie in more than one province and more than one district, where the seats do. Danger: a zone's or a
+/// region's disks may be lost at once, while the others lose power.
+fn is_spread(seats: &[Seat], copies: &BTreeSet<String>) -> bool {
+    let spread = |of: fn(&Seat) -> &str| {
+        let all: BTreeSet<&str> = seats.iter().map(of).collect();
+        let with = seats.iter().filter(|seat| copies.contains(&seat.name()));
+        all.len() < 2 || with.map(of).collect::<BTreeSet<&str>>().len() > 1
+    };
+    spread(|seat| &seat.province) && spread(|seat| &seat.district)
+}
+
 /// The casts that decide: the one in force, and the one that is being brought in, if any.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Era {
@@ -221,9 +226,13 @@
         holds(&self.now) && self.next.as_ref().is_none_or(holds)
     }
 
-    /// Danger: what one cast alone took for safe, the other would not read. So too for readings and votes.
+    /// Danger: what one cast alone took for safe, the other would not read. So too for readings and votes. Copies lie in more
+    /// than one place of both casts together. Danger: a cast that lost the one seat outside of a region could not let its
+    /// successor in, if copies had to lie there by that cast alone.
     pub fn is_safe(&self, copies: &BTreeSet<String>) -> bool {
-        self.both(|cast| cast.is_safe(copies))
+        let next = self.next.iter().flat_map(|next| &next.seats);
+        let seats: Vec<Seat> = self.now.seats.iter().chain(next).cloned().collect();
+        self.is_elected(copies) && is_spread(&seats, copies)
     }
 
     pub fn is_read(&self, heard: &BTreeSet<String>) -> bool {
