--- a/crates/accord/src/core/catching.rs
+++ b/crates/accord/src/core/catching.rs
@@ -1,8 +1,35 @@
-//! Catching up with the core: what others hold is asked for, taken in and kept; the first cast is made.
+//! Catching up with the core: what others hold is asked for piece by piece, taken in and kept; the first cast is made.
 
 use super::*;
 use kitepass_tenet::{Merged, Version};
 
+/// About how many bytes of items one answer brings. So what is unsent is bounded for each that asks, as it asks on only
+/// once it has an answer.
+const PIECE: usize = 512 * 1024;
+/// An answer that has not come by then is asked for again, the first and a later one: the question may have been lost
+/// with a connection. What waits for a slow line already is not told twice: see the server.
+const OVERDUE: [Span; 2] = [Span::from_micros(500_000), Span::from_micros(2_000_000)];
+/// So often a piece that was not whole is asked for again.
+const MOST_SPOILT: u32 = 3;
+
+/// How far the reading of one other process has come, under one ticket.
+pub(super) struct Reader {
+    hashes: Arc<[u64]>,
+    era: u64,
+    /// The bucket that is asked for.
+    from: u32,
+    at: Moment,
+    spoilt: u32,
+    /// What the first answer told beside its piece of items.
+    first: Option<Held>,
+}
+
+impl Reader {
+    fn is_overdue(&self, now: Moment) -> bool {
+        now - self.at > OVERDUE[usize::from(self.from > 0)]
+    }
+}
+
 impl Core {
     /// Takes decided items in, with their older versions; those that are news go to all sessions, and to disk. True if any
     /// was.
@@ -30,8 +57,12 @@
 
     pub(super) fn spread(&mut self, news: &[Item]) {
         news.iter().for_each(|item| learn(&mut self.terms, item));
-        for session in self.sessions.keys().filter(|_| !news.is_empty()) {
-            self.acts.push(Act::Items(*session, news.to_vec()));
+        if news.is_empty() || self.sessions.is_empty() {
+            return;
+        }
+        let news: Arc<[Item]> = news.into();
+        for session in self.sessions.keys() {
+            self.acts.push(Act::Items(*session, news.clone()));
         }
     }
 
@@ -46,14 +77,106 @@
         self.maiden &= self.cast().is_none();
     }
 
-    pub(super) fn held(&mut self, now: Moment, name: &str, mut held: Held) {
+    /// An inquiry that goes on until all is read.
+    pub(super) fn ask(&mut self, now: Moment, station: &str, inquire: Inquire) {
+        let hashes = Arc::from(inquire.hashes.as_slice());
+        let reader = Reader { hashes, era: inquire.era, from: 0, at: now, spoilt: 0, first: None };
+        self.readers.insert((inquire.ticket, station.to_owned()), reader);
+        self.send(station, Word::Inquire(inquire));
+    }
+
+    pub(super) fn ask_all(&mut self, now: Moment, inquire: &Inquire) {
+        let stations: Vec<String> = self.peers.keys().cloned().collect();
+        stations.iter().for_each(|station| self.ask(now, station, inquire.clone()));
+    }
+
+    /// An inquiry for what another holds and this process does not.
+    fn word_of(&self, ticket: u64, era: u64) -> Inquire {
+        let hashes = self.ledger.whole_buckets().to_vec();
+        Inquire { ticket, hashes, life: self.life, era, ..Inquire::default() }
+    }
+
+    /// The next piece of what the asker lacks.
+    pub(super) fn piece(&self, inquire: &Inquire, held: &mut Held) {
+        let piece = self.ledger.whole_piece(&inquire.hashes, inquire.from as usize, PIECE);
+        held.items = piece.items.into_iter().map(ItemWord::from).collect();
+        (held.from, held.next) = (inquire.from, piece.next as u32);
+        (held.differs, held.digest) = (piece.differs, piece.digest);
+    }
+
+    /// Takes a piece in, whatever it belongs to, and asks on. What the first answer told comes back once all that the other
+    /// held then is known here.
+    fn took(&mut self, now: Moment, station: &str, name: &str, mut held: Held) -> Option<Held> {
         let items = std::mem::take(&mut held.items);
-        self.take(items.into_iter().filter_map(ItemWord::entry).collect());
-        // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a reading
-        // that was never made.
-        if held.life != self.life {
+        let mut items: Vec<_> = items.into_iter().filter_map(ItemWord::entry).collect();
+        // Danger: one that stands outside of the cast may hold what was dropped and forgotten.
+        let trusts = self.trusts(name);
+        // Danger: tickets begin anew in each life, and an answer to an earlier one may come late: it would pass for a
+        // reading that was never made.
+        let key = (held.ticket, station.to_owned());
+        let reader = if held.life == self.life { self.readers.remove(&key) } else { None };
+        let Some(mut reader) = reader else {
+            items.retain(|(item, _)| trusts || item.kind == Kind::Cast);
+            self.take(items);
+            return None;
+        };
+        if held.from != reader.from {
+            // It was asked for twice, and came twice.
+            self.readers.insert(key, reader);
+            items.retain(|(item, _)| trusts || item.kind == Kind::Cast);
+            self.take(items);
+            return None;
+        }
+        let mut given = Ledger::new();
+        items.iter().for_each(|(item, past)| _ = given.merge_with(item.clone(), past));
+        let (from, next) = (held.from as usize, held.next as usize);
+        let digest = piece_digest(given.whole_buckets(), &reader.hashes, from, next, &held.differs);
+        if !trusts {
+            items.retain(|(item, _)| item.kind == Kind::Cast);
+        }
+        self.take(items);
+        if !trusts {
+            return None;
+        }
+        let whole = next > from && digest == held.digest;
+        let (ticket, told) = (held.ticket, held.digest);
+        let first = reader.first.take().unwrap_or(held);
+        if first.refused {
+            return Some(first);
+        }
+        reader.at = now;
+        // Danger: a piece that is short of an item, by whatever fault, would pass for all that the other holds.
+        if !whole {
+            reader.spoilt += 1;
+            warn!(
+                "event=held-differs station={station} from={from} next={next} told={told:x} here={digest:x}"
+            );
+            if reader.spoilt > MOST_SPOILT {
+                return None;
+            }
+        } else if next >= BUCKETS {
+            return Some(first);
+        } else {
+            reader.from = next as u32;
+        }
+        reader.first = Some(first);
+        let hashes = reader.hashes.to_vec();
+        let inquire = Inquire { ticket, hashes, life: self.life, era: reader.era, ..Inquire::default() };
+        let inquire = Inquire { from: reader.from, ..inquire };
+        self.readers.insert(key, reader);
+        self.send(station, Word::Inquire(inquire));
+        None
+    }
+
+    /// `name` is the seat of the process at `station`.
+    pub(super) fn held(&mut self, now: Moment, station: &str, name: &str, held: Held) {
+        let own = station == self.me.station && held.life == self.life;
+        let held = if own { Some(held) } else { self.took(now, station, name, held) };
+        // A cast may have come in which it has no seat: then what was read is not held any more.
+        if self.prove(now) {
             return;
         }
+        let Some(held) = held else { return };
         if self.pulled(now, held.ticket, &held) || !held.full || !held.founded {
             return;
         }
@@ -65,21 +188,16 @@
             return;
         }
         self.caught.insert(name.to_owned());
+        self.caught_whole = self.caught_whole.max(held.whole);
         self.catch_up(now);
     }
 
     /// A copy that another asks for waits until this process holds all that the other does.
-    pub(super) fn pull(&mut self, station: &str, store: Store) {
+    pub(super) fn pull(&mut self, now: Moment, station: &str, store: Store) {
         let ticket = self.ticket();
-        let inquire = Inquire {
-            ticket,
-            hashes: self.ledger.whole_buckets().to_vec(),
-            life: self.life,
-            era: store.era,
-            ..Inquire::default()
-        };
+        let inquire = self.word_of(ticket, store.era);
         self.pulls.insert(station.to_owned(), (ticket, store));
-        self.send(station, Word::Inquire(inquire));
+        self.ask(now, station, inquire);
     }
 
     /// What such a copy waited for has come.
@@ -98,11 +216,16 @@
     /// Whether enough of the core has been heard since the start.
     pub(super) fn catch_up(&mut self, now: Moment) {
         let mut heard = self.caught.clone();
+        let mut whole = self.caught_whole;
         if self.full {
             heard.insert(self.name.clone());
+            whole = whole.max(self.whole());
         }
         let apart = self.contact.state() == ContactState::Out;
-        if apart || !matches!(self.standing, Standing::Behind | Standing::Apart) || !self.is_read(&heard) {
+        if apart
+            || !matches!(self.standing, Standing::Behind | Standing::Apart)
+            || !self.is_read(&heard, whole)
+        {
             return;
         }
         if self.full {
@@ -115,18 +238,47 @@
         }
     }
 
-    pub(super) fn inquire(&mut self) {
-        // What was heard under an earlier ticket stays heard: copies merge, and nothing known is forgotten. Out of contact
-        // that is not so: see `ask_core`.
-        self.inquiry = self.ticket();
-        let word = Inquire {
-            ticket: self.inquiry,
-            hashes: self.ledger.whole_buckets().to_vec(),
-            life: self.life,
-            era: self.era_number(),
-            ..Inquire::default()
+    /// Asks all whose answer is not on its way already.
+    pub(super) fn inquire(&mut self, now: Moment) {
+        // What was heard stays heard: copies merge, and nothing known is forgotten. Out of contact that is not so: see
+        // `ask_core`, which has the ticket be a new one.
+        if self.inquiry == 0 {
+            // An answer may be to the first question under this ticket: it proves no more than that one was heard.
+            (self.inquiry, self.asked) = (self.ticket(), now);
+        }
+        let inquire = self.word_of(self.inquiry, self.era_number());
+        let waits = |station: &String| {
+            self.readers.get(&(inquire.ticket, station.clone())).is_some_and(|reader| !reader.is_overdue(now))
         };
-        self.send_all(&Word::Inquire(word));
+        let stations: Vec<String> = self.peers.keys().filter(|station| !waits(station)).cloned().collect();
+        stations.iter().for_each(|station| self.ask(now, station, inquire.clone()));
+    }
+
+    /// A copy that still differs after two beats is read, and one that is read already is not asked again.
+    pub(super) fn repair(&mut self, now: Moment, station: &str, name: &str) {
+        if self.trusts(name)
+            && !self.readers.iter().any(|((_, s), reader)| s == station && !reader.is_overdue(now))
+        {
+            let ticket = self.ticket();
+            let inquire = self.word_of(ticket, self.era_number());
+            self.ask(now, station, inquire);
+        }
+    }
+
+    /// A connection has come or gone: no answer comes any more to what was asked over the one before.
+    pub(super) fn unread(&mut self, station: &str) {
+        self.readers.retain(|(_, s), _| s != station);
+    }
+
+    /// Readings that nobody waits for any more are let go.
+    pub(super) fn forget_readers(&mut self, now: Moment) {
+        let (work, pulls, inquiry) = (&self.work, &self.pulls, self.inquiry);
+        self.readers.retain(|(ticket, _), reader| {
+            !reader.is_overdue(now)
+                || *ticket == inquiry
+                || work.values().any(|work| work.waits_for(*ticket))
+                || pulls.values().any(|(asked, _)| asked == ticket)
+        });
     }
 
     /// The founder makes the first cast of all who have come.
--- a/crates/accord/src/core/contact.rs
+++ b/crates/accord/src/core/contact.rs
@@ -15,10 +15,12 @@
 impl Core {
     /// Reckons the contact anew, and parts from the core where it is lost.
     pub(super) fn judge_contact(&mut self, now: Moment) {
-        let era = self.era();
-        let casts: Vec<Cast> = era.into_iter().flat_map(|era| [Some(era.now), era.next]).flatten().collect();
+        // Once the next cast is decided nothing is decided without a majority of it; where the one before has lost its own by
+        // disks, contact with the next one is what ends the change.
+        let casts: Vec<Cast> = self.era().map(|era| era.next.unwrap_or(era.now)).into_iter().collect();
         if let Some(state) = self.contact.judge(now, &casts) {
-            info!("event=contact state={state:?} age-ms={:?}", self.contact.age(now).map(millis));
+            let age = self.contact.age(now).map_or("none".to_owned(), |age| millis(age).to_string());
+            info!("event=contact state={state:?} age-ms={age}");
         }
         if self.contact.state() == ContactState::Out && self.standing == Standing::Current {
             self.part(now);
@@ -48,9 +50,11 @@
     pub(super) fn ask_core(&mut self, now: Moment) {
         if self.contact.state() == ContactState::Out {
             self.caught.clear();
+            self.caught_whole = 0;
+            self.inquiry = 0;
         }
-        (self.inquired, self.asked) = (now, now);
-        self.inquire();
+        self.inquired = now;
+        self.inquire(now);
     }
 
     /// Whether an order may be taken, gone on with and answered now.
@@ -124,6 +128,7 @@
             self.newest = now;
             info!("event=peer station={station} ip={} life={:x}", hello.ip, hello.life);
         }
+        self.unread(&station);
         let name = Seat::from(hello).name();
         self.lost.remove(&name);
         self.leaving.remove(&name);
@@ -159,6 +164,7 @@
     }
 
     pub(super) fn peer_lost(&mut self, now: Moment, station: &str, why: &str) {
+        self.unread(station);
         if let Some(peer) = self.peers.remove(station) {
             info!("event=peer-lost station={station} why={why}");
             self.lost.insert(peer.name, now);
@@ -214,13 +220,14 @@
         let duty = self.acts(now).unwrap_or(0);
         let beat = Beat { digest: self.ledger.digest(), current, full: self.full, duty, ..Beat::default() };
         let leaving = self.standing == Standing::Leaving;
-        let digest = self.ledger.whole_digest();
+        let (digest, kept) = (self.ledger.whole_digest(), self.is_kept());
         for (station, peer) in &self.peers {
             let (number, yours) = self.contact.next(now, &peer.name);
-            let word = Word::Beat(Beat { digest, leaving, number, yours, ..beat.clone() });
+            let word = Word::Beat(Beat { digest, leaving, number, yours, kept, ..beat.clone() });
             self.acts.push(Act::Peer(station.clone(), word));
         }
         self.contact.sweep(now);
+        self.bury(now);
         let silent = |heard: Moment| now - heard > SILENT;
         let lost: Vec<String> =
             self.peers.iter().filter(|(_, p)| silent(p.heard)).map(|(s, _)| s.clone()).collect();
--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -7,26 +7,31 @@
 mod orders;
 mod record;
 mod sessions;
+mod tombs;
 
 use crate::order::{Order, Reply};
 use crate::roster::Roster;
 use bytes::Bytes;
+use catching::Reader;
 pub use contact::{millis, SeatContact};
 use kitepass::{Moment, Span};
 use kitepass_bond::cast::{Cast, Era, Seat, Sight, NEXT, NOW};
 use kitepass_bond::contact::{Contact, State as ContactState};
 use kitepass_bond::count::{Counts, Slack, Terms};
+use kitepass_bond::feed::Feeds;
 use kitepass_bond::lease::{Claimant, Voter};
 use kitepass_bond::register::{
     Acceptor, Ballot, Bid, Call as Proposal, CallWord, Mark, Reserve, Restored, Seen,
 };
 use kitepass_bond::session::Table;
+use kitepass_bond::tomb::Tombs;
 use kitepass_bond::words::*;
-use kitepass_tenet::{Checker, Item, Kind, Ledger, Tenant};
+use kitepass_tenet::{piece_digest, Checker, Item, Kind, Ledger, Tenant, BUCKETS};
 use log::{debug, error, info, warn};
 use orders::{Watched, Work};
 use record::{learn, record_vote, unrecord_vote};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Time between two signs of life to each other control process and each session.
 const BEAT: Span = Span::from_micros(500_000);
@@ -40,6 +45,8 @@
 const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
+/// So long a change of the cast is left to whoever does the duty, and a drawn time more. Microseconds.
+const HALF_WAY: i64 = 1_500_000;
 /// For so long the founder waits for others after the last that came, and at the most.
 const GATHER: Span = Span::from_micros(900_000);
 const GATHER_MOST: Span = Span::from_micros(4_000_000);
@@ -51,12 +58,18 @@
 const FULL: &[u8] = b"full";
 /// The record of this folder's number, with which its seat is named.
 const FOLDER: &[u8] = b"folder";
-/// The record of whom this voter granted the duty last, by seat, and the edition of the cast in which it did.
+/// The record of whom this voter granted the duty last, by seat, and the edition of the newest cast that it knew.
 const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
 const LIVE: &[u8] = b"live";
 
+/// A drop is forgotten once all of the core has held it on disk for so long.
+const AGE: Span = Span::from_micros(3_600_000_000);
+/// Bytes on their way to gateways that are told what they lack, all together, and of one piece.
+const MOST_FED: usize = 8 * 1024 * 1024;
+const FED: usize = 256 * 1024;
+
 /// What a control process wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
@@ -64,8 +77,8 @@
     Peer(String, Word),
     /// To a gateway, by its session's number.
     Session(u64, Word),
-    /// Items to a gateway's session, in as many words as they need.
-    Items(u64, Vec<Item>),
+    /// Items to a gateway's session, in as many words as they need. Sessions that are told the same share them.
+    Items(u64, Arc<[Item]>),
     /// To a caller, by the number that it asked under.
     Answer(u64, Reply),
     /// To be kept on disk, and told as [`Core::kept`] with the ticket.
@@ -143,7 +156,7 @@
     Nothing,
 }
 
-/// Whom a voter granted the duty, by seat, and in which cast.
+/// Whom a voter granted the duty, by seat, and the newest cast that it knew.
 type Vote = (String, u64);
 
 pub struct Core {
@@ -160,8 +173,12 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
-    /// The ticket of the last inquiry for catching up, and when it was sent.
+    /// The highest cast that one of these has accepted to be in force.
+    caught_whole: u64,
+    /// The ticket under which it catches up, or 0; when somebody was asked first under it.
     inquiry: u64,
+    /// Readings of others under way, by ticket and station.
+    readers: BTreeMap<(u64, String), Reader>,
     asked: Moment,
     contact: Contact,
     peers: BTreeMap<String, Peer>,
@@ -170,6 +187,8 @@
     /// Seats that said that they leave, by name.
     leaving: BTreeSet<String>,
     sessions: BTreeMap<u64, Session>,
+    /// Sessions that are told what they lack.
+    feeds: Feeds,
     table: Table,
     told: (u64, Moment, Vec<Member>),
     /// Gateways that count as live, reckoned once a beat.
@@ -178,6 +197,8 @@
     /// Whom the record on disk names.
     recorded: Vote,
     service: Service,
+    /// The coming cast that is decided and not in force, by its edition, and when this process ends that change itself.
+    odd: Option<(u64, Moment)>,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
@@ -195,6 +216,15 @@
     denied: BTreeMap<Mark, Ballot>,
     /// By station, copies that wait for what this process lacks, asked for under a ticket.
     pulls: BTreeMap<String, (u64, Store)>,
+    /// Drops that may be forgotten one day, for whoever does the duty; how long that takes, and when they were looked
+    /// through last.
+    tombs: Tombs,
+    age: Span,
+    looked: Moment,
+    /// When this process was in touch with the core last.
+    touched: Moment,
+    /// It holds what it held before it was away for long, and has yet to be found in the cast.
+    unproven: bool,
     keeping: BTreeMap<u64, Kept>,
     ticket: u64,
     beat: Moment,
@@ -253,17 +283,19 @@
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         let name = me.name();
-        let seated = Era::of(&ledger).and_then(|era| era.seats(&name));
-        // Danger: a vote of an earlier stay in the cast says nothing of what those granted who stood there meanwhile.
-        let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
+        let newest = Era::of(&ledger).map(|era| era.newest().clone());
+        // Danger: a vote given before this cast was known says nothing of what a majority of it may have granted since.
+        let stood = newest.as_ref().is_some_and(|cast| cast.edition == recorded.1);
         let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
         info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
         let mut chance = oorandom::Rand64::new(u128::from(start.life));
+        let is_held = !ledger.is_empty();
         let mut core = Core {
             contact: Contact::new(&name, chance.rand_u64() as u32),
-            voter: Voter::new(now, start.maiden && empty, recalled, seated),
+            voter: Voter::new(now, start.maiden && empty, recalled, newest),
             recorded,
             service: Service::Idle,
+            odd: None,
             chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
@@ -277,12 +309,15 @@
             begun: now,
             newest: now,
             caught: BTreeSet::new(),
+            caught_whole: 0,
             inquiry: 0,
+            readers: BTreeMap::new(),
             asked: now,
             peers: BTreeMap::new(),
             lost: BTreeMap::new(),
             leaving: BTreeSet::new(),
             sessions: BTreeMap::new(),
+            feeds: Feeds::new(MOST_FED),
             table,
             told: (0, Moment::default(), Vec::new()),
             live: Vec::new(),
@@ -297,6 +332,11 @@
             watch: BTreeMap::new(),
             denied: BTreeMap::new(),
             pulls: BTreeMap::new(),
+            tombs: Tombs::new(AGE),
+            age: AGE,
+            looked: now,
+            touched: now,
+            unproven: is_held,
             keeping: BTreeMap::new(),
             ticket: 0,
             beat: now,
@@ -310,6 +350,7 @@
         if !garbled.is_empty() {
             core.keep_records(garbled, Kept::Nothing);
         }
+        core.prove(now);
         core
     }
 
@@ -391,28 +432,27 @@
                 (peer.duty, peer.leaving) = (beat.duty, beat.leaving);
                 peer.differs = if beat.digest == self.ledger.whole_digest() { 0 } else { peer.differs + 1 };
                 let asks = peer.differs >= 2;
+                self.agreed(now, &name, &beat);
                 self.table.alive(now, station, life);
                 if asks {
                     self.peers.get_mut(station).expect("found above").differs = 0;
-                    let hashes = self.ledger.whole_buckets().to_vec();
-                    self.send(station, Word::Buckets(Buckets { hashes, back: true }));
+                    self.repair(now, station, &name);
                 }
             }
             Word::Live(live) => return live.controls,
+            // Backends as whoever does the duty reads them, and the first cast. Danger: whatever else is told unasked could
+            // be what was dropped and forgotten.
             Word::Items(items) => {
-                self.take(items.items.into_iter().filter_map(ItemWord::entry).collect());
-            }
-            Word::Buckets(buckets) => {
-                let items: Vec<ItemWord> =
-                    self.ledger.whole_differing(&buckets.hashes).map(ItemWord::from).collect();
-                self.send(station, Word::Items(Items { items }));
+                let items = items.items.into_iter().filter_map(ItemWord::entry);
+                self.take(items.filter(|(i, _)| matches!(i.kind, Kind::Backend | Kind::Cast)).collect());
             }
             Word::Store(store) => self.copy(now, station, store),
             Word::Decided(decided) => self.decided(&decided),
+            Word::Forget(forget) if self.trusts(&name) => self.forget(forget.due()),
             // Danger: an answer to an earlier life of this process would pass for a copy of what this life asked to store.
             Word::Stored(stored) if stored.life == self.life => self.stored(now, &name, stored),
             Word::Inquire(inquire) => self.inquired(now, station, &inquire),
-            Word::Held(held) => self.held(now, &name, held),
+            Word::Held(held) => self.held(now, station, &name, held),
             Word::Claim(claim) => self.vote(now, station, &name, &claim),
             Word::Grant(grant) => self.granted(now, &name, &grant),
             Word::Sessions(sessions) => {
@@ -444,6 +484,9 @@
             }
             _ => {}
         }
+        self.forget_readers(now);
+        self.touch(now);
+        self.feed(now);
         self.claim(now);
         self.settle(now);
         self.pursue(now);
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -20,6 +20,8 @@
 const MOST_DOUBLED: u32 = 3;
 /// Calls that are watched until they are settled, and denials that are remembered.
 const MOST_WATCHED: usize = 1_024;
+/// Bytes of undecided calls that one answer tells, but one call at least.
+const MOST_TOLD: usize = 4 * 1024 * 1024;
 /// Calls of others that are begun to be settled at one tick.
 const MOST_SETTLED: usize = 8;
 
@@ -49,12 +51,21 @@
     attempt: u64,
     /// Accepted calls that readings told of.
     seen: Seen,
+    /// The highest that was told in this reading: see [`Held`].
+    whole: u64,
     /// How often it was refused by somebody who had promised more.
     refused: u32,
     step: Step,
     pub(super) since: Moment,
 }
 
+impl Work {
+    /// Whether answers under this ticket are for it.
+    pub(super) fn waits_for(&self, ticket: u64) -> bool {
+        self.attempt == ticket
+    }
+}
+
 /// A call that somebody has accepted, and that is not known to be settled.
 pub(super) struct Watched {
     call: Proposal,
@@ -92,8 +103,10 @@
         };
         let step = Step::Paused(now);
         let (ballot, seen) = (Ballot::default(), Seen::new());
-        self.work
-            .insert(id, Work { caller, order, call, ballot, attempt: 0, seen, refused: 0, step, since: now });
+        self.work.insert(
+            id,
+            Work { caller, order, call, ballot, attempt: 0, seen, whole: 0, refused: 0, step, since: now },
+        );
         self.read(now, id);
     }
 
@@ -123,6 +136,12 @@
         open.find(|(_, call)| !self.is_settled(call)).map(|(ballot, call)| (ballot, call.clone()))
     }
 
+    /// The edition of a cast that was accepted here to be in force and is not known to be, or 0.
+    pub(super) fn whole(&self) -> u64 {
+        let casts = self.acceptor.pending().filter_map(|(_, call)| puts_in_force(call));
+        casts.map(|cast| cast.edition).max().unwrap_or(0)
+    }
+
     /// Whether what counts by this era, about these keys, is to be refused here. Danger: whoever knows of an older cast
     /// alone would meet no majority of the newer one. A cast that was accepted here and may be decided fences off all
     /// else than its own settling.
@@ -158,7 +177,7 @@
         let Some(work) = self.work.get_mut(&id) else { return };
         work.call = evacuation.or(work.call.take());
         (work.attempt, work.ballot) = (attempt, ballot);
-        work.step = Step::Reading(BTreeSet::new());
+        (work.step, work.whole) = (Step::Reading(BTreeSet::new()), 0);
         let keys = work.call.as_ref().map(|call| call.keys().to_vec()).unwrap_or_default();
         let inquire = Inquire {
             ticket: attempt,
@@ -168,8 +187,9 @@
             ballot: work.call.is_some().then_some(ballot),
             all: work.call.is_none(),
             keys,
+            from: 0,
         };
-        self.send_all(&Word::Inquire(inquire.clone()));
+        self.ask_all(now, &inquire);
         let station = self.me.station.clone();
         self.inquired(now, &station, &inquire);
     }
@@ -190,10 +210,15 @@
             life: inquire.life,
             full: self.full,
             founded: self.cast().is_some(),
+            whole: self.whole(),
             ..Held::default()
         };
         if !own {
-            held.items = self.ledger.whole_differing(&inquire.hashes).map(ItemWord::from).collect();
+            self.piece(inquire, &mut held);
+        }
+        if inquire.from > 0 {
+            // The rest of a reading; what it promised and which calls stand open was told with its first piece.
+            return self.tell_held(now, station, held);
         }
         let (mut calls, mut reserve) = (Vec::new(), None);
         if held.founded && self.is_fenced(inquire.era, &inquire.keys) {
@@ -213,7 +238,16 @@
             // Danger: what is accepted here under an earlier era after this answer would be decided and not read.
             reserve = self.acceptor.fence(inquire.era);
         }
-        held.calls = calls.iter().map(|(ballot, call)| CallWord::new(*ballot, call)).collect();
+        // Danger: calls of many MiB together would be beyond what one word holds. Whoever is not told all of them settles
+        // these, and reads again.
+        let mut bytes = 0;
+        let fits = calls.iter().take_while(|(_, call)| {
+            let first = bytes == 0;
+            bytes += call.bytes();
+            first || bytes <= MOST_TOLD
+        });
+        held.calls = fits.map(|(ballot, call)| CallWord::new(*ballot, call)).collect();
+        held.refused |= held.calls.len() < calls.len();
         match reserve {
             // Danger: a promise that a restart forgets: it is told once the floor that covers it is on disk.
             Some(reserve) => {
@@ -227,7 +261,7 @@
     pub(super) fn tell_held(&mut self, now: Moment, station: &str, held: Held) {
         if station == self.me.station {
             let name = self.name.clone();
-            self.held(now, &name, held);
+            self.held(now, station, &name, held);
         } else {
             self.send(station, Word::Held(held));
         }
@@ -253,6 +287,7 @@
             self.highest = self.highest.max(held.ballot.unwrap_or_default());
             return self.again(now, id);
         }
+        work.whole = work.whole.max(held.whole);
         if let Step::Reading(heard) = &mut work.step {
             heard.insert(name.to_owned());
             self.proceed(now, id);
@@ -286,10 +321,8 @@
             return self.read(now, id);
         }
         match &work.step {
-            Step::Reading(heard) if self.is_read(heard) => self.decide(now, id),
-            Step::Storing(copies) if self.is_safe(copies) && is_safe_in_its_cast(work, copies) => {
-                self.chosen(now, id);
-            }
+            Step::Reading(heard) if self.is_read(heard, work.whole) => self.decide(now, id),
+            Step::Storing(copies) if self.is_chosen(work, copies) => self.chosen(now, id),
             Step::Denying(copies, reply) if self.is_safe(copies) => {
                 let reply = reply.clone();
                 self.end(id, reply);
@@ -298,6 +331,19 @@
         }
     }
 
+    /// Whether these copies decide a call. What brings a cast in must be safe by that cast, too. Danger: one that cannot
+    /// work would be brought in. What puts it in force needs to be safe by it alone: its content is that of the next cast,
+    /// which is decided, and each of its copies has all that was decided before, so that whoever reads by both casts or by
+    /// it alone meets all of that. Danger: where the cast before has lost its majority by then, nothing would end the change.
+    fn is_chosen(&self, work: &Work, copies: &BTreeSet<String>) -> bool {
+        if let Some(cast) = work.call.as_ref().and_then(puts_in_force) {
+            return cast.is_safe(copies);
+        }
+        let items = work.call.iter().flat_map(|call| call.items().iter());
+        let mut casts = items.filter(|item| item.kind == Kind::Cast).filter_map(Cast::from_item);
+        self.is_safe(copies) && casts.all(|cast| cast.is_safe(copies))
+    }
+
     /// All that was decided anywhere before this reading is known here by now, or was told as accepted.
     fn decide(&mut self, now: Moment, id: u64) {
         let era = self.era_number();
@@ -311,9 +357,13 @@
         let seen: Seen =
             work.seen.iter().filter(live).map(|(mark, accepted)| (*mark, accepted.clone())).collect();
         let Some(call) = work.call.clone() else {
-            // What puts the cast in force that this reading is for is not waited for: it waits for this.
-            let awaits =
-                |call: &Proposal| matches!(work.order, Order::Fill(_)) && puts_in_force(call).is_some();
+            // What puts the cast in force that this reading is for is not waited for: it waits for this. Nor is anything where
+            // one has accepted that already: what the cast before may have decided was settled then. Danger: where too few
+            // of the cast before are left nothing can be settled until the next one alone decides.
+            let whole = self.era().and_then(|era| era.next).is_some_and(|next| next.edition == work.whole);
+            let awaits = |call: &Proposal| {
+                matches!(work.order, Order::Fill(_)) && (whole || puts_in_force(call).is_some())
+            };
             let open = seen.values().filter(|(_, call)| !self.is_settled(call) && !awaits(call));
             let open: BTreeSet<Mark> = open.map(|(_, call)| call.mark()).collect();
             if open.is_empty() {
@@ -408,7 +458,7 @@
         // Danger: a cast would be in force whose seats lack what the one before had decided. Who lacks some of what the
         // writer holds asks for it first.
         if store.whole.iter().zip(self.ledger.whole_buckets()).any(|(theirs, mine)| theirs != mine) {
-            return self.pull(station, store);
+            return self.pull(now, station, store);
         }
         let accepted = match call {
             Some(call) => {
@@ -522,7 +572,9 @@
             return;
         }
         let most = if self.acts(now).is_some() { 1 } else { OTHERS };
-        let due = now + LEFT + Span::from_micros(self.chance.rand_range(0..most) as i64);
+        // A large one is longer on its way.
+        let due =
+            now + LEFT + on_its_way(call.bytes()) + Span::from_micros(self.chance.rand_range(0..most) as i64);
         self.watch.entry(call.mark()).or_insert_with(|| Watched { call: call.clone(), due, tries: 0 });
     }
 
@@ -569,7 +621,8 @@
             if watched.due <= now && !busy.contains(mark) && calls.len() < MOST_SETTLED {
                 let most = RETRY << watched.tries.min(MOST_DOUBLED);
                 watched.tries += 1;
-                watched.due = now + LEFT + Span::from_micros(self.chance.rand_range(0..most) as i64);
+                let size = on_its_way(watched.call.bytes());
+                watched.due = now + LEFT + size + Span::from_micros(self.chance.rand_range(0..most) as i64);
                 calls.push(watched.call.clone());
             }
         }
@@ -620,11 +673,9 @@
     Cast::from_item(item)
 }
 
-/// Danger: a cast that cannot work would be brought in: what it needs for a write must have stored it.
-fn is_safe_in_its_cast(work: &Work, copies: &BTreeSet<String>) -> bool {
-    let items = work.call.iter().flat_map(|call| call.items().iter());
-    let mut casts = items.filter(|item| item.kind == Kind::Cast).filter_map(Cast::from_item);
-    casts.all(|cast| cast.is_safe(copies))
+/// How much longer so many bytes may be on their way.
+fn on_its_way(bytes: usize) -> Span {
+    Span::from_micros(PATIENCE_MIB.micros() * (bytes >> 20) as i64)
 }
 
 /// What a caller reads whose number another call has taken.
