--- a/crates/bond/src/register.rs
+++ b/crates/bond/src/register.rs
@@ -561,6 +561,8 @@
         let marks: Vec<Mark> = self.calls.keys().copied().collect();
         marks.iter().for_each(|mark| self.remove(*mark));
         let denied = std::mem::take(&mut self.denied);
+        // Danger: an index that outlives what it names ends the process at the next reading of these keys.
+        (self.denied_by_key, self.denied_keys) = Default::default();
         let records = marks.into_iter().map(record_key).chain(denied.into_keys().map(denial_key));
         records.map(|key| (key, Vec::new())).collect()
     }
--- a/crates/ordeal/examples/confirm.rs
+++ b/crates/ordeal/examples/confirm.rs
@@ -17,7 +17,8 @@
     println!("delay ms | callers | p50 ms | p99 ms | most ms | confirmed | words a change | bytes a change");
     for delay in [200, 900, 55_000] {
         for callers in [1usize, 8] {
-            let layout = Layout { gates: 0, delay, jitter: delay / 20, disk: (4_900, 5_100), ..Layout::six() };
+            let layout =
+                Layout { gates: 0, delay, jitter: delay / 20, disk: (4_900, 5_100), ..Layout::six() };
             let mut world = World::new(&script(7, layout, Vec::new()));
             world.run_to(8 * SECOND);
             // What goes between seats without any change is not a change's cost.
@@ -29,7 +30,8 @@
                 rate(world.tally.of("word-bytes"), bytes, world.now - from),
             );
             let (words, bytes, from) = (world.tally.of("word"), world.tally.of("word-bytes"), world.now);
-            let (mut open, mut times, mut sent): (Vec<(u64, i64)>, Vec<i64>, usize) = (Vec::new(), Vec::new(), 0);
+            let (mut open, mut times, mut sent): (Vec<(u64, i64)>, Vec<i64>, usize) =
+                (Vec::new(), Vec::new(), 0);
             while times.len() < CHANGES && world.now - from < 200 * SECOND {
                 while open.len() < callers && sent < CHANGES {
                     sent += 1;
@@ -48,13 +50,15 @@
                 });
             }
             let span = (world.now - from) as f64;
-            let cost = |now: u64, was: u64, idle: f64| ((now - was) as f64 - idle * span) / times.len() as f64;
+            let cost =
+                |now: u64, was: u64, idle: f64| ((now - was) as f64 - idle * span) / times.len() as f64;
             let costs = (
                 cost(world.tally.of("word"), words, idle.0),
                 cost(world.tally.of("word-bytes"), bytes, idle.1),
             );
             times.sort_unstable();
-            let (p50, p99, most) = (percentile(&times, 0.5), percentile(&times, 0.99), percentile(&times, 1.0));
+            let (p50, p99, most) =
+                (percentile(&times, 0.5), percentile(&times, 0.99), percentile(&times, 1.0));
             let count = times.len();
             println!(
                 "{:8.1} | {callers:7} | {p50:6.1} | {p99:6.1} | {most:7.1} | {count:9} | {:14.1} | {:14.0}",
--- a/crates/ordeal/src/history.rs
+++ b/crates/ordeal/src/history.rs
@@ -92,6 +92,8 @@
     WentBack,
     TwoDoTheDuty,
     TwoCasts,
+    /// A process ends by itself.
+    Panicked,
     /// An evacuation, or its end, that was confirmed is undone.
     ZoneUndone,
     Late,
--- a/crates/ordeal/src/main.rs
+++ b/crates/ordeal/src/main.rs
@@ -2,7 +2,7 @@
 
 use kitepass_ordeal::plan::{Plan, Script};
 use kitepass_ordeal::tally::Tally;
-use kitepass_ordeal::trial::{play, shorten, Outcome};
+use kitepass_ordeal::trial::{note_panics, play, shorten, Outcome};
 use kitepass_ordeal::world::Logs;
 use lexopt::prelude::*;
 use snafu::{ResultExt, Snafu};
@@ -131,6 +131,7 @@
             return ExitCode::from(2);
         }
     };
+    note_panics();
     let plan = asked.plan.unwrap_or(Plan::All);
     let script = asked.script(plan, asked.seed);
     let well = match asked.verb.as_str() {
--- a/crates/ordeal/src/trial.rs
+++ b/crates/ordeal/src/trial.rs
@@ -4,6 +4,7 @@
 use crate::plan::{Script, Trouble, MILLI, SECOND};
 use crate::tally::Tally;
 use crate::world::World;
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 
 /// Once troubles are over, all is whole again within this.
@@ -26,8 +27,25 @@
     }
 }
 
-/// Plays a script to its end.
+thread_local! {
+    /// Where this thread panicked last, if [`note_panics`] was called.
+    static PANICKED: RefCell<String> = const { RefCell::new(String::new()) };
+}
+
+/// From now on a panic is told by the seed's faults alone.
+pub fn note_panics() {
+    std::panic::set_hook(Box::new(|info| PANICKED.set(info.to_string().replace('\n', " "))));
+}
+
+/// Plays a script to its end. A process that panics ends it, as a fault.
 pub fn play(script: &Script, tells: bool) -> Outcome {
+    std::panic::catch_unwind(|| play_out(script, tells)).unwrap_or_else(|_| {
+        let fault = Fault { rule: Rule::Panicked, at: 0, what: PANICKED.take() };
+        Outcome { faults: vec![fault], tally: Tally::default(), whole: None }
+    })
+}
+
+fn play_out(script: &Script, tells: bool) -> Outcome {
     let mut world = World::new(script);
     world.tells = tells;
     world.run_to(script.until);
