--- a/crates/course/tests/sockets/worst.rs
+++ b/crates/course/tests/sockets/worst.rs
@@ -3,6 +3,7 @@
 use crate::stand::*;
 use rstest::rstest;
 use rustix::process::Signal;
+use std::time::{Duration, Instant};
 
 fn limits(body: usize, idle_ms: u32) -> Vec<kitepass_tenet::Item> {
     call(&format!(
@@ -259,7 +260,9 @@
         let mut held = stand.line();
         held.hear();
         gone.reset();
+        let begun = Instant::now();
         assert!(held.ends(), "a backend is at work for nobody");
+        assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
         let mut client = gateway.line();
         client.say(get("/once/", &format!("t{n}")));
         held.try_say(ok(&format!("gone{n}"), "of one that is gone"));
