--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -501,7 +501,10 @@
         if !self.later.is_empty() {
             self.keep_records(Vec::new(), Kept::Nothing);
         }
-        let patience = |order: &Order| PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64;
+        let patience = |order: &Order| match order {
+            Order::Fill(_) | Order::Survey => PATIENCE * 4, // no caller waits, and all that they met has to be settled
+            order => PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64,
+        };
         let is_late = |work: &Work| now - work.since > patience(&work.order);
         let late: Vec<u64> = self.work.iter().filter(|(_, w)| is_late(w)).map(|(id, _)| *id).collect();
         for id in late {
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -5,7 +5,7 @@
 //! then it is decided, and only what is decided is in the ledger, is read back, and goes to gateways.
 
 use super::*;
-use kitepass_bond::register::{hear, is_done, standing, taken, Refused, Standing as Found};
+use kitepass_bond::register::{hear, is_done, live, standing, taken, Refused, Standing as Found};
 
 /// So long a call that was accepted and not heard of again is left to whoever proposed it; then whoever does the duty
 /// settles it, and others up to so much later. Danger: two that push one call together take each other's promises away.
@@ -13,9 +13,11 @@
 const OTHERS: u64 = 1_000_000;
 /// A drawn time before another try at it is up to so long after the first, and doubles with each.
 const RETRY: u64 = 1_000_000;
-/// A drawn pause before an order's next reading is up to so long. Danger: two that outbid each other at once never end;
-/// pauses that double keep callers waiting beyond their patience (docs/control-register.md).
+/// A drawn pause before an order's next reading is up to so long after the first refusal, and doubles as often as that.
+/// Danger: those that outbid each other at once never end; pauses that go on doubling keep callers waiting beyond their
+/// patience (docs/control-register.md).
 const PAUSE: u64 = 100_000;
+const MOST_WIDENED: u32 = 2;
 /// How often the former doubles.
 const MOST_DOUBLED: u32 = 3;
 /// Calls that are watched until they are settled, and denials that are remembered.
@@ -53,6 +55,8 @@
     seen: Seen,
     /// The highest that was told in this reading: see [`Held`].
     whole: u64,
+    /// How often it was refused by somebody who had promised more.
+    refused: u32,
     step: Step,
     pub(super) since: Moment,
 }
@@ -67,6 +71,8 @@
 /// A call that somebody has accepted, and that is not known to be settled.
 pub(super) struct Watched {
     call: Proposal,
+    /// The highest ballot that it was heard with.
+    ballot: Ballot,
     /// From then on this process settles it.
     due: Moment,
     tries: u32,
@@ -100,9 +106,16 @@
             Order::Get | Order::Survey | Order::Fill(_) => None,
         };
         let step = Step::Paused(now);
-        let (ballot, seen) = (Ballot::default(), Seen::new());
-        self.work
-            .insert(id, Work { caller, order, call, ballot, attempt: 0, seen, whole: 0, step, since: now });
+        let (ballot, mut seen) = (Ballot::default(), Seen::new());
+        // Danger: a reading that misses the one seat which has it would leave it for ever to whoever waits behind it.
+        if let Order::Settle(call) = &order {
+            let watched = self.watch.get(&call.mark());
+            hear(&mut seen, watched.map(|watched| (watched.ballot, call.clone())));
+        }
+        self.work.insert(
+            id,
+            Work { caller, order, call, ballot, attempt: 0, seen, whole: 0, refused: 0, step, since: now },
+        );
         self.read(now, id);
     }
 
@@ -158,8 +171,8 @@
         let keys = work.call.as_ref().map(|call| call.keys().to_vec()).unwrap_or_default();
         // What may be the coming cast is settled first: nothing else counts before.
         let fence = self.undecided_cast().filter(|(_, cast)| !cast.keys().iter().any(|k| keys.contains(k)));
-        if let Some((_, cast)) = fence {
-            self.watch(now, &cast);
+        if let Some((ballot, cast)) = fence {
+            self.watch(now, ballot, &cast);
             return self.step(id, Step::Behind([cast.mark()].into()));
         }
         let evacuation = match &work.order {
@@ -269,7 +282,7 @@
         let calls: Vec<(Ballot, Proposal)> = held.calls.into_iter().filter_map(CallWord::call).collect();
         for (ballot, call) in &calls {
             self.highest = self.highest.max(*ballot);
-            self.watch(now, call);
+            self.watch(now, *ballot, call);
         }
         for Denied { ballot, mark } in held.denied {
             if let Some(mark) = Mark::from_bytes(&mark) {
@@ -299,7 +312,17 @@
         if matches!(work.order, Order::Settle(_)) {
             return self.end(id, Reply::Done); // another is at it; if it comes to nothing, this one's turn comes again
         }
-        let pause = Span::from_micros(self.chance.rand_range(0..PAUSE) as i64);
+        // Danger: where a call was sent again to many, all of them would push the same call, and take each other's promises
+        // away for ever. Once it is accepted anywhere it is for one of them to settle it.
+        let seen = work.call.as_ref().and_then(|call| work.seen.get(&call.mark()).cloned());
+        if let Some((ballot, call)) = seen.filter(|(_, call)| puts_in_force(call).is_none()) {
+            self.watch(now, ballot, &call);
+            return self.step(id, Step::Behind([call.mark()].into()));
+        }
+        let Some(work) = self.work.get_mut(&id) else { return };
+        let most = PAUSE << work.refused.min(MOST_WIDENED);
+        work.refused += 1;
+        let pause = Span::from_micros(self.chance.rand_range(0..most) as i64);
         self.step(id, Step::Paused(now + pause));
     }
 
@@ -347,11 +370,7 @@
         if work.ballot.era < era {
             return self.read(now, id); // another cast has come meanwhile
         }
-        let live = |(mark, (ballot, _)): &(&Mark, &(Ballot, Proposal))| {
-            self.denied.get(mark).is_none_or(|denied| denied < ballot)
-        };
-        let seen: Seen =
-            work.seen.iter().filter(live).map(|(mark, accepted)| (*mark, accepted.clone())).collect();
+        let seen = live(&work.seen, &self.denied);
         let Some(call) = work.call.clone() else {
             // What puts the cast in force that this reading is for is not waited for: it waits for this. Nor is anything where
             // one has accepted that already: what the cast before may have decided was settled then. Danger: where too few
@@ -367,13 +386,12 @@
             }
             return self.step(id, Step::Behind(open));
         };
+        let mut stands = false;
         if let Order::Evacuate { zone, on } = &work.order {
-            if self.ledger.get(Kind::Evacuation, zone).is_some_and(Item::stands) == *on {
-                return self.end(id, Reply::Done);
-            }
             if call.items()[0].edition != self.evacuation(zone, *on).edition {
                 return self.read(now, id);
             }
+            stands = self.ledger.get(Kind::Evacuation, zone).is_some_and(Item::stands) == *on;
         }
         match standing(&call, &seen, &self.ledger) {
             Found::Done => self.finished(now, id),
@@ -391,10 +409,18 @@
             Found::Behind(mark) => self.step(id, Step::Behind([mark].into())),
             Found::Again => self.propose(now, id, call),
             Found::Free => match &work.order {
+                // Danger: answered before what others accepted for the zone is settled, it would be undone by what came before.
+                Order::Evacuate { .. } if stands => self.end(id, Reply::Done),
                 Order::Patch(items) => match kitepass_tenet::judge(&self.ledger, items) {
                     Ok(()) => self.propose(now, id, call),
                     Err(refusal) => self.deny(now, id, &call, refusal.to_string()),
                 },
+                // Danger: a seat that has it and has not heard of its denial would bring it up for as long as that is remembered,
+                // and in force after that.
+                Order::Settle(_) if self.denied.contains_key(&call.mark()) => {
+                    self.watch.remove(&call.mark());
+                    self.deny(now, id, &call, "denied before".into());
+                }
                 // It is not decided, and whoever wants it will see to it.
                 Order::Settle(_) => {
                     self.watch.remove(&call.mark());
@@ -458,7 +484,7 @@
         }
         let accepted = match call {
             Some(call) => {
-                self.watch(now, &call);
+                self.watch(now, ballot, &call);
                 let bid = if store.again { Bid::Again } else { Bid::First };
                 self.acceptor.accept(ballot, call, bid, &self.ledger)
             }
@@ -563,7 +589,7 @@
 
     /// A call that was accepted somewhere is watched until it is settled. Danger: who proposed it may have died after it
     /// was decided and confirmed, and nobody would bring it in force.
-    fn watch(&mut self, now: Moment, call: &Proposal) {
+    fn watch(&mut self, now: Moment, ballot: Ballot, call: &Proposal) {
         if self.is_settled(call) || self.watch.len() >= MOST_WATCHED {
             return;
         }
@@ -571,13 +597,16 @@
         // A large one is longer on its way.
         let due =
             now + LEFT + on_its_way(call.bytes()) + Span::from_micros(self.chance.rand_range(0..most) as i64);
-        self.watch.entry(call.mark()).or_insert_with(|| Watched { call: call.clone(), due, tries: 0 });
+        let watched = || Watched { call: call.clone(), ballot, due, tries: 0 };
+        let watched = self.watch.entry(call.mark()).or_insert_with(watched);
+        watched.ballot = watched.ballot.max(ballot);
     }
 
     /// What an earlier life accepted is watched, too.
     pub(super) fn watch_all(&mut self, now: Moment) {
-        let calls: Vec<Proposal> = self.acceptor.pending().map(|(_, call)| call.clone()).collect();
-        calls.iter().for_each(|call| self.watch(now, call));
+        let calls: Vec<(Ballot, Proposal)> =
+            self.acceptor.pending().map(|(ballot, call)| (ballot, call.clone())).collect();
+        calls.iter().for_each(|(ballot, call)| self.watch(now, *ballot, call));
     }
 
     /// Takes up what waited. To be called after whatever may have changed that.
@@ -610,15 +639,15 @@
     pub(super) fn settle(&mut self, now: Moment) {
         // Danger: where all lost power while a cast was brought in, each would refuse the others what they need to catch up,
         // for its sake, and none would settle it. So that alone is settled by one that has yet to catch up.
-        let fence = self.undecided_cast().map(|(_, cast)| cast);
+        let fence = self.undecided_cast();
         let catches_up = matches!(self.standing, Standing::Behind | Standing::Apart);
         let only = match (self.standing, &fence) {
             (Standing::Current, _) => None,
-            (_, Some(cast)) if catches_up && self.full && self.is_in_contact(now) => Some(cast.mark()),
+            (_, Some((_, cast))) if catches_up && self.full && self.is_in_contact(now) => Some(cast.mark()),
             _ => return,
         };
-        if let Some(cast) = &fence {
-            self.watch(now, cast);
+        if let Some((ballot, cast)) = &fence {
+            self.watch(now, *ballot, cast);
         }
         let busy: BTreeSet<Mark> = self.work.values().filter_map(|w| Some(w.call.as_ref()?.mark())).collect();
         let mut calls = Vec::new();
--- a/crates/tenet/src/past.rs
+++ b/crates/tenet/src/past.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// So many older versions of an item are remembered.
-pub const REMEMBERED: usize = 16;
+pub const REMEMBERED: usize = 64;
 
 /// One decided version of an item: its number, and by what its content is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
