Whoever does the duty settles first; a silent seat goes sooner once another stands in its place

Change: the duty's holder settles after 250 ms, others a second or more later, in widening draws where nobody does the duty; a call that is seen accepted elsewhere is tried again at moments further apart; a silent seat with another in its district goes 1 s after it was given up.

--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -43,8 +43,9 @@
 const PATIENCE_MIB: Span = Span::from_micros(1_000_000);
 /// After the last contact a look-up is answered for so long: what this process knows of the gateways is that old.
 const LOOKUP: Span = Span::from_micros(4_000_000);
-/// A seat that has been silent for so long may go, if another stands in its district.
-const GONE: Span = Span::from_micros(8_000_000);
+/// A seat that was given up for its silence so long ago may go, if another stands in its district. Danger: until its
+/// successor has its place a second loss may leave no majority.
+const GONE: Span = Span::from_micros(1_000_000);
 /// So long a change of the cast is left to whoever does the duty, and a drawn time more. Microseconds.
 const HALF_WAY: i64 = 1_500_000;
 /// For so long the founder waits for others after the last that came, and at the most.
@@ -502,7 +503,7 @@
             self.keep_records(Vec::new(), Kept::Nothing);
         }
         let patience = |order: &Order| match order {
-            Order::Fill(_) | Order::Survey => PATIENCE * 4, // no caller waits, and all that they met has to be settled
+            Order::Fill(_) | Order::Survey => PATIENCE * 2, // no caller waits, and all that they met has to be settled
             order => PATIENCE + PATIENCE_MIB * (order.bytes() >> 20) as i64,
         };
         let is_late = |work: &Work| now - work.since > patience(&work.order);
--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -8,18 +8,15 @@
 use kitepass_bond::register::{hear, is_done, live, standing, taken, Refused, Standing as Found};
 
 /// So long a call that was accepted and not heard of again is left to whoever proposed it; then whoever does the duty
-/// settles it, and others up to so much later. Danger: two that push one call together take each other's promises away.
+/// settles it, and others between one and two such spans later, or within a drawn one that widens where nobody does the
+/// duty. Danger: those that push one call together take each other's promises away.
 const LEFT: Span = Span::from_micros(250_000);
 const OTHERS: u64 = 1_000_000;
-/// A drawn time before another try at it is up to so long after the first, and doubles with each.
-const RETRY: u64 = 1_000_000;
 /// A drawn pause before an order's next reading is up to so long after the first refusal, and doubles as often as that.
 /// Danger: those that outbid each other at once never end; pauses that go on doubling keep callers waiting beyond their
 /// patience (docs/control-register.md).
 const PAUSE: u64 = 100_000;
 const MOST_WIDENED: u32 = 2;
-/// How often the former doubles.
-const MOST_DOUBLED: u32 = 3;
 /// Calls that are watched until they are settled, and denials that are remembered.
 const MOST_WATCHED: usize = 1_024;
 /// Bytes of undecided calls that one answer tells, but one call at least.
@@ -312,15 +309,10 @@
         if matches!(work.order, Order::Settle(_)) {
             return self.end(id, Reply::Done); // another is at it; if it comes to nothing, this one's turn comes again
         }
-        // Danger: where a call was sent again to many, all of them would push the same call, and take each other's promises
-        // away for ever. Once it is accepted anywhere it is for one of them to settle it.
-        let seen = work.call.as_ref().and_then(|call| work.seen.get(&call.mark()).cloned());
-        if let Some((ballot, call)) = seen.filter(|(_, call)| puts_in_force(call).is_none()) {
-            self.watch(now, ballot, &call);
-            return self.step(id, Step::Behind([call.mark()].into()));
-        }
-        let Some(work) = self.work.get_mut(&id) else { return };
-        let most = PAUSE << work.refused.min(MOST_WIDENED);
+        // Danger: where a call was sent again to many, all of them push the same call, and take each other's promises away.
+        // Once it is accepted anywhere they come again at moments further apart.
+        let is_seen = work.call.as_ref().is_some_and(|call| work.seen.contains_key(&call.mark()));
+        let most = PAUSE << work.refused.min(if is_seen { MOST_WIDENED + 1 } else { MOST_WIDENED });
         work.refused += 1;
         let pause = Span::from_micros(self.chance.rand_range(0..most) as i64);
         self.step(id, Step::Paused(now + pause));
@@ -593,15 +585,25 @@
         if self.is_settled(call) || self.watch.len() >= MOST_WATCHED {
             return;
         }
-        let most = if self.acts(now).is_some() { 1 } else { OTHERS };
-        // A large one is longer on its way.
-        let due =
-            now + LEFT + on_its_way(call.bytes()) + Span::from_micros(self.chance.rand_range(0..most) as i64);
+        let due = self.due(now, call, 0);
         let watched = || Watched { call: call.clone(), ballot, due, tries: 0 };
         let watched = self.watch.entry(call.mark()).or_insert_with(watched);
         watched.ballot = watched.ballot.max(ballot);
     }
 
+    /// When this process settles a call that was heard of now, or tried so often. Whoever does the duty goes first.
+    fn due(&mut self, now: Moment, call: &Proposal, tries: u32) -> Moment {
+        let drawn = if self.acts(now).is_some() {
+            self.chance.rand_range(0..PAUSE)
+        } else if self.holder().is_some() {
+            OTHERS + self.chance.rand_range(0..OTHERS)
+        } else {
+            self.chance.rand_range(0..OTHERS << tries.min(MOST_WIDENED))
+        };
+        // A large one is longer on its way.
+        now + LEFT + on_its_way(call.bytes()) + Span::from_micros(drawn as i64)
+    }
+
     /// What an earlier life accepted is watched, too.
     pub(super) fn watch_all(&mut self, now: Moment) {
         let calls: Vec<(Ballot, Proposal)> =
@@ -651,16 +653,19 @@
         }
         let busy: BTreeSet<Mark> = self.work.values().filter_map(|w| Some(w.call.as_ref()?.mark())).collect();
         let mut calls = Vec::new();
-        for (mark, watched) in &mut self.watch {
+        for (mark, watched) in &self.watch {
             let may = only.is_none_or(|only| only == *mark) && !busy.contains(mark);
             if watched.due <= now && may && calls.len() < MOST_SETTLED {
-                let most = RETRY << watched.tries.min(MOST_DOUBLED);
-                watched.tries += 1;
-                let size = on_its_way(watched.call.bytes());
-                watched.due = now + LEFT + size + Span::from_micros(self.chance.rand_range(0..most) as i64);
                 calls.push(watched.call.clone());
             }
         }
+        for call in &calls {
+            let tries = self.watch.get(&call.mark()).map_or(0, |watched| watched.tries + 1);
+            let due = self.due(now, call, tries);
+            if let Some(watched) = self.watch.get_mut(&call.mark()) {
+                (watched.tries, watched.due) = (tries, due);
+            }
+        }
         for call in calls {
             debug!("event=settle items={}", call.items().len());
             match puts_in_force(&call) {
