--- a/crates/accord/src/core/orders.rs
+++ b/crates/accord/src/core/orders.rs
@@ -8,8 +8,8 @@
 use kitepass_bond::register::{hear, is_done, live, standing, taken, Refused, Standing as Found};
 
 /// So long a call that was accepted and not heard of again is left to whoever proposed it; then whoever does the duty
-/// settles it, and others between one and two such spans later, or within a drawn one that widens where nobody does the
-/// duty. Danger: those that push one call together take each other's promises away.
+/// settles it, and others between a half and the whole of such a span later, or within a drawn one that widens where nobody
+/// does the duty. Danger: those that push one call together take each other's promises away.
 const LEFT: Span = Span::from_micros(250_000);
 const OTHERS: u64 = 1_000_000;
 /// A drawn pause before an order's next reading is up to so long after the first refusal, and doubles as often as that.
@@ -596,7 +596,7 @@
         let drawn = if self.acts(now).is_some() {
             self.chance.rand_range(0..PAUSE)
         } else if self.holder().is_some() {
-            OTHERS + self.chance.rand_range(0..OTHERS)
+            OTHERS / 2 + self.chance.rand_range(0..OTHERS / 2)
         } else {
             self.chance.rand_range(0..OTHERS << tries.min(MOST_WIDENED))
         };
