A gateway that begins anew takes nothing from one out of contact

Cause: where it has been alone for half an hour it begins anew, and would have swapped its view for what one out of contact tells. Change: until it is whole again it is as one that has never caught up, in what it says of itself and in what it takes.

--- a/crates/course/src/link.rs
+++ b/crates/course/src/link.rs
@@ -129,6 +129,11 @@
         self.state
     }
 
+    /// It has caught up, and is not beginning anew.
+    fn has_whole(&self) -> bool {
+        self.caught && self.anew.is_none()
+    }
+
     fn shift(&mut self, to: State) {
         if let (State::Telling(since), State::Telling(now)) = (&mut self.state, to) {
             *since = now;
@@ -256,7 +261,7 @@
         self.shift(State::Coming(now));
         (self.heard, self.since, self.apart) = (now, now, None);
         self.out = vec![
-            Word::Hello(Hello { current: self.caught, ..self.hello.clone() }),
+            Word::Hello(Hello { current: self.has_whole(), ..self.hello.clone() }),
             Word::Buckets(Buckets { hashes: self.held().buckets().to_vec(), back: false }),
         ];
         self.told_ready = !self.ready;
@@ -307,7 +312,7 @@
             let beat = Beat {
                 digest: self.held().digest(),
                 ready: self.ready,
-                current: self.caught,
+                current: self.has_whole(),
                 ..Beat::default()
             };
             self.out.push(Word::Beat(beat));
@@ -339,7 +344,7 @@
             _ => {}
         }
         // Danger: an old configuration taken for the newest. One that has caught up once does no worse by staying a while.
-        if self.apart.is_some() && !self.caught {
+        if self.apart.is_some() && !self.has_whole() {
             brought.close = true;
             return;
         }
--- a/crates/course/tests/link.rs
+++ b/crates/course/tests/link.rs
@@ -14,12 +14,18 @@
     Word::Hello(Hello { station: ip.into(), ip: ip.into(), control: true, current, ..Hello::default() })
 }
 
+fn item(edition: u64) -> Item {
+    Item { kind: Kind::Line, name: "l".into(), edition, value: Some("{}".into()) }
+}
+
 fn items(edition: u64) -> Word {
-    let item = Item { kind: Kind::Line, name: "l".into(), edition, value: Some("{}".into()) };
-    Word::Items(Items { items: vec![ItemWord::from(&item)] })
+    Word::Items(Items { items: vec![ItemWord::from(&item(edition))] })
 }
 
-fn back(ledger: &Ledger) -> Word {
+/// The control process has told all, which is this version of the item, or nothing.
+fn back(edition: Option<u64>) -> Word {
+    let mut ledger = Ledger::new();
+    edition.into_iter().for_each(|edition| _ = ledger.merge(item(edition)));
     Word::Buckets(Buckets { hashes: ledger.buckets().to_vec(), back: true })
 }
 
@@ -40,20 +46,18 @@
 #[test]
 fn a_first_configuration_is_taken_from_none_that_is_out_of_contact() {
     // It says so in its hello, or in a beat before all has come.
-    for (current, beat) in [(false, true), (true, false)] {
+    let live = || Word::Live(Live::default());
+    let hello_says = |ip: &str| vec![hello(ip, false), items(3), back(Some(3)), live()];
+    let beat_says =
+        |ip: &str| vec![hello(ip, true), Word::Beat(Beat::default()), items(3), back(Some(3)), live()];
+    for words in [&hello_says as &dyn Fn(&str) -> Vec<Word>, &beat_says] {
         let (mut link, ip) = link(0, &["a"]);
-        let told = back(&link.ledger);
-        let apart = Word::Beat(Beat { current: beat, ..Beat::default() });
-        let words = vec![hello(&ip, current), apart, items(3), told, Word::Live(Live::default())];
-        let words =
-            if current { words } else { words.into_iter().filter(|w| !matches!(w, Word::Beat(_))).collect() };
-        let brought = say(&mut link, 100, words);
+        let brought = say(&mut link, 100, words(&ip));
         assert!(brought.close && brought.items.is_empty() && !link.is_caught_up());
         assert_eq!(link.ledger.len(), 0);
     }
     let (mut link, ip) = link(0, &["a"]);
-    let told = back(&link.ledger);
-    let brought = say(&mut link, 100, vec![hello(&ip, true), items(3), told, Word::Live(Live::default())]);
+    let brought = say(&mut link, 100, vec![hello(&ip, true), items(3), back(Some(3)), live()]);
     assert!(!brought.close && link.is_caught_up() && brought.items.len() == 1);
     // Once it has caught up it says so, and stays where all are out of contact.
     let brought = say(&mut link, 200, vec![Word::Beat(Beat::default()), items(4)]);
@@ -63,6 +67,13 @@
         assert!(!link.tick(at(n * 100)), "nobody else is known");
     });
     assert!(link.out.iter().any(|word| matches!(word, Word::Beat(beat) if beat.current)));
+    // So long alone that it begins anew, it is as one that has never caught up, and goes by what it has.
+    link.lost("closed");
+    let later = 4_000_000;
+    let ip = link.next(at(later), 0).expect("one is known");
+    assert!(matches!(&link.out[0], Word::Hello(hello) if !hello.current));
+    let brought = say(&mut link, later, hello_says(&ip));
+    assert!(brought.close && link.ledger.get(Kind::Line, "l").is_some_and(|item| item.edition == 4));
 }
 
 /// It leaves one that falls out of contact after a while, and one that it finds so as soon as it is synced, looks in on
@@ -70,15 +81,13 @@
 #[test]
 fn all_are_looked_in_on_once_and_then_one_is_stayed_with() {
     let (mut link, ip) = link(0, &["a", "b", "c"]);
-    let told = back(&link.ledger);
-    say(&mut link, 100, vec![hello(&ip, true), told, Word::Live(Live::default())]);
+    say(&mut link, 100, vec![hello(&ip, true), back(None), Word::Live(Live::default())]);
     let (mut left, mut seen) = (Vec::new(), vec![ip]);
     for now in (200..9_000).step_by(100) {
         match link.state() {
             State::Away => {
                 let ip = link.next(at(now), 0).expect("one is left");
-                let told = back(&link.ledger);
-                say(&mut link, now, vec![hello(&ip, false), told]);
+                say(&mut link, now, vec![hello(&ip, false), back(None)]);
                 seen.push(ip);
             }
             _ => _ = say(&mut link, now, vec![Word::Beat(Beat::default())]),
