--- a/crates/accord/src/core/mod.rs
+++ b/crates/accord/src/core/mod.rs
@@ -45,6 +45,8 @@
 const LOOKUP: Span = Span::from_micros(4_000_000);
 /// A seat that has been silent for so long may go, if another stands in its district.
 const GONE: Span = Span::from_micros(8_000_000);
+/// So long a change of the cast is left to whoever does the duty, and a drawn time more. Microseconds.
+const HALF_WAY: i64 = 1_500_000;
 /// For so long the founder waits for others after the last that came, and at the most.
 const GATHER: Span = Span::from_micros(900_000);
 const GATHER_MOST: Span = Span::from_micros(4_000_000);
@@ -56,7 +58,7 @@
 const FULL: &[u8] = b"full";
 /// The record of this folder's number, with which its seat is named.
 const FOLDER: &[u8] = b"folder";
-/// The record of whom this voter granted the duty last, by seat, and the edition of the cast in which it did.
+/// The record of whom this voter granted the duty last, by seat, and the edition of the newest cast that it knew.
 const VOTE: &[u8] = b"vote";
 /// The record of the gateways that counted as live. Danger: a core that was killed whole would take the first few
 /// that come back for all, and give each too large a part of every quota.
@@ -154,7 +156,7 @@
     Nothing,
 }
 
-/// Whom a voter granted the duty, by seat, and in which cast.
+/// Whom a voter granted the duty, by seat, and the newest cast that it knew.
 type Vote = (String, u64);
 
 pub struct Core {
@@ -171,6 +173,8 @@
     begun: Moment,
     newest: Moment,
     caught: BTreeSet<String>,
+    /// The highest cast that one of these has accepted to be in force.
+    caught_whole: u64,
     /// The ticket under which it catches up, or 0; when somebody was asked first under it.
     inquiry: u64,
     /// Readings of others under way, by ticket and station.
@@ -193,6 +197,8 @@
     /// Whom the record on disk names.
     recorded: Vote,
     service: Service,
+    /// The coming cast that is decided and not in force, by its edition, and when this process ends that change itself.
+    odd: Option<(u64, Moment)>,
     claimant: Claimant,
     counts: Option<(u64, Counts)>,
     /// Limits of the tenants that stand.
@@ -277,18 +283,19 @@
         ledger.each(Kind::Tenant).for_each(|item| learn(&mut terms, item));
         let standing = if Cast::of(&ledger, NOW).is_some() { Standing::Behind } else { Standing::Blank };
         let name = me.name();
-        let seated = Era::of(&ledger).and_then(|era| era.seats(&name));
-        // Danger: a vote of an earlier stay in the cast says nothing of what those granted who stood there meanwhile.
-        let stood = seated.is_some_and(|edition| edition <= recorded.1 + 1);
+        let newest = Era::of(&ledger).map(|era| era.newest().clone());
+        // Danger: a vote given before this cast was known says nothing of what a majority of it may have granted since.
+        let stood = newest.as_ref().is_some_and(|cast| cast.edition == recorded.1);
         let recalled = stood.then(|| (DUTY.to_owned(), recorded.0.clone())).into_iter().collect();
         info!("event=start seat={name} standing={standing:?} full={full} items={}", ledger.len());
         let mut chance = oorandom::Rand64::new(u128::from(start.life));
         let is_held = !ledger.is_empty();
         let mut core = Core {
             contact: Contact::new(&name, chance.rand_u64() as u32),
-            voter: Voter::new(now, start.maiden && empty, recalled, seated),
+            voter: Voter::new(now, start.maiden && empty, recalled, newest),
             recorded,
             service: Service::Idle,
+            odd: None,
             chance,
             maiden: start.maiden && empty,
             founder: start.founder && start.maiden && empty,
@@ -302,6 +309,7 @@
             begun: now,
             newest: now,
             caught: BTreeSet::new(),
+            caught_whole: 0,
             inquiry: 0,
             readers: BTreeMap::new(),
             asked: now,
