--- a/crates/accord/src/command.rs
+++ b/crates/accord/src/command.rs
@@ -116,7 +116,7 @@
   newer    its version is above the one that stands; the fields that it changes follow
   older    its version is below: it has no effect
   equal    same version, same content
-  differs  same version, other content: it has no effect, and somebody should know
+  differs  same version, other content: a call with it is refused (409); use a higher version
   unknown  nothing stands under this name; new, or withdrawn before
 Customers' keys are counted, not shown.
 ",
