The term of a held lease stays, whatever rivals ask under

Cause: a vote for the winning request or a renewal tells the highest term that its voter has seen; the holder took it over, was no longer in the term that it had recovered for, and held the lease without acting: no grants, no list of backends. Change: the term is part of the held lease and stays until that ends; later requests still go above all terms that were told.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -27,6 +27,11 @@
     Requesting(Election),
     /// It has the lease until a moment, and may have asked for its renewal.
     Holding {
+        /// The term under which it won the lease.
+        ///
+        /// Invariant: it stays for as long as the lease is held. Rivals ask under higher terms meanwhile, which votes for the
+        /// renewal tell; a holder that took such a term over would no longer act under the one that it has recovered for.
+        term: u64,
         until: Timestamp,
         renewal: Option<Election>,
     },
@@ -58,7 +63,10 @@
 
     /// The term under which the process holds the lease now.
     pub fn held_term(&self, now: Timestamp) -> Option<u64> {
-        matches!(self.state, CandidateState::Holding { until, .. } if now < until).then_some(self.term)
+        match self.state {
+            CandidateState::Holding { term, until, .. } if now < until => Some(term),
+            _ => None,
+        }
     }
 
     /// What to send to all replicas now, if anything.
@@ -140,9 +148,11 @@
         if vote.request_id != self.request_id || epoch != self.epoch {
             return false;
         }
-        let (election, held_until) = match &mut self.state {
+        let (election, held) = match &mut self.state {
             CandidateState::Requesting(election) => (election, None),
-            CandidateState::Holding { until, renewal: Some(election) } => (election, Some(*until)),
+            CandidateState::Holding { term, until, renewal: Some(election) } => {
+                (election, Some((*term, *until)))
+            }
             CandidateState::Idle | CandidateState::Waiting | CandidateState::Holding { .. } => return false,
         };
         election.votes.insert(voter.to_owned());
@@ -152,9 +162,10 @@
             return false;
         }
         let until = election.asked_at + LEASE_DURATION - SAFETY_MARGIN;
-        let longest = held_until.map_or(until, |held_until| held_until.max(until));
-        self.state = CandidateState::Holding { until: longest, renewal: None };
-        held_until.is_none() && now < until
+        let (term, until) =
+            held.map_or((self.term, until), |(term, held_until)| (term, held_until.max(until)));
+        self.state = CandidateState::Holding { term, until, renewal: None };
+        held.is_none() && now < until
     }
 
     /// The request that releases the lease, if it is held.
--- a/crates/coordination/src/lease/tests.rs
+++ b/crates/coordination/src/lease/tests.rs
@@ -208,3 +208,37 @@
             && one.held_term(later).is_none()
     );
 }
+
+/// Why it matters: a coordinator recovers for the term that it won. When the term rose with a late vote of the winning request or
+/// a renewal, it held the lease and never acted.
+#[test]
+fn the_term_of_a_held_lease_stays_whatever_rivals_ask_under() {
+    let mut candidate = LeaseCandidate::new(ROLE, 0);
+    let vote = |request: &LeaseRequest, term| LeaseVote {
+        role: ROLE.to_owned(),
+        request_id: request.request_id,
+        is_granted: true,
+        term,
+        epoch: 1,
+        ..LeaseVote::default()
+    };
+    let request_after = |from: i64, candidate: &mut LeaseCandidate| {
+        (from..from + 5_000)
+            .step_by(STEP as usize)
+            .find_map(|now| Some((now, candidate.tick(at(now), true, Duration::from_micros(100_000), 1)?)))
+            .expect("it asks")
+    };
+    let (now, request) = request_after(0, &mut candidate);
+    assert!(candidate.receive_vote(at(now), "s1", &vote(&request, 1), 1, is_any));
+    assert_eq!(candidate.held_term(at(now)), Some(1));
+    let (now, renewal) = request_after(now + STEP, &mut candidate);
+    assert!(renewal.is_renewal);
+    assert!(!candidate.receive_vote(at(now), "s2", &vote(&renewal, 4), 1, is_any));
+    assert_eq!(candidate.held_term(at(now)), Some(1), "a rival asked under term 4");
+    // The next lease is won under a higher term than any that was told.
+    let later = now + 10_000;
+    let (now, request) = request_after(later, &mut candidate);
+    assert!(request.term > 4 && !request.is_renewal, "{request:?}");
+    assert!(candidate.receive_vote(at(now), "s1", &vote(&request, request.term), 1, is_any));
+    assert_eq!(candidate.held_term(at(now)), Some(request.term));
+}
