--- a/crates/control-plane/src/state_machine/handlers/heartbeat.rs
+++ b/crates/control-plane/src/state_machine/handlers/heartbeat.rs
@@ -36,7 +36,7 @@
         for node_id in self.quorum.unresponsive(now) {
             self.disconnect_peer(now, &node_id, "unresponsive");
         }
-        for id in self.sessions.unresponsive(now) {
+        for id in self.sessions.timed_out(now) {
             self.close_session(now, id, "unresponsive");
         }
     }
--- a/crates/control-plane/src/state_machine/sessions.rs
+++ b/crates/control-plane/src/state_machine/sessions.rs
@@ -10,6 +10,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// A gateway that has said nothing for this long has its session closed. From [`UNRESPONSIVE_TIMEOUT`] on it is no member,
+/// so that no client is sent to it; but its network link may only be congested, and then what the session still brings it,
+/// late and in order, is all that it learns.
+pub const SESSION_TIMEOUT: Duration = Duration::from_micros(10_000_000);
 /// Bytes of items in flight to catching-up gateways, all together.
 const MAX_CATCH_UP_BYTES: usize = 8 * 1024 * 1024;
 /// Bytes of items in one chunk to a gateway, about.
@@ -116,9 +120,10 @@
         self.open.iter().filter(|(_, session)| !session.hello.is_serving).map(|(id, _)| *id).collect()
     }
 
-    pub(super) fn unresponsive(&self, now: Timestamp) -> Vec<u64> {
-        let is_unresponsive = |session: &Session| now - session.last_received_at > UNRESPONSIVE_TIMEOUT;
-        self.open.iter().filter(|(_, session)| is_unresponsive(session)).map(|(id, _)| *id).collect()
+    /// Sessions on which nothing has come for [`SESSION_TIMEOUT`].
+    pub(super) fn timed_out(&self, now: Timestamp) -> Vec<u64> {
+        let is_timed_out = |session: &Session| now - session.last_received_at > SESSION_TIMEOUT;
+        self.open.iter().filter(|(_, session)| is_timed_out(session)).map(|(id, _)| *id).collect()
     }
 
     /// The newest session of this incarnation of a gateway.
@@ -178,8 +183,10 @@
         actions
     }
 
-    fn open_members(&self) -> Vec<Member> {
-        let sessions = self.open.values();
+    /// The gateways that have said something lately.
+    fn open_members(&self, now: Timestamp) -> Vec<Member> {
+        let is_responsive = |session: &&Session| now - session.last_received_at <= UNRESPONSIVE_TIMEOUT;
+        let sessions = self.open.values().filter(is_responsive);
         let member = |Session { hello, is_ready, .. }: &Session| Member {
             node_id: hello.node_id.clone(),
             incarnation: hello.incarnation,
@@ -198,7 +205,7 @@
         node_id: &str,
         incarnation: u64,
     ) -> Option<SessionList> {
-        let members = self.open_members();
+        let members = self.open_members(now);
         let is_changed = members != self.announced.members;
         if !is_changed && now - self.announced.sent_at < ANNOUNCEMENT_INTERVAL {
             return None;
--- a/crates/control-plane/src/state_machine/tests/sessions.rs
+++ b/crates/control-plane/src/state_machine/tests/sessions.rs
@@ -49,6 +49,7 @@
         sessions.announcement(at(millis), "s0", 7).map(|list| (list.sequence, list.members.len()))
     };
     assert_eq!(announce(&mut sessions, 0), Some((1, 1)));
+    sessions.message_received(at(3_000), 1);
     assert_eq!(announce(&mut sessions, 3_999), None);
     assert_eq!(announce(&mut sessions, 4_000), Some((1, 1)), "the same list");
     sessions.open(at(4_100), 2, gateway(2));
@@ -68,11 +69,21 @@
 }
 
 #[test]
-fn a_gateway_that_says_nothing_is_unresponsive() {
+fn a_gateway_that_says_nothing_is_no_member_and_later_loses_its_session() {
     let mut sessions = sessions([1, 2]);
+    let members = |sessions: &mut Sessions, millis| {
+        sessions.announce_again();
+        let list = sessions.announcement(at(millis), "s0", 7).expect("it is to be announced again");
+        list.members.into_iter().map(|member| member.node_id).collect::<Vec<_>>()
+    };
     sessions.message_received(at(1_000), 2);
-    assert!(sessions.unresponsive(at(1_500)).is_empty());
-    assert_eq!(sessions.unresponsive(at(1_501)), [1]);
+    assert_eq!(members(&mut sessions, 1_500), ["g1", "g2"]);
+    assert_eq!(members(&mut sessions, 1_501), ["g2"]);
+    // What was held up on its way arrives.
+    sessions.message_received(at(1_600), 1);
+    assert_eq!(members(&mut sessions, 1_700), ["g1", "g2"]);
+    assert!(sessions.timed_out(at(11_000)).is_empty());
+    assert_eq!(sessions.timed_out(at(11_001)), [2]);
 }
 
 #[test]
--- a/crates/control-plane/tests/cluster/gateways.rs
+++ b/crates/control-plane/tests/cluster/gateways.rs
@@ -2,14 +2,15 @@
 
 use super::{at, Cluster};
 use kitepass_coordination::protocol::{Hello, ItemMessage, Items, Message};
-use kitepass_data_plane::control_session::{ControlSession, SessionUpdates};
+use kitepass_data_plane::control_session::{CandidateOutcome, ControlSession, SessionUpdates};
 use kitepass_time::Duration;
 use std::collections::BTreeMap;
 
-/// A gateway: its control session, and the connection that it has to a control process.
+/// A gateway: its control session, the connection that it has to a control process, and the one that it is opening.
 pub(crate) struct Gateway {
     pub(crate) session: ControlSession,
     pub(crate) connection: Option<Connection>,
+    pub(crate) candidate: Option<Connection>,
 }
 
 /// A gateway's connection to a control process.
@@ -33,6 +34,17 @@
     pub(crate) fn node(&self) -> Option<usize> {
         self.connection.map(|connection| connection.node)
     }
+
+    /// The connection that it opened last, of those that it has.
+    pub(crate) fn newest_connection(&self) -> Option<Connection> {
+        self.candidate.or(self.connection)
+    }
+
+    /// The number of the process at the other end of one of its connections.
+    fn node_of(&self, connection_id: u64) -> Option<usize> {
+        let mut connections = self.connection.iter().chain(&self.candidate);
+        connections.find(|connection| connection.id == connection_id).map(|connection| connection.node)
+    }
 }
 
 impl Cluster {
@@ -52,7 +64,7 @@
                 ..Hello::default()
             };
             let session = ControlSession::new(hello, bootstrap_addresses.clone(), regions.clone());
-            self.gateways.push(Gateway { session, connection: None });
+            self.gateways.push(Gateway { session, connection: None, candidate: None });
         }
     }
 
@@ -64,27 +76,44 @@
     /// A control process has closed a session.
     pub(super) fn close_session(&mut self, connection_id: u64) {
         self.closed.insert(connection_id);
-        if let Some(gateway) = self.gateway_of(connection_id) {
-            self.gateways[gateway].connection = None;
-            self.gateways[gateway].session.connection_lost("closed");
+        let Some(gateway) = self.gateway_of(connection_id) else { return };
+        let gateway = &mut self.gateways[gateway];
+        if gateway.connection.is_some_and(|connection| connection.id == connection_id) {
+            gateway.connection = None;
+            gateway.session.connection_lost("closed");
+        } else {
+            gateway.candidate = None;
+            gateway.session.candidate_lost("closed");
         }
     }
 
     fn gateway_of(&self, connection_id: u64) -> Option<usize> {
         let is_its = |connection: Connection| connection.id == connection_id;
-        self.gateways.iter().position(|gateway| gateway.connection.is_some_and(is_its))
+        let is_of = |it: &Gateway| it.connection.is_some_and(is_its) || it.candidate.is_some_and(is_its);
+        self.gateways.iter().position(is_of)
     }
 
-    fn drop_session(&mut self, gateway: usize, why: &str) {
-        if let Some(Connection { node, id }) = self.gateways[gateway].connection.take() {
-            let now = at(self.now);
-            if let Some(state_machine) = self.nodes[node].state_machine.as_mut() {
-                state_machine.session_closed(now, id, why);
-            }
+    /// The gateway has closed a connection: its control process notices.
+    fn close_at_process(&mut self, connection: Option<Connection>, why: &str) {
+        let now = at(self.now);
+        let Some(Connection { node, id }) = connection else { return };
+        if let Some(state_machine) = self.nodes[node].state_machine.as_mut() {
+            state_machine.session_closed(now, id, why);
         }
+    }
+
+    fn drop_session(&mut self, gateway: usize, why: &str) {
+        let connection = self.gateways[gateway].connection.take();
+        self.close_at_process(connection, why);
         self.gateways[gateway].session.connection_lost(why);
     }
 
+    fn drop_candidate(&mut self, gateway: usize, why: &str) {
+        let candidate = self.gateways[gateway].candidate.take();
+        self.close_at_process(candidate, why);
+        self.gateways[gateway].session.candidate_lost(why);
+    }
+
     /// The gateways' turn, ten times a second, and the messages between them and the control processes.
     pub(super) fn step_sessions(&mut self) {
         for gateway in 0..self.gateways.len() {
@@ -100,36 +129,51 @@
 
     fn tick_gateway(&mut self, gateway: usize) {
         let now = at(self.now);
-        if self.gateways[gateway].session.tick(now) {
-            self.drop_session(gateway, "left");
+        let outcome = self.gateways[gateway].session.tick(now);
+        if outcome.closes_candidate {
+            self.drop_candidate(gateway, "timed-out");
+        }
+        if outcome.closes_session {
+            self.drop_session(gateway, "timed-out");
         }
         let draw = self.random.rand_u64();
         if let Some(address) = self.gateways[gateway].session.next_control_process(now, draw) {
             let node: usize = address[7..].parse().unwrap();
             self.connection_count += 1;
-            self.gateways[gateway].connection = Some(Connection { node, id: self.connection_count });
+            self.gateways[gateway].candidate = Some(Connection { node, id: self.connection_count });
         }
         self.gateways[gateway].session.is_ready = self.gateways[gateway].session.is_caught_up();
     }
 
-    /// Sends what a gateway has for its control process.
+    /// Sends what a gateway has for its control process, and for the one that it connects to.
     fn send_of_gateway(&mut self, gateway: usize) {
-        let Some(Connection { node, id }) = self.gateways[gateway].connection else { return };
-        if self.nodes[node].state_machine.is_none() {
-            return self.drop_session(gateway, "refused");
+        let is_refused =
+            |it: Option<Connection>| it.is_some_and(|it| self.nodes[it.node].state_machine.is_none());
+        let Gateway { connection, candidate, .. } = self.gateways[gateway];
+        let (is_session_refused, is_candidate_refused) = (is_refused(connection), is_refused(candidate));
+        if is_candidate_refused {
+            self.drop_candidate(gateway, "refused");
+        }
+        if is_session_refused {
+            self.drop_session(gateway, "refused");
         }
-        let messages = std::mem::take(&mut self.gateways[gateway].session.outgoing);
-        let items = std::mem::take(&mut self.gateways[gateway].session.outgoing_items);
+        let session = &mut self.gateways[gateway].session;
+        let items = std::mem::take(&mut session.outgoing_items);
         let items = (!items.is_empty())
             .then(|| Message::Items(Items { items: items.iter().map(ItemMessage::from).collect() }));
-        for message in messages.into_iter().chain(items) {
-            self.send_session_message(id, true, message);
+        let on_session: Vec<Message> =
+            std::mem::take(&mut session.outgoing).into_iter().chain(items).collect();
+        let on_candidate = std::mem::take(&mut session.candidate_outgoing);
+        let Gateway { connection, candidate, .. } = &self.gateways[gateway];
+        for (connection, messages) in [(*connection, on_session), (*candidate, on_candidate)] {
+            let Some(Connection { id, .. }) = connection else { continue };
+            messages.into_iter().for_each(|message| self.send_session_message(id, true, message));
         }
     }
 
     fn deliver_session_message(&mut self, due: SessionMessage) {
         let Some(gateway) = self.gateway_of(due.connection_id) else { return };
-        let Some(node) = self.gateways[gateway].node() else { return };
+        let Some(node) = self.gateways[gateway].node_of(due.connection_id) else { return };
         if self.is_gateway_cut_off(gateway, node) || due.is_from_gateway && !self.is_running(node) {
             // It waits in the socket.
             self.session_messages.push(SessionMessage { due_at: due.due_at + 50, ..due });
@@ -155,6 +199,9 @@
         if let Some(state_machine) = state_machine.filter(|_| matches!(due.message, Message::Items(_))) {
             state_machine.session_drained(now, due.connection_id);
         }
+        if self.gateways[gateway].candidate.is_some_and(|candidate| candidate.id == due.connection_id) {
+            return self.deliver_hello(gateway, &due.message);
+        }
         let mut updates = SessionUpdates::default();
         self.gateways[gateway].session.receive(now, due.message, &mut updates);
         if updates.should_close {
@@ -162,12 +209,24 @@
         }
     }
 
-    /// The messages in flight between a gateway and its control process.
+    /// The first message on the connection that a gateway is opening.
+    fn deliver_hello(&mut self, gateway: usize, message: &Message) {
+        let Message::Hello(hello) = message else { panic!("no hello: {message:?}") };
+        let now = at(self.now);
+        let Gateway { session, connection, candidate } = &mut self.gateways[gateway];
+        let closed = match session.candidate_hello(now, hello) {
+            CandidateOutcome::Promoted => std::mem::replace(connection, candidate.take()),
+            CandidateOutcome::Rejected => candidate.take(),
+        };
+        self.close_at_process(closed, "left");
+    }
+
+    /// The messages in flight on the connection that a gateway opened last.
     pub(crate) fn messages_of_gateway(
         &mut self,
         gateway: usize,
     ) -> impl Iterator<Item = &mut SessionMessage> {
-        let connection_id = self.gateways[gateway].connection.map(|connection| connection.id);
+        let connection_id = self.gateways[gateway].newest_connection().map(|connection| connection.id);
         self.session_messages.iter_mut().filter(move |it| Some(it.connection_id) == connection_id)
     }
 
--- a/crates/data-plane/src/control_session/directory.rs
+++ b/crates/data-plane/src/control_session/directory.rs
@@ -43,6 +43,25 @@
     OtherRegion,
 }
 
+/// Which control processes are to be selected among.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scope {
+    /// All that are known.
+    All,
+    /// All but the current one.
+    Others,
+    /// Those that are nearer than the current one.
+    Nearer,
+}
+
+/// A control process that a session is to be opened with.
+#[derive(Clone, Debug)]
+pub(super) struct Selection {
+    pub(super) address: String,
+    /// Attempts in a row before this one that were followed by no complete synchronization.
+    pub(super) earlier_failures: u32,
+}
+
 /// What makes one control process preferable to another: fewer failures first, then one that is in contact with the
 /// quorum, then a near one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -106,10 +125,15 @@
         self.zones = zones;
     }
 
-    /// The current control process is isolated from the quorum. `is_new` if it was in contact before.
-    pub(super) fn record_isolation(&mut self, now: Timestamp, is_new: bool) {
-        let times = self.isolated.get(&self.current).map_or(0, |record| record.times) + u32::from(is_new);
-        self.isolated.insert(self.current.clone(), IsolationRecord { recorded_at: now, times });
+    /// A session with this control process is established.
+    pub(super) fn set_current(&mut self, address: String) {
+        self.current = address;
+    }
+
+    /// A control process is isolated from the quorum. `is_new` if it was in contact, or not heard, before.
+    pub(super) fn record_isolation(&mut self, now: Timestamp, address: &str, is_new: bool) {
+        let times = self.isolated.get(address).map_or(0, |record| record.times) + u32::from(is_new);
+        self.isolated.insert(address.to_owned(), IsolationRecord { recorded_at: now, times });
     }
 
     /// The current control process is in contact with the quorum.
@@ -190,20 +214,36 @@
         }
     }
 
+    fn is_in_scope(&self, scope: Scope, address: &str) -> bool {
+        match scope {
+            Scope::All => true,
+            Scope::Others => address != self.current,
+            Scope::Nearer => self.proximity(address) < self.proximity(&self.current),
+        }
+    }
+
     /// Selects the control process to open a session with, if any may be tried now. `draw` is a random number that
     /// decides among equally preferable ones. The attempt counts as failed until the session has synchronized.
-    pub(super) fn select(&mut self, now: Timestamp, item_store: &ItemStore, draw: u64) -> Option<String> {
+    pub(super) fn select(
+        &mut self,
+        now: Timestamp,
+        item_store: &ItemStore,
+        scope: Scope,
+        draw: u64,
+    ) -> Option<Selection> {
         let all = self.all(item_store);
-        let may_be_tried: Vec<&String> =
-            all.iter().filter(|address| !self.is_backing_off(now, address)).collect();
+        let may_be_tried: Vec<&String> = all
+            .iter()
+            .filter(|address| self.is_in_scope(scope, address) && !self.is_backing_off(now, address))
+            .collect();
         let best = may_be_tried.iter().map(|address| self.preference(now, address)).min()?;
         let equally_good: Vec<&String> =
             may_be_tried.into_iter().filter(|address| self.preference(now, address) == best).collect();
         let address = equally_good[(draw % equally_good.len() as u64) as usize].clone();
         let attempts = self.attempts.entry(address.clone()).or_default();
+        let earlier_failures = attempts.failures;
         attempts.last = now;
         attempts.failures += 1;
-        self.current = address.clone();
-        Some(address)
+        Some(Selection { address, earlier_failures })
     }
 }
--- a/crates/data-plane/src/control_session/mod.rs
+++ b/crates/data-plane/src/control_session/mod.rs
@@ -1,14 +1,19 @@
 //! A gateway's session with a control process, over which all that it knows of the system comes.
 //!
-//! No input or output: the owner opens connections to the addresses that [`ControlSession::next_control_process`] names, hands in the
-//! messages that come, and sends those in [`ControlSession::outgoing`] and [`ControlSession::outgoing_items`].
+//! No input or output. The owner opens a connection, the *candidate*, to each address that
+//! [`ControlSession::next_control_process`] names, and hands in the hello that comes on it; with
+//! [`CandidateOutcome::Promoted`] that connection is the session from then on. The owner hands in the session's messages, and
+//! sends those in [`ControlSession::candidate_outgoing`], [`ControlSession::outgoing`] and [`ControlSession::outgoing_items`].
 
+mod candidate;
 mod directory;
 mod updates;
 
-pub use updates::{LiveGateways, SessionState, SessionUpdates};
+pub use candidate::CandidateOutcome;
+pub use updates::{LiveGateways, SessionState, SessionUpdates, TickOutcome};
 
-use directory::Directory;
+use candidate::{Candidate, Reason};
+use directory::{Directory, Scope};
 use kitepass_config::{Item, ItemStore, Kind};
 use kitepass_coordination::protocol::{
     BucketDigests, Heartbeat, Hello, ItemMessage, Items, MembershipUpdate, Message, PurgeTombstones,
@@ -19,12 +24,12 @@
 
 /// How often the gateway sends a heartbeat.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_micros(500_000);
-/// A control process that sends nothing for so long is left for another.
+/// For a control process that sends nothing for so long another is sought.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_micros(1_600_000);
+/// A session that brings nothing for so long is given up though no other was found.
+const SESSION_TIMEOUT: Duration = Duration::from_micros(10_000_000);
 /// Deleted backends that are remembered at most.
 const MAX_BACKEND_TOMBSTONES: usize = 4_096;
-/// A session that is not established by then is given up.
-const CONNECT_TIMEOUT: Duration = Duration::from_micros(1_400_000);
 /// A session that is established and brings nothing of what is missing for so long is given up; it is long, as many
 /// gateways may wait for their turn.
 const SYNC_TIMEOUT: Duration = Duration::from_micros(10_000_000);
@@ -64,6 +69,8 @@
     wants_digests: bool,
     failed_repairs: u32,
     directory: Directory,
+    /// The connection that is being opened.
+    candidate: Option<Candidate>,
     last_received: Timestamp,
     opened_at: Timestamp,
     last_heartbeat: Timestamp,
@@ -76,6 +83,8 @@
     /// Whether the gateway takes requests, which its heartbeats tell.
     pub is_ready: bool,
     announced_ready: bool,
+    /// Messages to send on the candidate connection.
+    pub candidate_outgoing: Vec<Message>,
     /// Messages to send.
     pub outgoing: Vec<Message>,
     /// Items to send.
@@ -95,6 +104,7 @@
             max_unsynced: MAX_UNSYNCED,
             wants_digests: false,
             failed_repairs: 0,
+            candidate: None,
             last_received: Timestamp::default(),
             opened_at: Timestamp::default(),
             last_heartbeat: Timestamp::default(),
@@ -103,6 +113,7 @@
             has_membership: false,
             is_ready: false,
             announced_ready: false,
+            candidate_outgoing: Vec::new(),
             outgoing: Vec::new(),
             outgoing_items: Vec::new(),
         }
@@ -185,28 +196,84 @@
             self.isolation_deadline = Some(now + grace);
             info!("event=control-isolated control={}", self.directory.current());
         }
-        self.directory.record_isolation(now, is_new);
+        let control = self.directory.current().to_owned();
+        self.directory.record_isolation(now, &control, is_new);
     }
 
-    /// The control process to open a session with now, if any. `draw` is a random number.
+    /// The control process to open a connection to now, if any. `draw` is a random number.
     pub fn next_control_process(&mut self, now: Timestamp, draw: u64) -> Option<String> {
-        if self.state != SessionState::Disconnected {
+        if self.candidate.is_some() {
             return None;
         }
-        let address = self.directory.select(now, &self.item_store, draw)?;
+        let (reason, scope) = self.wanted(now)?;
+        let selection = self.directory.select(now, &self.item_store, scope, draw)?;
+        let address = selection.address.clone();
         let unsynced_since = self.resync.as_ref().map_or(self.last_synced, |resync| resync.began_at);
         if self.has_synced && now - unsynced_since > self.max_unsynced {
             self.begin_resync(now, "unsynced");
         }
+        debug!("event=control-candidate control={address} reason={reason:?}");
+        let hello = Hello { is_serving: self.is_complete(), ..self.hello.clone() };
+        self.candidate_outgoing = vec![Message::Hello(hello), self.digests()];
+        self.candidate = Some(Candidate::new(now, selection, reason));
+        Some(address)
+    }
+
+    /// Whether a session with another control process is wanted: why, and with which ones.
+    fn wanted(&self, now: Timestamp) -> Option<(Reason, Scope)> {
+        if self.state == SessionState::Disconnected {
+            return Some((Reason::Disconnected, Scope::All));
+        }
+        if self.is_unresponsive(now) {
+            return Some((Reason::Unresponsive, Scope::Others));
+        }
+        if self.state != SessionState::Synced {
+            return None;
+        }
+        let is_isolated_too_long = self.isolation_deadline.is_some_and(|deadline| now >= deadline);
+        if is_isolated_too_long && self.directory.has_alternative(now, &self.item_store) {
+            return Some((Reason::Isolated, Scope::Others));
+        }
+        let is_settled = now - self.opened_at > MIN_SESSION_TIME;
+        (is_settled && self.directory.has_nearer(now)).then_some((Reason::Nearer, Scope::Nearer))
+    }
+
+    /// Whether the session's control process has sent nothing for too long.
+    fn is_unresponsive(&self, now: Timestamp) -> bool {
+        self.state != SessionState::Disconnected && now - self.last_received > HEARTBEAT_TIMEOUT
+    }
+
+    /// A control process says hello on the candidate connection.
+    pub fn candidate_hello(&mut self, now: Timestamp, hello: &Hello) -> CandidateOutcome {
+        let Some(candidate) = self.candidate.take() else { return CandidateOutcome::Rejected };
+        self.directory.add(hello.address.clone(), hello.zone.clone());
+        // One that is isolated is no better than the session that there is. Without any it is, but not for a first
+        // configuration.
+        if !hello.is_serving && (self.state != SessionState::Disconnected || !self.is_complete()) {
+            info!("event=control-isolated control={}", candidate.address);
+            self.directory.record_isolation(now, &candidate.address, true);
+            return CandidateOutcome::Rejected;
+        }
+        self.directory.set_current(candidate.address);
+        self.outgoing.clear();
+        self.outgoing_items.clear();
+        self.candidate_outgoing.clear();
         self.wants_digests = false;
-        self.transition(SessionState::Connecting(now));
+        self.announced_ready = !self.is_ready;
         self.last_received = now;
         self.opened_at = now;
         self.isolation_deadline = None;
-        let hello = Hello { is_serving: self.is_complete(), ..self.hello.clone() };
-        self.outgoing = vec![Message::Hello(hello), self.digests()];
-        self.announced_ready = !self.is_ready;
-        Some(address)
+        self.transition(SessionState::Syncing(now));
+        self.update_contact(now, hello.is_serving, Duration::ZERO);
+        CandidateOutcome::Promoted
+    }
+
+    /// The candidate connection is closed, or could not be opened.
+    pub fn candidate_lost(&mut self, why: &str) {
+        self.candidate_outgoing.clear();
+        if let Some(candidate) = self.candidate.take() {
+            info!("event=control-candidate-lost control={} why={why}", candidate.address);
+        }
     }
 
     /// The digests of what is held here, by which the control process finds what is missing.
@@ -215,15 +282,13 @@
         Message::BucketDigests(BucketDigests { digests, wants_reply: false })
     }
 
-    /// The connection is closed, or could not be opened.
+    /// The session's connection is closed.
     pub fn connection_lost(&mut self, why: &str) {
         let control = self.directory.current();
         match self.state {
             SessionState::Disconnected => {}
-            // Ordinary: one that has not caught up yet, or that is left for a better one.
-            _ if matches!(why, "not-current" | "left") => {
-                debug!("event=control-session-lost control={control} why={why}")
-            }
+            // Ordinary: one that has not caught up yet.
+            _ if why == "not-current" => debug!("event=control-session-lost control={control} why={why}"),
             _ => warn!("event=control-session-lost control={control} why={why}"),
         }
         self.outgoing.clear();
@@ -231,14 +296,15 @@
         self.transition(SessionState::Disconnected);
     }
 
-    /// To be called about ten times a second. True if the session is to be closed.
-    pub fn tick(&mut self, now: Timestamp) -> bool {
+    /// To be called about ten times a second. Tells what is to be closed.
+    pub fn tick(&mut self, now: Timestamp) -> TickOutcome {
         self.item_store.purge_oldest_tombstones(Kind::Backend, MAX_BACKEND_TOMBSTONES);
-        if self.state == SessionState::Disconnected {
-            return false;
-        }
-        if self.is_timed_out(now) || self.should_leave(now) {
-            return true;
+        let outcome = TickOutcome {
+            closes_session: self.is_timed_out(now),
+            closes_candidate: self.gives_up_candidate(now),
+        };
+        if self.state == SessionState::Disconnected || outcome.closes_session {
+            return outcome;
         }
         if std::mem::take(&mut self.wants_digests) {
             let digests = self.digests();
@@ -254,25 +320,26 @@
                 ..Heartbeat::default()
             }));
         }
-        false
+        outcome
     }
 
     fn is_timed_out(&self, now: Timestamp) -> bool {
         match self.state {
-            SessionState::Connecting(since) if now - since > CONNECT_TIMEOUT => true,
+            SessionState::Disconnected => false,
             SessionState::Syncing(since) if now - since > SYNC_TIMEOUT => true,
-            _ => now - self.last_received > HEARTBEAT_TIMEOUT,
+            _ => now - self.last_received > SESSION_TIMEOUT,
         }
     }
 
-    /// Whether the control process is to be left for one that is in contact with the quorum, or nearer.
-    fn should_leave(&self, now: Timestamp) -> bool {
-        if self.state != SessionState::Synced {
-            return false;
-        }
-        let is_isolated_too_long = self.isolation_deadline.is_some_and(|deadline| now >= deadline);
-        is_isolated_too_long && self.directory.has_alternative(now, &self.item_store)
-            || now - self.opened_at > MIN_SESSION_TIME && self.directory.has_nearer(now)
+    /// Whether the candidate connection has taken too long, or is wanted no longer.
+    fn gives_up_candidate(&self, now: Timestamp) -> bool {
+        let Some(candidate) = &self.candidate else { return false };
+        candidate.is_timed_out(now) || candidate.reason == Reason::Unresponsive && self.is_responsive(now)
+    }
+
+    /// Whether the session stands, and its control process has been heard lately.
+    fn is_responsive(&self, now: Timestamp) -> bool {
+        self.state != SessionState::Disconnected && !self.is_unresponsive(now)
     }
 
     /// Bytes have come that are no complete message yet.
@@ -282,17 +349,11 @@
         self.last_received = now;
     }
 
-    /// Takes a message of the control process.
+    /// Takes a message of the session's control process.
     pub fn receive(&mut self, now: Timestamp, message: Message, updates: &mut SessionUpdates) {
         self.last_received = now;
-        match &message {
-            Message::Hello(hello) => {
-                self.directory.add(hello.address.clone(), hello.zone.clone());
-                self.update_contact(now, hello.is_serving, Duration::ZERO);
-                self.transition(SessionState::Syncing(now));
-            }
-            Message::Heartbeat(heartbeat) => self.receive_heartbeat(now, heartbeat),
-            _ => {}
+        if let Message::Heartbeat(heartbeat) = &message {
+            self.receive_heartbeat(now, heartbeat);
         }
         // Invariant: an old configuration is never taken for the newest. A gateway that has synchronized once does no
         // worse by staying a while.
--- a/crates/data-plane/src/control_session/updates.rs
+++ b/crates/data-plane/src/control_session/updates.rs
@@ -9,8 +9,6 @@
 pub enum SessionState {
     /// There is no session.
     Disconnected,
-    /// A connection is being opened since then.
-    Connecting(Timestamp),
     /// The session is established, and brings what is missing here; since the last of it.
     Syncing(Timestamp),
     /// All that the control process holds has come.
@@ -22,13 +20,21 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             SessionState::Disconnected => "disconnected",
-            SessionState::Connecting(_) => "connecting",
             SessionState::Syncing(_) => "syncing",
             SessionState::Synced => "synced",
         }
     }
 }
 
+/// What the owner is to close after a tick.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TickOutcome {
+    /// The session's connection, which brings nothing any more.
+    pub closes_session: bool,
+    /// The candidate connection.
+    pub closes_candidate: bool,
+}
+
 /// The gateways that count as live.
 #[derive(Clone, Debug, Default)]
 pub struct LiveGateways {
--- a/crates/data-plane/src/server/control_connection.rs
+++ b/crates/data-plane/src/server/control_connection.rs
@@ -1,22 +1,25 @@
-//! The connection to the control process, under the control session.
+//! The connections to control processes, under the control session: its own, and the candidate that is being opened.
 
 use super::Server;
-use crate::control_session::SessionUpdates;
+use crate::control_session::{CandidateOutcome, SessionUpdates};
 use kitepass_config::Kind;
-use kitepass_coordination::protocol;
 use kitepass_coordination::protocol::framing::{Assembler, MAX_FRAME_BYTES};
+use kitepass_coordination::protocol::{self, Hello, Message};
 use kitepass_net::connection::{error_label, Connection};
 use kitepass_net::poller::ReadyEvent;
 use kitepass_net::Errno;
 use kitepass_time::{Duration, Timestamp};
 use std::net::{IpAddr, SocketAddr};
 
-/// Bytes that are not acknowledged for so long end the connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_micros(1_500_000);
+/// Bytes that are not acknowledged for so long end a connection. The session judges sooner whether another is needed; on a
+/// congested link the connection, which loses nothing and keeps the order, is worth waiting for.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_micros(10_000_000);
 /// Bytes of a frame's length, in front of it.
 const FRAME_LENGTH_BYTES: usize = 4;
+/// Bytes that have come and are not used, at most.
+const MAX_UNUSED_BYTES: usize = MAX_FRAME_BYTES + FRAME_LENGTH_BYTES;
 
-/// A connection to the control process.
+/// A connection to a control process.
 pub(super) struct ControlConnection {
     /// The token under which it is polled.
     pub(super) id: u64,
@@ -24,31 +27,81 @@
     assembler: Assembler,
 }
 
-/// How a turn of reading ended.
-enum ReadEnd {
-    /// There is no more to read for now.
-    Drained,
-    /// The control process closed the connection.
+/// Why a connection is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// The control process closed it.
     Closed,
     /// What came is no frame.
     Malformed,
-    /// The connection broke.
+    /// It broke.
     Failed(Errno),
 }
 
+impl ConnectionEnd {
+    /// The reason's name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            ConnectionEnd::Closed => "closed",
+            ConnectionEnd::Malformed => "malformed",
+            ConnectionEnd::Failed(error) => error_label(error),
+        }
+    }
+}
+
+/// What reading a connection has come to.
+struct ReadStatus {
+    /// There are bytes that no message was taken of yet.
+    has_input: bool,
+    /// The control process has ended its sending.
+    has_ended: bool,
+}
+
+impl ControlConnection {
+    fn handle_event(&mut self, event: &ReadyEvent) -> Result<(), ConnectionEnd> {
+        self.connection.handle_event(event).map_err(ConnectionEnd::Failed)
+    }
+
+    /// Reads what has come, as far as there is room.
+    fn read(&mut self, scratch: &mut [u8]) -> Result<ReadStatus, ConnectionEnd> {
+        let has_ended =
+            self.connection.read_available(scratch, MAX_UNUSED_BYTES).map_err(ConnectionEnd::Failed)?;
+        Ok(ReadStatus { has_input: !self.connection.input.is_empty(), has_ended })
+    }
+
+    /// The next message of what has been read, if all of one is there.
+    fn next_message(&mut self) -> Result<Option<Message>, ConnectionEnd> {
+        let mut offset = 0;
+        let message = self.assembler.next(&self.connection.input, &mut offset);
+        self.connection.input.drain(..offset);
+        message.map_err(|_| ConnectionEnd::Malformed)
+    }
+
+    fn send(&mut self, messages: &mut Vec<Message>) -> Result<(), ConnectionEnd> {
+        for message in messages.drain(..) {
+            protocol::pack(message, &mut self.connection.output);
+        }
+        self.connection.flush().map(drop).map_err(ConnectionEnd::Failed)
+    }
+}
+
 impl Server {
-    /// Lets time pass for the session, and opens a connection where there is none.
+    /// Lets time pass for the session, and opens a connection where one is wanted.
     pub(super) fn tick_control_session(&mut self, now: Timestamp) {
-        if self.control_session.tick(now) {
-            self.close_control_connection("left");
+        let outcome = self.control_session.tick(now);
+        if outcome.closes_candidate {
+            self.close_candidate("timed-out");
+        }
+        if outcome.closes_session {
+            self.close_control_connection("timed-out");
         }
         let draw = self.rng.rand_u64();
         if let Some(address) = self.control_session.next_control_process(now, draw) {
-            self.open_control_connection(&address);
+            self.open_candidate(&address);
         }
     }
 
-    fn open_control_connection(&mut self, address: &str) {
+    fn open_candidate(&mut self, address: &str) {
         let port = self.settings.peer_ports.0;
         let address = address.parse::<IpAddr>().ok().map(|ip| SocketAddr::new(ip, port));
         let id = self.allocate_id();
@@ -56,79 +109,105 @@
             .and_then(|address| Connection::connect(&self.poller, &address, id, UNACKNOWLEDGED_TIMEOUT).ok());
         match opened {
             Some(connection) => {
-                self.control_connection =
-                    Some(ControlConnection { id, connection, assembler: Assembler::default() });
+                let assembler = Assembler::default();
+                self.candidate_connection = Some(ControlConnection { id, connection, assembler });
             }
-            None => self.control_session.connection_lost("not-opened"),
+            None => self.control_session.candidate_lost("not-opened"),
         }
     }
 
+    fn close_candidate(&mut self, why: &str) {
+        self.candidate_connection = None;
+        self.control_session.candidate_lost(why);
+    }
+
     fn close_control_connection(&mut self, why: &str) {
         self.control_connection = None;
         self.control_session.connection_lost(why);
     }
 
-    /// Sends what the session has to say.
-    pub(super) fn flush_control_connection(&mut self) {
-        let Some(control) = &mut self.control_connection else { return };
-        for message in self.control_session.outgoing.drain(..) {
-            protocol::pack(message, &mut control.connection.output);
+    /// Sends what the session has to say, on its connection and on the candidate's.
+    pub(super) fn flush_control_connections(&mut self) {
+        if let Some(candidate) = &mut self.candidate_connection {
+            if let Err(end) = candidate.send(&mut self.control_session.candidate_outgoing) {
+                self.close_candidate(end.name());
+            }
         }
+        let Some(control) = &mut self.control_connection else { return };
         let items = std::mem::take(&mut self.control_session.outgoing_items);
         protocol::pack_items(items.iter(), &mut control.connection.output);
-        if let Err(error) = control.connection.flush() {
-            self.close_control_connection(error_label(error));
+        if let Err(end) = control.send(&mut self.control_session.outgoing) {
+            self.close_control_connection(end.name());
         }
     }
 
-    /// Reads what the control process sends, and takes it up.
-    pub(super) fn serve_control_connection(&mut self, event: &ReadyEvent) {
+    /// Reads the hello that a control process sends on the candidate connection, with which that becomes the session's.
+    pub(super) fn serve_candidate(&mut self, event: &ReadyEvent) {
         let now = self.clock.now();
+        let hello = self.read_hello(event);
+        match hello {
+            Ok(None) => {}
+            Ok(Some(hello)) => match self.control_session.candidate_hello(now, &hello) {
+                CandidateOutcome::Promoted => {
+                    self.control_connection = self.candidate_connection.take();
+                    self.read_session(now);
+                }
+                CandidateOutcome::Rejected => self.candidate_connection = None,
+            },
+            Err(end) => self.close_candidate(end.name()),
+        }
+    }
+
+    fn read_hello(&mut self, event: &ReadyEvent) -> Result<Option<Hello>, ConnectionEnd> {
+        let Some(candidate) = &mut self.candidate_connection else { return Ok(None) };
+        candidate.handle_event(event)?;
+        let status = candidate.read(&mut self.read_buffer)?;
+        match candidate.next_message()? {
+            Some(Message::Hello(hello)) => Ok(Some(hello)),
+            Some(_) => Err(ConnectionEnd::Malformed),
+            None if status.has_ended => Err(ConnectionEnd::Closed),
+            None => Ok(None),
+        }
+    }
+
+    /// Reads what the session's control process sends, and takes it up.
+    pub(super) fn serve_control_connection(&mut self, event: &ReadyEvent) {
+        let Some(control) = &mut self.control_connection else { return };
+        match control.handle_event(event) {
+            Ok(()) => self.read_session(self.clock.now()),
+            Err(end) => self.close_control_connection(end.name()),
+        }
+    }
+
+    fn read_session(&mut self, now: Timestamp) {
         let mut updates = SessionUpdates::default();
-        let end = self.read_control_connection(now, event, &mut updates);
+        let end = self.read_messages(now, &mut updates);
         let should_close = updates.should_close;
         self.apply_session_updates(now, updates);
         match end {
-            ReadEnd::Closed => self.close_control_connection("closed"),
-            ReadEnd::Failed(error) => self.close_control_connection(error_label(error)),
-            ReadEnd::Malformed => self.close_control_connection("malformed"),
-            ReadEnd::Drained if should_close => self.close_control_connection("not-current"),
-            ReadEnd::Drained => {}
+            Err(end) => self.close_control_connection(end.name()),
+            Ok(()) if should_close => self.close_control_connection("not-current"),
+            Ok(()) => {}
         }
     }
 
-    fn read_control_connection(
-        &mut self,
-        now: Timestamp,
-        event: &ReadyEvent,
-        updates: &mut SessionUpdates,
-    ) -> ReadEnd {
-        let Some(control) = &mut self.control_connection else { return ReadEnd::Drained };
-        if let Err(error) = control.connection.handle_event(event) {
-            return ReadEnd::Failed(error);
-        }
+    /// Reads until the socket holds no more.
+    fn read_messages(&mut self, now: Timestamp, updates: &mut SessionUpdates) -> Result<(), ConnectionEnd> {
+        let Some(control) = &mut self.control_connection else { return Ok(()) };
         // No further event tells of what is left in the socket by a read that stopped at its bound.
         loop {
-            let max_unused_bytes = MAX_FRAME_BYTES + FRAME_LENGTH_BYTES;
-            let filled = control.connection.read_available(&mut self.read_buffer, max_unused_bytes);
-            if !control.connection.input.is_empty() {
+            let status = control.read(&mut self.read_buffer)?;
+            if status.has_input {
                 self.control_session.bytes_received(now);
             }
-            let mut offset = 0;
-            let is_malformed = loop {
-                match control.assembler.next(&control.connection.input, &mut offset) {
-                    Ok(None) => break false,
-                    Err(_) => break true,
-                    Ok(Some(message)) => self.control_session.receive(now, message, updates),
-                }
-            };
-            control.connection.input.drain(..offset);
-            match filled {
-                Ok(true) => return ReadEnd::Closed,
-                Err(error) => return ReadEnd::Failed(error),
-                Ok(false) if is_malformed => return ReadEnd::Malformed,
-                Ok(false) if !control.connection.is_readable() => return ReadEnd::Drained,
-                Ok(false) => {}
+            while let Some(message) = control.next_message()? {
+                self.control_session.receive(now, message, updates);
+            }
+            if status.has_ended {
+                return Err(ConnectionEnd::Closed);
+            }
+            if !control.connection.is_readable() {
+                return Ok(());
             }
         }
     }
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -145,6 +145,8 @@
     unread_upstreams: Vec<UpstreamId>,
     control_session: ControlSession,
     control_connection: Option<ControlConnection>,
+    /// The connection that is being opened to a control process.
+    candidate_connection: Option<ControlConnection>,
     routing_table: Arc<RoutingTable>,
     /// Whether the configuration has changed since the routing table was built.
     is_routing_table_stale: bool,
@@ -247,6 +249,7 @@
             is_routing_table_stale: false,
             control_session,
             control_connection: None,
+            candidate_connection: None,
             live_gateways: 1,
             incarnation,
             last_report_id: 0,
@@ -292,7 +295,7 @@
             self.apply_configuration(now);
             self.update_readiness();
             self.apply_quota_decisions(now);
-            self.flush_control_connection();
+            self.flush_control_connections();
             if self.continue_shutdown(now) {
                 return Ok(());
             }
@@ -316,6 +319,7 @@
             _ if self.control_connection.as_ref().is_some_and(is_control) => {
                 self.serve_control_connection(event)
             }
+            _ if self.candidate_connection.as_ref().is_some_and(is_control) => self.serve_candidate(event),
             id if self.clients.contains_key(&ClientId(id)) => self.serve_client(ClientId(id), Some(event)),
             id => self.serve_upstream(UpstreamId(id), Some(event)),
         }
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -44,7 +44,7 @@
         self.shutdown_began = Some(now);
         self.control_session.is_ready = false;
         self.tick(now);
-        self.flush_control_connection();
+        self.flush_control_connections();
     }
 
     /// Closes the connections of clients that have sent nothing.
--- a/crates/data-plane/tests/control_session.rs
+++ b/crates/data-plane/tests/control_session.rs
@@ -5,7 +5,9 @@
 use kitepass_coordination::protocol::{
     BucketDigests, Heartbeat, Hello, ItemMessage, Items, MembershipUpdate, Message,
 };
-use kitepass_data_plane::control_session::{ControlSession, SessionState, SessionUpdates};
+use kitepass_data_plane::control_session::{
+    CandidateOutcome, ControlSession, SessionState, SessionUpdates, TickOutcome,
+};
 use kitepass_time::Timestamp;
 use std::collections::BTreeMap;
 
@@ -13,14 +15,14 @@
     Timestamp::from_micros(millis * 1000)
 }
 
-fn hello(address: &str, is_serving: bool) -> Message {
-    Message::Hello(Hello {
+fn hello(address: &str, is_serving: bool) -> Hello {
+    Hello {
         node_id: address.into(),
         address: address.into(),
         is_control_plane: true,
         is_serving,
         ..Hello::default()
-    })
+    }
 }
 
 fn item(version: u64) -> Item {
@@ -53,88 +55,155 @@
     updates
 }
 
+/// A gateway that has a session with the first of these, and all that it holds. It may know the zones of some.
+fn synced_session(bootstrap: &[&str], zones: &[(&str, &str)]) -> ControlSession {
+    let (mut session, address) = session(0, bootstrap);
+    assert_eq!(session.candidate_hello(at(10), &hello(&address, true)), CandidateOutcome::Promoted);
+    let (control_addresses, control_zones) =
+        zones.iter().map(|(address, zone)| (address.to_string(), zone.to_string())).unzip();
+    let membership = MembershipUpdate { control_addresses, control_zones, ..MembershipUpdate::default() };
+    receive(&mut session, 20, vec![sync_finished(None), Message::MembershipUpdate(membership)]);
+    assert_eq!(session.state(), SessionState::Synced);
+    session
+}
+
+fn serving_heartbeat() -> Message {
+    Message::Heartbeat(Heartbeat { is_serving: true, ..Heartbeat::default() })
+}
+
+const NOTHING: TickOutcome = TickOutcome { closes_session: false, closes_candidate: false };
+
 #[test]
 fn a_first_configuration_is_not_taken_from_an_isolated_control_process() {
     // It says so in its hello, or in a heartbeat before all items have come.
     let membership = || Message::MembershipUpdate(MembershipUpdate::default());
-    let from_hello =
-        |address: &str| vec![hello(address, false), items(3), sync_finished(Some(3)), membership()];
-    let from_heartbeat = |address: &str| {
-        vec![
-            hello(address, true),
-            Message::Heartbeat(Heartbeat::default()),
-            items(3),
-            sync_finished(Some(3)),
-            membership(),
-        ]
-    };
-    for messages in [&from_hello as &dyn Fn(&str) -> Vec<Message>, &from_heartbeat] {
-        let (mut session, address) = session(0, &["a"]);
-        let updates = receive(&mut session, 100, messages(&address));
-        assert!(updates.should_close && updates.items.is_empty() && !session.is_caught_up());
-        assert_eq!(session.item_store.len(), 0);
-    }
+    let (mut isolated, address) = session(0, &["a"]);
+    assert_eq!(isolated.candidate_hello(at(100), &hello(&address, false)), CandidateOutcome::Rejected);
+    assert_eq!(isolated.state(), SessionState::Disconnected);
+
     let (mut session, address) = session(0, &["a"]);
-    let updates = receive(
-        &mut session,
-        100,
-        vec![hello(&address, true), items(3), sync_finished(Some(3)), membership()],
-    );
+    assert_eq!(session.candidate_hello(at(90), &hello(&address, true)), CandidateOutcome::Promoted);
+    let messages =
+        vec![Message::Heartbeat(Heartbeat::default()), items(3), sync_finished(Some(3)), membership()];
+    let updates = receive(&mut session, 100, messages);
+    assert!(updates.should_close && updates.items.is_empty() && !session.is_caught_up());
+    assert_eq!(session.item_store.len(), 0);
+
+    session.connection_lost("not-current");
+    let address = session.next_control_process(at(11_000), 0).expect("one is known");
+    assert_eq!(session.candidate_hello(at(11_010), &hello(&address, true)), CandidateOutcome::Promoted);
+    let updates = receive(&mut session, 11_100, vec![items(3), sync_finished(Some(3)), membership()]);
     assert!(!updates.should_close && session.is_caught_up() && updates.items.len() == 1);
     // Once it has synchronized it says so, and stays where all are isolated.
-    let updates = receive(&mut session, 200, vec![Message::Heartbeat(Heartbeat::default()), items(4)]);
+    let updates = receive(&mut session, 11_200, vec![Message::Heartbeat(Heartbeat::default()), items(4)]);
     assert!(!updates.should_close && updates.items.len() == 1);
-    (2..40).for_each(|n| {
-        receive(&mut session, n * 100, vec![Message::Heartbeat(Heartbeat::default())]);
-        assert!(!session.tick(at(n * 100)), "no other is known");
-    });
-    assert!(session
-        .outgoing
-        .iter()
-        .any(|message| matches!(message, Message::Heartbeat(heartbeat) if heartbeat.is_serving)));
+    for now in (11_300..15_000).step_by(100) {
+        receive(&mut session, now, vec![Message::Heartbeat(Heartbeat::default())]);
+        assert_eq!(session.tick(at(now)), NOTHING);
+        assert_eq!(session.next_control_process(at(now), 0), None, "no other is known");
+    }
+    let is_complete =
+        |message: &Message| matches!(message, Message::Heartbeat(heartbeat) if heartbeat.is_serving);
+    assert!(session.outgoing.iter().any(is_complete));
     // After so long without synchronization that it starts from nothing, it is as one that has never synchronized, and
     // serves by what it has.
     session.connection_lost("closed");
     let later = 4_000_000;
     let address = session.next_control_process(at(later), 0).expect("one is known");
-    assert!(matches!(&session.outgoing[0], Message::Hello(hello) if !hello.is_serving));
-    let updates = receive(&mut session, later, from_hello(&address));
-    assert!(
-        updates.should_close
-            && session.item_store.get(Kind::Service, "l").is_some_and(|item| item.version == 4)
-    );
+    assert!(matches!(&session.candidate_outgoing[0], Message::Hello(hello) if !hello.is_serving));
+    assert_eq!(session.candidate_hello(at(later), &hello(&address, false)), CandidateOutcome::Rejected);
+    assert_eq!(session.item_store.get(Kind::Service, "l").map(|item| item.version), Some(4));
 }
 
-/// It leaves one that becomes isolated after a while, and one that it finds isolated as soon as it has synchronized; it
-/// tries each once, and then stays for a time.
+/// Where its control process becomes isolated it tries each other one once, after a while, and stays meanwhile.
 #[test]
-fn each_isolated_control_process_is_tried_once_and_then_one_is_kept() {
-    let (mut session, address) = session(0, &["a", "b", "c"]);
-    receive(
-        &mut session,
-        100,
-        vec![
-            hello(&address, true),
-            sync_finished(None),
-            Message::MembershipUpdate(MembershipUpdate::default()),
-        ],
-    );
-    let (mut closed_at, mut tried) = (Vec::new(), vec![address]);
+fn each_other_control_process_is_tried_once_where_all_are_isolated() {
+    let mut session = synced_session(&["a", "b", "c"], &[]);
+    let mut tried = Vec::new();
     for now in (200..9_000).step_by(100) {
-        match session.state() {
-            SessionState::Disconnected => {
-                let address = session.next_control_process(at(now), 0).expect("one is left");
-                receive(&mut session, now, vec![hello(&address, false), sync_finished(None)]);
-                tried.push(address);
-            }
-            _ => _ = receive(&mut session, now, vec![Message::Heartbeat(Heartbeat::default())]),
+        receive(&mut session, now, vec![Message::Heartbeat(Heartbeat::default())]);
+        assert_eq!(session.tick(at(now)), NOTHING);
+        if let Some(address) = session.next_control_process(at(now), 0) {
+            assert_eq!(session.candidate_hello(at(now), &hello(&address, false)), CandidateOutcome::Rejected);
+            tried.push((now, address));
         }
-        if session.tick(at(now)) {
-            closed_at.push(now);
-            session.connection_lost("left");
+        assert_eq!(session.state(), SessionState::Synced);
+    }
+    assert_eq!(tried.first().map(|(now, _)| *now), Some(1_700), "{tried:?}");
+    let mut addresses: Vec<String> = tried.into_iter().map(|(_, address)| address).collect();
+    addresses.sort();
+    assert_eq!(addresses, ["b", "c"]);
+}
+
+/// The gateway's own link is congested: its control process is not heard, and no other answers.
+#[test]
+fn a_session_is_kept_while_no_other_control_process_answers() {
+    let mut session = synced_session(&["a", "b", "c"], &[]);
+    let mut opened = Vec::new();
+    for now in (100..9_900).step_by(100) {
+        let outcome = session.tick(at(now));
+        assert!(!outcome.closes_session, "at {now} ms");
+        if outcome.closes_candidate {
+            session.candidate_lost("timed-out");
         }
+        opened.extend(session.next_control_process(at(now), 0).map(|address| (now, address)));
+        assert_eq!(session.state(), SessionState::Synced);
     }
-    assert_eq!(closed_at.first(), Some(&1_700), "{closed_at:?}");
-    tried.sort();
-    assert_eq!((closed_at.len(), tried), (2, vec!["a".to_owned(), "b".into(), "c".into()]));
+    // 1.4 s for the first to each address, twice and four times as long for the next ones.
+    let times: Vec<i64> = opened.iter().map(|(now, _)| *now).collect();
+    assert_eq!(times, [1_700, 3_200, 4_700, 7_600], "{opened:?}");
+    assert!(opened.iter().all(|(_, address)| address != "a"), "{opened:?}");
+    // What was late arrives, and the session goes on as if nothing had been.
+    let updates = receive(&mut session, 9_950, vec![items(4), serving_heartbeat()]);
+    assert_eq!((updates.items.len(), updates.should_close), (1, false));
+    assert_eq!(session.tick(at(9_960)), TickOutcome { closes_session: false, closes_candidate: true });
+    session.candidate_lost("heard-again");
+    assert_eq!(session.next_control_process(at(9_970), 0), None);
+}
+
+#[test]
+fn a_session_that_brings_nothing_for_ten_seconds_is_given_up() {
+    let mut session = synced_session(&["a"], &[]);
+    assert_eq!(session.tick(at(10_000)), NOTHING);
+    assert!(session.tick(at(10_030)).closes_session);
+    session.connection_lost("timed-out");
+    assert!(session.next_control_process(at(10_040), 0).is_some());
+}
+
+/// Its control process has lost its power, or is cut off: another is found as soon as that is noticed.
+#[test]
+fn a_session_moves_to_a_control_process_that_answers() {
+    let mut session = synced_session(&["a", "b"], &[]);
+    assert_eq!(session.next_control_process(at(1_620), 0), None);
+    assert_eq!(session.next_control_process(at(1_630), 0).as_deref(), Some("b"));
+    assert_eq!(session.candidate_outgoing.len(), 2, "a hello and the digests of what it holds");
+    assert_eq!(session.candidate_hello(at(1_700), &hello("b", true)), CandidateOutcome::Promoted);
+    assert!(matches!(session.state(), SessionState::Syncing(_)));
+    receive(&mut session, 1_800, vec![sync_finished(None)]);
+    assert_eq!((session.state(), session.tick(at(1_900))), (SessionState::Synced, NOTHING));
+}
+
+#[test]
+fn a_nearer_control_process_is_gone_over_to_once_it_answers() {
+    let zones = [("a", "z1"), ("b", "z2")];
+    let gateway = Hello { node_id: "g".into(), zone: "z2".into(), ..Hello::default() };
+    let mut session = ControlSession::new(gateway, vec!["a".into()], BTreeMap::new());
+    session.next_control_process(at(0), 0).expect("one is known");
+    session.candidate_hello(at(10), &hello("a", true));
+    let (control_addresses, control_zones) =
+        zones.map(|(address, zone)| (address.into(), zone.into())).into_iter().unzip();
+    let membership = MembershipUpdate { control_addresses, control_zones, ..MembershipUpdate::default() };
+    receive(&mut session, 20, vec![sync_finished(None), Message::MembershipUpdate(membership)]);
+    receive(&mut session, 2_900, vec![serving_heartbeat()]);
+    assert_eq!(session.next_control_process(at(2_900), 0), None, "it stays for a while");
+    receive(&mut session, 3_100, vec![serving_heartbeat()]);
+    assert_eq!(session.next_control_process(at(3_100), 0).as_deref(), Some("b"));
+    // It does not answer, and the session goes on.
+    receive(&mut session, 4_600, vec![serving_heartbeat()]);
+    assert_eq!(session.tick(at(4_600)), TickOutcome { closes_session: false, closes_candidate: true });
+    session.candidate_lost("timed-out");
+    assert_eq!(session.next_control_process(at(4_700), 0), None, "it is left alone for a time");
+    receive(&mut session, 15_200, vec![serving_heartbeat()]);
+    assert_eq!(session.next_control_process(at(15_200), 0).as_deref(), Some("b"));
+    assert_eq!(session.candidate_hello(at(15_300), &hello("b", true)), CandidateOutcome::Promoted);
 }
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::network::SessionId;
 use kitepass_config::ItemStore;
 use kitepass_coordination::protocol::{Hello, Message};
-use kitepass_data_plane::control_session::{ControlSession, SessionUpdates};
+use kitepass_data_plane::control_session::{CandidateOutcome, ControlSession, SessionUpdates, TickOutcome};
 use kitepass_time::Timestamp;
 use std::collections::BTreeMap;
 
@@ -13,8 +13,10 @@
 pub struct Gateway {
     hello: Hello,
     control_session: ControlSession,
-    /// The session that it has, or is opening.
+    /// The session that it has.
     pub session: Option<SessionId>,
+    /// The session that it is opening.
+    pub candidate: Option<SessionId>,
 }
 
 /// What a gateway wants done after a tick.
@@ -22,6 +24,8 @@
 pub struct TickResult {
     /// The session that it had is over.
     pub closes_session: bool,
+    /// The session that it was opening is given up.
+    pub closes_candidate: bool,
     /// A session is to be opened to this address.
     pub connect_to: Option<String>,
 }
@@ -38,7 +42,7 @@
     /// A gateway without a session, that knows the addresses of some control processes, and the regions by zone.
     pub fn new(hello: Hello, addresses: Vec<String>, regions: BTreeMap<String, String>) -> Gateway {
         let control_session = ControlSession::new(hello.clone(), addresses, regions);
-        Gateway { hello, control_session, session: None }
+        Gateway { hello, control_session, session: None, candidate: None }
     }
 
     /// Its process restarts, with nothing.
@@ -49,17 +53,36 @@
 
     /// Time has passed. The random number chooses among equal control processes.
     pub fn tick(&mut self, now: Timestamp, random: u64) -> TickResult {
-        let mut result = TickResult::default();
-        if self.control_session.tick(now) {
-            result.closes_session = true;
-            self.control_session.connection_lost("left");
+        let outcome = self.control_session.tick(now);
+        if outcome.closes_session {
+            self.control_session.connection_lost("timed-out");
         }
-        result.connect_to = self.control_session.next_control_process(now, random);
+        if outcome.closes_candidate {
+            self.control_session.candidate_lost("timed-out");
+        }
+        let connect_to = self.control_session.next_control_process(now, random);
         self.control_session.is_ready = self.control_session.is_caught_up();
-        result
+        let TickOutcome { closes_session, closes_candidate } = outcome;
+        TickResult { closes_session, closes_candidate, connect_to }
+    }
+
+    /// The session that it was opening is over, or could not be opened.
+    pub fn candidate_lost(&mut self, reason: &str) {
+        self.candidate = None;
+        self.control_session.candidate_lost(reason);
+    }
+
+    /// What it sends on the session that it is opening.
+    pub fn take_candidate_messages(&mut self) -> Vec<Message> {
+        std::mem::take(&mut self.control_session.candidate_outgoing)
+    }
+
+    /// A control process said hello on the session that it is opening, which becomes the session it has.
+    pub fn receive_hello(&mut self, now: Timestamp, hello: &Hello) -> CandidateOutcome {
+        self.control_session.candidate_hello(now, hello)
     }
 
-    /// Its session is over, or could not be opened.
+    /// Its session is over.
     pub fn session_lost(&mut self, reason: &str) {
         self.session = None;
         self.control_session.connection_lost(reason);
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -98,7 +98,7 @@
     fn from(response: Response) -> OperatorAnswer {
         match response {
             Response::Done => OperatorAnswer::Done,
-            Response::Body(body) => OperatorAnswer::Items(items_from_body(&body)),
+            Response::Configuration(snapshot) => OperatorAnswer::Items(items_from_body(&snapshot.to_json())),
             Response::Invalid(reason) => OperatorAnswer::Invalid(reason),
             Response::Conflict(reason) => OperatorAnswer::Conflict(reason),
             Response::Redirect(address) => OperatorAnswer::Redirect(address),
@@ -233,6 +233,11 @@
         self.state_machine.lease_term(now).is_some()
     }
 
+    /// It holds the coordinator's lease, and acts by it.
+    pub fn is_active_coordinator(&self, now: Timestamp) -> bool {
+        self.state_machine.active_term(now).is_some()
+    }
+
     /// It has caught up and is in contact with a majority.
     pub fn is_serving(&self) -> bool {
         self.state_machine.replica_state() == ReplicaState::Serving
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -152,6 +152,15 @@
         /// Which gateway.
         gateway: usize,
     },
+    /// A gateway's own network link is congested: all that it sends and receives takes longer.
+    GatewayCongestion {
+        /// Which gateway.
+        gateway: usize,
+        /// How much longer each message takes.
+        extra_latency: i64,
+        /// For how long.
+        duration: i64,
+    },
     /// Answers to operators are lost on their way.
     AnswerLoss {
         /// How many, in percent.
@@ -190,6 +199,7 @@
             Fault::CrashAtConfirmation { .. } => "crash-at-confirmation",
             Fault::CrashAfterEvents { .. } => "crash-after-events",
             Fault::GatewayRestart { .. } => "gateway-restart",
+            Fault::GatewayCongestion { .. } => "gateway-congestion",
             Fault::AnswerLoss { .. } => "answer-loss",
         }
     }
--- a/crates/simulation/src/scenario/plan.rs
+++ b/crates/simulation/src/scenario/plan.rs
@@ -22,6 +22,8 @@
     Away,
     /// Disks that are slow, hang and refuse, with crashes.
     Disks,
+    /// Gateways behind congested links, while processes and power are lost.
+    Congestion,
     /// All faults.
     All,
 }
@@ -47,10 +49,11 @@
     CrashAfterEvents,
     GatewayRestart,
     AnswerLoss,
+    GatewayCongestion,
 }
 
 impl FaultKind {
-    const ALL: [FaultKind; 18] = [
+    const ALL: [FaultKind; 19] = [
         FaultKind::Crash,
         FaultKind::PowerLoss,
         FaultKind::AllDown,
@@ -69,6 +72,7 @@
         FaultKind::CrashAfterEvents,
         FaultKind::GatewayRestart,
         FaultKind::AnswerLoss,
+        FaultKind::GatewayCongestion,
     ];
 }
 
@@ -77,8 +81,16 @@
 
 impl Plan {
     /// All plans.
-    pub const ALL: [Plan; 7] =
-        [Plan::Calm, Plan::Cuts, Plan::Races, Plan::Losses, Plan::Away, Plan::Disks, Plan::All];
+    pub const ALL: [Plan; 8] = [
+        Plan::Calm,
+        Plan::Cuts,
+        Plan::Races,
+        Plan::Losses,
+        Plan::Away,
+        Plan::Disks,
+        Plan::Congestion,
+        Plan::All,
+    ];
 
     /// Its name on the command line.
     pub fn name(self) -> &'static str {
@@ -89,6 +101,7 @@
             Plan::Losses => "losses",
             Plan::Away => "away",
             Plan::Disks => "disks",
+            Plan::Congestion => "congestion",
             Plan::All => "all",
         }
     }
@@ -101,12 +114,13 @@
     fn weights(self) -> Weights {
         match self {
             Plan::Calm => [0; FaultKind::ALL.len()],
-            Plan::Cuts => [1, 0, 0, 0, 1, 12, 6, 3, 2, 0, 0, 0, 1, 0, 1, 0, 1, 1],
-            Plan::Races => [2, 2, 1, 0, 2, 4, 2, 4, 3, 2, 1, 0, 1, 0, 4, 4, 1, 3],
-            Plan::Losses => [1, 2, 1, 9, 1, 1, 1, 1, 0, 1, 0, 0, 3, 8, 2, 2, 1, 1],
-            Plan::Away => [2, 2, 1, 3, 2, 2, 1, 2, 1, 1, 1, 1, 1, 1, 2, 4, 2, 1],
-            Plan::Disks => [4, 4, 2, 2, 1, 0, 0, 1, 0, 8, 4, 4, 1, 0, 3, 4, 0, 1],
-            Plan::All => [3, 3, 2, 3, 2, 4, 2, 3, 2, 3, 2, 2, 2, 2, 3, 4, 2, 2],
+            Plan::Cuts => [1, 0, 0, 0, 1, 12, 6, 3, 2, 0, 0, 0, 1, 0, 1, 0, 1, 1, 0],
+            Plan::Races => [2, 2, 1, 0, 2, 4, 2, 4, 3, 2, 1, 0, 1, 0, 4, 4, 1, 3, 0],
+            Plan::Losses => [1, 2, 1, 9, 1, 1, 1, 1, 0, 1, 0, 0, 3, 8, 2, 2, 1, 1, 0],
+            Plan::Away => [2, 2, 1, 3, 2, 2, 1, 2, 1, 1, 1, 1, 1, 1, 2, 4, 2, 1, 0],
+            Plan::Disks => [4, 4, 2, 2, 1, 0, 0, 1, 0, 8, 4, 4, 1, 0, 3, 4, 0, 1, 0],
+            Plan::Congestion => [2, 2, 3, 0, 1, 1, 1, 2, 0, 1, 0, 0, 1, 0, 2, 1, 1, 1, 12],
+            Plan::All => [3, 3, 2, 3, 2, 4, 2, 3, 2, 3, 2, 2, 2, 2, 3, 4, 2, 2, 0],
         }
     }
 
@@ -119,6 +133,7 @@
             Plan::Losses => 2 * SECOND..9 * SECOND,
             Plan::Away => SECOND..8 * SECOND,
             Plan::Disks => 300 * MILLISECOND..4 * SECOND,
+            Plan::Congestion => SECOND..6 * SECOND,
             Plan::All => 200 * MILLISECOND..5 * SECOND,
         }
     }
@@ -278,6 +293,10 @@
         }
         FaultKind::GatewayRestart => Fault::GatewayRestart { gateway: rng.below(layout.gateway_count) },
         FaultKind::AnswerLoss => Fault::AnswerLoss { percent: 50, duration },
+        FaultKind::GatewayCongestion => {
+            let extra_latency = rng.in_range(500 * MILLISECOND..5 * SECOND);
+            Fault::GatewayCongestion { gateway: rng.below(layout.gateway_count), extra_latency, duration }
+        }
     }
 }
 
--- a/crates/simulation/src/simulation/connections.rs
+++ b/crates/simulation/src/simulation/connections.rs
@@ -172,6 +172,8 @@
         let gateway = &mut self.gateways[gateway];
         if gateway.session == Some(session) {
             gateway.session_lost("closed");
+        } else if gateway.candidate == Some(session) {
+            gateway.candidate_lost("closed");
         }
     }
 
--- a/crates/simulation/src/simulation/convergence.rs
+++ b/crates/simulation/src/simulation/convergence.rs
@@ -94,10 +94,15 @@
         })
     }
 
-    /// One process holds the coordinator's lease.
+    /// One process holds the coordinator's lease, and acts.
     fn lease_problem(&self) -> Option<String> {
-        let count = self.replicas.iter().filter(|node| self.is_lease_holder(**node)).count();
-        (count != 1).then(|| format!("{count} processes hold the lease"))
+        let holders: Vec<usize> =
+            self.replicas.iter().copied().filter(|node| self.is_lease_holder(*node)).collect();
+        match holders[..] {
+            [holder] => (!self.is_active_coordinator(holder))
+                .then(|| format!("s{holder} holds the lease and does not act")),
+            _ => Some(format!("{} processes hold the lease", holders.len())),
+        }
     }
 
     /// Records which zones each process has as evacuated.
--- a/crates/simulation/src/simulation/faults.rs
+++ b/crates/simulation/src/simulation/faults.rs
@@ -98,6 +98,9 @@
                 node.scheduled_crash = Some(ScheduledCrash { events_left: events, crash });
             }
             Fault::GatewayRestart { gateway } => self.restart_gateway(gateway),
+            Fault::GatewayCongestion { gateway, extra_latency, duration } => {
+                self.congest_gateway(gateway, extra_latency, duration);
+            }
             Fault::AnswerLoss { percent, duration } => {
                 self.answer_loss = AnswerLoss { percent, until: self.now + duration };
             }
@@ -235,6 +238,14 @@
         self.network.slow_down(b, a, extra_latency, until);
     }
 
+    fn congest_gateway(&mut self, gateway: usize, extra_latency: i64, duration: i64) {
+        let (gateway, until) = (Host::Gateway(gateway), self.now + duration);
+        for node in (0..self.nodes.len()).map(Host::Node) {
+            self.network.slow_down(gateway, node, extra_latency, until);
+            self.network.slow_down(node, gateway, extra_latency, until);
+        }
+    }
+
     /// False if there is no lease holder.
     fn partition_lease_holder(&mut self, shape: PartitionShape) -> bool {
         let lease_holder = self.replicas.iter().copied().find(|node| self.is_lease_holder(*node));
--- a/crates/simulation/src/simulation/gateways.rs
+++ b/crates/simulation/src/simulation/gateways.rs
@@ -6,6 +6,7 @@
 use crate::network::{Host, SessionId};
 use crate::scenario::SECOND;
 use kitepass_coordination::protocol::Message;
+use kitepass_data_plane::control_session::CandidateOutcome;
 use kitepass_time::Timestamp;
 
 /// The time of the gateways' steady clocks at the start of the simulation.
@@ -19,11 +20,12 @@
     pub(super) fn gateway_tick(&mut self, number: usize) {
         let now = self.gateway_time();
         let random = self.rng.next_u64();
-        let session = self.gateways[number].session;
         let result = self.gateways[number].tick(now, random);
-        if let Some(session) = session.filter(|_| result.closes_session) {
-            self.gateways[number].session = None;
-            self.close_session(session, false);
+        let gateway = &mut self.gateways[number];
+        let session = if result.closes_session { gateway.session.take() } else { None };
+        let candidate = if result.closes_candidate { gateway.candidate.take() } else { None };
+        for closed in session.into_iter().chain(candidate) {
+            self.close_session(closed, false);
         }
         let node = result.connect_to.and_then(|address| self.node_by_address(&address));
         if let Some(node) = node {
@@ -36,16 +38,19 @@
     /// A gateway opens a session. Behind a partition nothing answers: the control session gives up by itself.
     fn connect_gateway(&mut self, number: usize, node: usize) {
         if self.nodes[node].process.is_none() {
-            self.gateways[number].session_lost("refused");
+            self.gateways[number].candidate_lost("refused");
         } else if !self.network.is_unreachable(self.now, Host::Gateway(number), Host::Node(node)) {
-            self.gateways[number].session = Some(self.open_session(number, node));
+            self.gateways[number].candidate = Some(self.open_session(number, node));
         }
     }
 
     /// Sends what a gateway wants sent; without a session it is lost.
     fn send_from_gateway(&mut self, number: usize) {
-        let messages = self.gateways[number].take_messages();
-        if let Some(session) = self.gateways[number].session {
+        let gateway = &mut self.gateways[number];
+        let on_session = (gateway.session, gateway.take_messages());
+        let on_candidate = (gateway.candidate, gateway.take_candidate_messages());
+        for (session, messages) in [on_session, on_candidate] {
+            let Some(session) = session else { continue };
             for message in messages {
                 self.send(session.to_node(), message);
             }
@@ -53,6 +58,9 @@
     }
 
     pub(super) fn gateway_message(&mut self, number: usize, session: SessionId, message: Message) {
+        if self.gateways[number].candidate == Some(session) {
+            return self.candidate_message(number, session, &message);
+        }
         if self.gateways[number].session != Some(session) {
             return;
         }
@@ -68,9 +76,25 @@
         self.send_from_gateway(number);
     }
 
+    /// The first message on a session that a gateway is opening, which becomes its session or is closed.
+    fn candidate_message(&mut self, number: usize, session: SessionId, message: &Message) {
+        let Message::Hello(hello) = message else { return };
+        let now = self.gateway_time();
+        let gateway = &mut self.gateways[number];
+        gateway.candidate = None;
+        let closed = match gateway.receive_hello(now, hello) {
+            CandidateOutcome::Promoted => gateway.session.replace(session),
+            CandidateOutcome::Rejected => Some(session),
+        };
+        if let Some(closed) = closed {
+            self.close_session(closed, false);
+        }
+    }
+
     /// A gateway's process restarts, with nothing.
     pub(super) fn restart_gateway(&mut self, gateway: usize) {
-        if let Some(session) = self.gateways[gateway].session.take() {
+        let sessions = [self.gateways[gateway].session.take(), self.gateways[gateway].candidate.take()];
+        for session in sessions.into_iter().flatten() {
             self.close_session(session, false);
         }
         let (addresses, regions) = (self.initial_addresses(), self.regions_by_zone());
--- a/crates/simulation/src/simulation/machines.rs
+++ b/crates/simulation/src/simulation/machines.rs
@@ -143,6 +143,12 @@
         process.is_some_and(|process| process.is_lease_holder(self.steady_time(node)))
     }
 
+    /// Whether a node's process acts as coordinator.
+    pub(super) fn is_active_coordinator(&self, node: usize) -> bool {
+        let process = self.nodes[node].process.as_ref();
+        process.is_some_and(|process| process.is_active_coordinator(self.steady_time(node)))
+    }
+
     /// A node's process, if it is still this incarnation.
     pub(super) fn process_of(&mut self, node: usize, incarnation: u64) -> Option<&mut Process> {
         self.nodes[node].process_of(incarnation)
--- a/crates/simulation/src/simulation/mod.rs
+++ b/crates/simulation/src/simulation/mod.rs
@@ -256,6 +256,11 @@
         }
     }
 
+    /// The gateways, by number.
+    pub fn gateways(&self) -> &[Gateway] {
+        &self.gateways
+    }
+
     /// The node that has a replica's position now.
     pub fn node_of(&self, replica: usize) -> usize {
         self.replicas[replica]
--- a/crates/simulation/tests/requirements.rs
+++ b/crates/simulation/tests/requirements.rs
@@ -2,6 +2,7 @@
 
 use kitepass_config::Kind;
 use kitepass_simulation::checker::{check_history, Violation};
+use kitepass_simulation::gateway::Gateway;
 use kitepass_simulation::history::{AnswerStatus, AttemptId};
 use kitepass_simulation::operator::{Operation, PlannedWrite};
 use kitepass_simulation::run::run_scenario;
@@ -128,3 +129,28 @@
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// Bound of the time from a change's confirmation until all gateways hold it, beyond what a congested link takes.
+const DELIVERY_BOUND: i64 = 2 * SECOND;
+
+/// A gateway's own link is congested, so that nothing comes for longer than the time-out of a heartbeat and no other control
+/// process answers in time either: what is confirmed meanwhile reaches it as soon as the link lets it through.
+#[test]
+fn a_gateway_behind_a_congested_link_keeps_its_session() {
+    for seed in 0..20 {
+        let mut simulation = simulate(seed, Layout::six_replicas());
+        let extra_latency = 1_800 * MILLISECOND + seed as i64 * 200 * MILLISECOND;
+        simulation.inject(&Fault::GatewayCongestion { gateway: 0, extra_latency, duration: 30 * SECOND });
+        simulation.run_for(3 * SECOND);
+        let write = [PlannedWrite::set(Kind::Service, "l", 7)];
+        let attempt = simulation.request_change(simulation.node_of(0), &write);
+        simulation.run_for(SECOND);
+        assert!(is_confirmed(&simulation, attempt), "seed {seed}");
+        simulation.run_for(extra_latency + DELIVERY_BOUND);
+        let holds_it = |gateway: &Gateway| gateway.item_store().get(Kind::Service, "l").is_some();
+        let gateways = simulation.gateways().iter().enumerate();
+        let behind: Vec<usize> =
+            gateways.filter(|(_, gateway)| !holds_it(gateway)).map(|(number, _)| number).collect();
+        assert!(behind.is_empty(), "seed {seed}: {behind:?} after {} ms", extra_latency / MILLISECOND);
+    }
+}
--- a/crates/simulation/tests/scenarios.rs
+++ b/crates/simulation/tests/scenarios.rs
@@ -15,6 +15,7 @@
 #[case(Plan::Races)]
 #[case(Plan::Losses)]
 #[case(Plan::Disks)]
+#[case(Plan::Congestion)]
 #[case(Plan::All)]
 fn without_rivals_no_invariant_is_violated(#[case] plan: Plan) {
     for seed in 0..3 {
@@ -55,6 +56,7 @@
         "fault-graceful-replacement",
         "fault-replacement",
         "fault-gateway-restart",
+        "fault-gateway-congestion",
         "fault-answer-loss",
         "crashed-at-confirmation",
         "crashed-after-events",
@@ -75,8 +77,8 @@
     let mut coverage = Coverage::default();
     let mut missing: Vec<&str> = expected.into();
     let losses = [10, 22, 0].map(|seed| (Plan::Losses, seed));
-    let others =
-        [Plan::Cuts, Plan::Races, Plan::Disks, Plan::All].map(|plan| [(plan, 0), (plan, 1), (plan, 2)]);
+    let others = [Plan::Cuts, Plan::Races, Plan::Disks, Plan::Congestion, Plan::All]
+        .map(|plan| [(plan, 0), (plan, 1), (plan, 2)]);
     for (plan, seed) in losses.into_iter().chain(others.into_iter().flatten()) {
         if !missing.is_empty() {
             coverage.merge(&run_scenario(&plan.scenario(seed), false).coverage);
