Open proposals hold up no repair of the replica set, and who shuts down is no newcomer

A new coordinator waits for open proposals before it acts; where the replicas that are left lie in one zone or region, only the incoming replica set can let those be resolved, and only the coordinator brings it in: for ever. And a replica that was removed because it shuts down was brought in again at once, as its disk was complete, and was gone before the change was done. Change: a coordinator whose reading is complete but for open proposals that change no replica set changes the replica set; a replica that shuts down stays known as such while it is connected. Newcomers of the simulation start with the operators' list, 3 s old.

--- a/crates/control-plane/src/state_machine/handlers/election.rs
+++ b/crates/control-plane/src/state_machine/handlers/election.rs
@@ -119,6 +119,14 @@
         }
         match self.coordinator.state() {
             CoordinatorState::Active(_) => self.change_replica_set(now),
+            // Why it matters: the replicas that are left of a replica set may be too few places for a write quorum of it
+            // alone, so that open proposals can only be resolved together with the incoming set. Bringing that in must not
+            // wait for them. Invariant: nothing rests on the coordinator's knowledge of those proposals here. One content is
+            // chosen for each version of the replica set, and the incoming one reads, and resolves, what is open before it
+            // is put in force.
+            CoordinatorState::Recovering(_) if self.proposals.pending.is_recovery_blocked() => {
+                self.change_replica_set(now);
+            }
             // The reading was cut short.
             CoordinatorState::Recovering(_) if !self.proposals.pending.is_recovering() => {
                 self.start_request(now, None, Request::ReadMajority);
--- a/crates/control-plane/src/state_machine/membership.rs
+++ b/crates/control-plane/src/state_machine/membership.rs
@@ -58,7 +58,9 @@
         let complete = complete.map(|peer| Replica::from(&peer.hello)).chain(myself).collect();
         let leaving = quorum.peers().filter(|peer| peer.is_shutting_down);
         self.shutting_down.extend(leaving.map(|peer| peer.name.clone()));
-        self.shutting_down.retain(|name| replica_set.contains(name));
+        // Invariant: one that was removed because it shuts down is no newcomer for as long as it is still connected. It would
+        // be brought in again, and be gone before that is done.
+        self.shutting_down.retain(|name| replica_set.contains(name) || quorum.is_peer_connected(name));
         self.lost_since.retain(|name, _| replica_set.contains(name));
         let names = replica_set.replicas.iter().map(Replica::name);
         let absent = names.filter(|name| name != own_name && !quorum.is_peer_connected(name));
--- a/crates/control-plane/src/state_machine/proposals/pending.rs
+++ b/crates/control-plane/src/state_machine/proposals/pending.rs
@@ -123,6 +123,14 @@
         matches!(self.phase, Phase::Paused(_) | Phase::Blocked(_))
     }
 
+    /// Whether proposals have to be resolved first, none of which changes the replica set.
+    fn is_blocked_by_changes(&self) -> bool {
+        let Phase::Blocked(ids) = &self.phase else { return false };
+        let blocking = ids.iter().filter_map(|id| self.observed.get(id));
+        let mut items = blocking.flat_map(|(_, proposal)| proposal.items().iter());
+        !items.any(|item| item.kind == Kind::ReplicaSet)
+    }
+
     /// Keys of the items that it proposes.
     pub(in crate::state_machine) fn keys(&self) -> Vec<u64> {
         self.proposal.as_ref().map(|proposal| proposal.keys().to_vec()).unwrap_or_default()
@@ -225,6 +233,14 @@
         self.requests.values().any(|pending| pending.request == Request::ReadMajority)
     }
 
+    /// Whether the reading for the coordinator has all answers, and waits for proposals none of which changes the replica
+    /// set.
+    pub(in crate::state_machine) fn is_recovery_blocked(&self) -> bool {
+        self.requests
+            .values()
+            .any(|pending| pending.request == Request::ReadMajority && pending.is_blocked_by_changes())
+    }
+
     /// Ids of the proposals that are being pushed from here.
     pub(in crate::state_machine) fn proposal_ids(&self) -> BTreeSet<ProposalId> {
         self.requests.values().filter_map(|pending| Some(pending.proposal.as_ref()?.proposal_id())).collect()
--- a/crates/control-plane/src/state_machine/tests/membership.rs
+++ b/crates/control-plane/src/state_machine/tests/membership.rs
@@ -56,6 +56,23 @@
     assert_eq!(observe(&mut membership, &quorum, 200).shutting_down, names(&[2]));
 }
 
+/// It is still connected, and its disk complete: it must not come in again as a newcomer.
+#[test]
+fn a_replica_that_was_removed_as_it_shuts_down_stays_known_while_it_is_connected() {
+    let (mut membership, mut quorum) = (Membership::default(), quorum([1, 2, 3]));
+    let heartbeat = Heartbeat { is_shutting_down: true, is_complete: true, ..Heartbeat::default() };
+    quorum.receive_heartbeat("s3", &heartbeat, 0);
+    let replica_set = replica_set();
+    assert!(!replica_set.contains(&replica(3).name()), "it was removed");
+    for millis in [100, 200] {
+        assert_eq!(observe(&mut membership, &quorum, millis).shutting_down, names(&[3]));
+    }
+    // Its next incarnation is a newcomer like any other.
+    quorum.connect(at(300), &peer(3));
+    membership.replica_connected(&replica(3).name());
+    assert!(observe(&mut membership, &quorum, 400).shutting_down.is_empty());
+}
+
 #[test]
 fn an_unfinished_change_is_taken_over_after_a_time_out_and_a_drawn_time() {
     let mut membership = Membership::default();
--- a/crates/simulation/src/simulation/connections.rs
+++ b/crates/simulation/src/simulation/connections.rs
@@ -58,7 +58,7 @@
         let node = &self.nodes[number];
         let Some(process) = &node.process else { return };
         let mut addresses: BTreeSet<String> = process.known_addresses();
-        addresses.extend(self.initial_addresses());
+        addresses.extend(node.bootstrap_addresses.iter().cloned());
         let learned = node.learned_addresses.iter();
         let recent = learned.filter(|(_, since)| self.now - **since < LEARNED_ADDRESS_LIFETIME);
         addresses.extend(recent.map(|(address, _)| address.clone()));
--- a/crates/simulation/src/simulation/faults.rs
+++ b/crates/simulation/src/simulation/faults.rs
@@ -208,6 +208,7 @@
         let old = self.replicas[replica];
         let new = self.add_node(replica);
         self.replicas[replica] = new;
+        self.record_replicas();
         self.nodes[old].is_replaced = true;
         if !(is_graceful && self.shut_down(old, NEVER)) {
             self.crash(old, Crash { is_power_loss: true, restart_after: NEVER });
--- a/crates/simulation/src/simulation/gateways.rs
+++ b/crates/simulation/src/simulation/gateways.rs
@@ -97,7 +97,7 @@
         for session in sessions.into_iter().flatten() {
             self.close_session(session, false);
         }
-        let (addresses, regions) = (self.initial_addresses(), self.regions_by_zone());
+        let (addresses, regions) = (self.bootstrap_addresses(), self.regions_by_zone());
         let incarnation = self.rng.next_u64();
         self.gateways[gateway].restart(incarnation, addresses, regions);
         self.history.push(HistoryEvent::GatewayRestarted { gateway });
--- a/crates/simulation/src/simulation/machines.rs
+++ b/crates/simulation/src/simulation/machines.rs
@@ -52,6 +52,8 @@
     clock: SteadyClock,
     /// The process' own connections, by the other node.
     pub(super) peer_channels: BTreeMap<usize, ChannelId>,
+    /// Addresses that its settings file names.
+    pub(super) bootstrap_addresses: Vec<String>,
     /// Addresses of peers by node id, as they introduced themselves.
     pub(super) peer_addresses: BTreeMap<String, String>,
     /// When it tried to connect to a node last.
@@ -119,6 +121,7 @@
             inbox: Vec::new(),
             clock,
             peer_channels: BTreeMap::new(),
+            bootstrap_addresses: Vec::new(),
             peer_addresses: BTreeMap::new(),
             connect_attempts: BTreeMap::new(),
             learned_addresses: BTreeMap::new(),
--- a/crates/simulation/src/simulation/mod.rs
+++ b/crates/simulation/src/simulation/mod.rs
@@ -41,6 +41,8 @@
 
 /// Time between two ticks of a process.
 const TICK_INTERVAL: i64 = 100 * MILLISECOND;
+/// The operators' list of control processes lags by this time.
+const LIST_DELAY: i64 = 3 * SECOND;
 /// Processes start within this time.
 const START_SPREAD: i64 = 300 * MILLISECOND;
 /// Time between two removals of what the network needs no more.
@@ -60,6 +62,8 @@
     nodes: Vec<Node>,
     /// The node of each replica of the layout.
     replicas: Vec<usize>,
+    /// The replicas' nodes as they were from each time on, for the operators' list.
+    replica_history: Vec<(i64, Vec<usize>)>,
     gateways: Vec<Gateway>,
     network: Network,
     operators: Vec<Operator>,
@@ -103,6 +107,7 @@
             events: EventQueue::default(),
             nodes: Vec::new(),
             replicas: Vec::new(),
+            replica_history: Vec::new(),
             gateways: Vec::new(),
             network: Network::default(),
             operators: (0..scenario.workload.operator_count).map(|_| Operator::default()).collect(),
@@ -134,6 +139,7 @@
             let at = self.rng.in_range(0..START_SPREAD);
             self.schedule(at, Event::StartProcess { node });
         }
+        self.record_replicas();
         for gateway in 0..self.layout.gateway_count {
             let zone = self.layout.gateway_zone(gateway);
             let hello = Hello {
@@ -144,7 +150,7 @@
                 client_address: format!("10.1.0.{gateway}:80"),
                 ..Hello::default()
             };
-            self.gateways.push(Gateway::new(hello, self.initial_addresses(), self.regions_by_zone()));
+            self.gateways.push(Gateway::new(hello, self.bootstrap_addresses(), self.regions_by_zone()));
             let at = self.rng.in_range(0..START_SPREAD);
             self.schedule(at, Event::GatewayTick { gateway });
         }
@@ -167,9 +173,19 @@
         zones.map(|zone| (zone_name(zone), self.layout.region_name(zone))).collect()
     }
 
-    /// The addresses that every process knows at first.
-    fn initial_addresses(&self) -> Vec<String> {
-        self.layout.initial_replicas.iter().map(|replica| machines::node_address(*replica)).collect()
+    /// The addresses that a settings file names when it is written now: those of three machines, or fewer, as the operators'
+    /// list has them, which lags by [`LIST_DELAY`].
+    fn bootstrap_addresses(&self) -> Vec<String> {
+        let listed_at = self.now - LIST_DELAY;
+        let listed = self.replica_history.iter().rev().find(|(since, _)| *since <= listed_at);
+        let nodes =
+            listed.or_else(|| self.replica_history.first()).map_or(&self.replicas, |(_, nodes)| nodes);
+        self.layout.initial_replicas.iter().map(|replica| machines::node_address(nodes[*replica])).collect()
+    }
+
+    /// The machines that have the replicas have changed.
+    fn record_replicas(&mut self) {
+        self.replica_history.push((self.now, self.replicas.clone()));
     }
 
     fn schedule(&mut self, at: i64, event: Event) {
--- a/crates/simulation/src/simulation/processes.rs
+++ b/crates/simulation/src/simulation/processes.rs
@@ -28,6 +28,8 @@
         self.last_incarnation += 1;
         let incarnation = self.last_incarnation;
         let is_original = number < self.layout.replica_count();
+        let bootstrap_addresses = self.bootstrap_addresses();
+        let node = &mut self.nodes[number];
         let start = ProcessStart {
             location: node.location.clone(),
             incarnation: incarnation.wrapping_mul(INCARNATION_MULTIPLIER),
@@ -37,6 +39,7 @@
         };
         node.process = Some(Process::start(now, start));
         node.incarnation = incarnation;
+        node.bootstrap_addresses = bootstrap_addresses;
         node.clear_connections();
         node.shutdown_requested_at = None;
         node.paused_until = 0;
