A renewal whose votes come late wins the lease anew

Change: late votes win the lease as a first one, and the holder recovers. In the simulation a process that shuts down when faults end is started again at once.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -150,8 +150,10 @@
         }
         let (election, held) = match &mut self.state {
             CandidateState::Requesting(election) => (election, None),
+            // A renewal whose votes are late may come to a lease that has ended: then the lease is won anew, and its holder
+            // has to recover again.
             CandidateState::Holding { term, until, renewal: Some(election) } => {
-                (election, Some((*term, *until)))
+                (election, (now < *until).then_some((*term, *until)))
             }
             CandidateState::Idle | CandidateState::Waiting | CandidateState::Holding { .. } => return false,
         };
--- a/crates/coordination/src/lease/tests.rs
+++ b/crates/coordination/src/lease/tests.rs
@@ -242,3 +242,37 @@
     assert!(candidate.receive_vote(at(now), "s1", &vote(&request, request.term), 1, is_any));
     assert_eq!(candidate.held_term(at(now)), Some(request.term));
 }
+
+/// Why it matters: the holder steps down when its lease ends. When late votes prolonged a lease that had ended, nobody told the
+/// holder that it had it again, and it was renewed without end and never acted.
+#[test]
+fn a_renewal_whose_votes_come_after_the_end_of_the_lease_wins_it_anew() {
+    let mut candidate = LeaseCandidate::new(ROLE, 0);
+    let mut now = 0;
+    let mut next_request = |candidate: &mut LeaseCandidate| loop {
+        now += STEP;
+        if let Some(request) = candidate.tick(at(now), true, Duration::from_micros(100_000), 1) {
+            return (now, request);
+        }
+    };
+    let vote = |request: &LeaseRequest| LeaseVote {
+        role: ROLE.to_owned(),
+        request_id: request.request_id,
+        is_granted: true,
+        term: request.term,
+        epoch: 1,
+        ..LeaseVote::default()
+    };
+    let (won_at, request) = next_request(&mut candidate);
+    assert!(candidate.receive_vote(at(won_at), "s1", &vote(&request), 1, is_any));
+    // The last renewal that is asked for before the lease ends.
+    let end = won_at + 1_700;
+    let (mut asked_at, mut renewal) = next_request(&mut candidate);
+    while asked_at + 700 < end {
+        (asked_at, renewal) = next_request(&mut candidate);
+    }
+    assert!(candidate.held_term(at(end - 1)).is_some());
+    assert_eq!(candidate.held_term(at(end)), None, "it has ended, and no tick has come since");
+    assert!(candidate.receive_vote(at(end + 10), "s1", &vote(&renewal), 1, is_any), "it is won anew");
+    assert!(candidate.held_term(at(end + 10)).is_some());
+}
--- a/crates/simulation/src/simulation/convergence.rs
+++ b/crates/simulation/src/simulation/convergence.rs
@@ -2,6 +2,7 @@
 
 use super::events::Event;
 use super::faults::AnswerLoss;
+use super::processes::SHUTDOWN_TIMEOUT;
 use super::Simulation;
 use crate::history::HistoryEvent;
 use crate::process::Process;
@@ -31,6 +32,13 @@
             node.paused_until = self.now;
             self.schedule(self.now, Event::Resume { node: number });
         }
+        // One that is shutting down is started again as soon as it has ended, whatever the fault drew.
+        if self.nodes[number].shutdown_requested_at.is_some() {
+            let ended_by = self.now + SHUTDOWN_TIMEOUT;
+            let node = &mut self.nodes[number];
+            node.restart_at = node.restart_at.min(ended_by);
+            self.schedule(ended_by, Event::StartProcess { node: number });
+        }
         let node = &mut self.nodes[number];
         if node.process.is_none() && self.replicas.contains(&number) {
             node.restart_at = self.now;
