What is on disk alone makes no replica discard itself

Cause: a process that started by an older replica set than the one in force took itself for no member and discarded what others counted on; or it was proposed as a member while it did so. Change: it discards only once a serving peer or a read quorum has confirmed the replica set that it knows; until then it does not say that it is ready to join; and not while an accepted replica set that it was told of may have it as a member. The log names the replicas.

--- a/crates/control-plane/src/state_machine/handlers/catch_up.rs
+++ b/crates/control-plane/src/state_machine/handlers/catch_up.rs
@@ -4,6 +4,7 @@
 use crate::state_machine::persistence::PendingWrite;
 use crate::state_machine::{records, ReplicaState, StateMachine};
 use kitepass_config::{Item, Kind};
+use kitepass_coordination::consensus::ProposalMessage;
 use kitepass_coordination::protocol::{
     AcceptRequest, Extent, ItemMessage, Message, PrepareRequest, PrepareResponse,
 };
@@ -131,7 +132,11 @@
         let complete = if is_own { Some(response) } else { self.receive_chunk(now, node_id, name, response) };
         self.end_transfer();
         // A replica set may have come that this process is no member of: then what was read is not held any more.
-        if self.discard_if_outsider(now) {
+        self.watch_replica_sets(now, complete.as_ref());
+        // Invariant: only a peer that serves is believed in this. One that was away as well may know an older replica set than
+        // the one that counts on what this process holds.
+        let is_serving = self.quorum.get(node_id).is_some_and(|peer| peer.hello.is_serving);
+        if is_serving && self.discard_if_outsider(now) {
             return;
         }
         let Some(response) = complete else { return };
@@ -149,6 +154,16 @@
         }
     }
 
+    /// Watches the replica sets that a response tells of as accepted and undecided: this process may be a member of one.
+    fn watch_replica_sets(&mut self, now: Timestamp, response: Option<&PrepareResponse>) {
+        let accepted = response.into_iter().flat_map(|response| response.accepted.iter().cloned());
+        for (ballot, proposal) in accepted.filter_map(ProposalMessage::into_proposal) {
+            if proposal.items().iter().any(|item| item.kind == Kind::ReplicaSet) {
+                self.watch(now, ballot, &proposal);
+            }
+        }
+    }
+
     /// An accept request waits until this process holds all that its proposer does.
     pub(in crate::state_machine) fn delay_accept(
         &mut self,
@@ -184,7 +199,7 @@
         let is_catching_up =
             matches!(self.replica_state(), ReplicaState::CatchingUp | ReplicaState::Isolated);
         let is_read = || self.configuration.is_read_quorum(&read, activated_version);
-        if self.quorum.is_lost() || !is_catching_up || !is_read() {
+        if self.quorum.is_lost() || !is_catching_up || !is_read() || self.discard_if_outsider(now) {
             return;
         }
         if self.lifecycle.is_complete() {
--- a/crates/control-plane/src/state_machine/handlers/heartbeat.rs
+++ b/crates/control-plane/src/state_machine/handlers/heartbeat.rs
@@ -10,7 +10,7 @@
     pub(in crate::state_machine) fn send_heartbeats(&mut self, now: Timestamp) {
         let to_gateways = Heartbeat {
             is_serving: self.replica_state() == ReplicaState::Serving,
-            is_complete: self.lifecycle.is_complete(),
+            is_complete: self.is_ready_to_join(),
             coordinator_term: self.active_term(now).unwrap_or(0),
             is_transferring: self.catch_up.is_transferring(),
             ..Heartbeat::default()
--- a/crates/control-plane/src/state_machine/handlers/replica_set_change.rs
+++ b/crates/control-plane/src/state_machine/handlers/replica_set_change.rs
@@ -3,7 +3,7 @@
 use crate::request::Request;
 use crate::state_machine::coordinator::CoordinatorState;
 use crate::state_machine::{Action, ReplicaState, StateMachine};
-use kitepass_coordination::membership::{JointReplicaSets, ReplicaObservations, ReplicaSet};
+use kitepass_coordination::membership::{JointReplicaSets, Replica, ReplicaObservations, ReplicaSet};
 use kitepass_time::Timestamp;
 use log::info;
 
@@ -39,8 +39,8 @@
         }
         let observations = self.observe_replicas(now, &replica_sets.current);
         if let Some(next) = replica_sets.current.successor(&observations) {
-            let replicas = next.replicas.len();
-            info!("event=replica-set-change replicas={replicas} version={}", next.version);
+            let names: Vec<String> = next.replicas.iter().map(Replica::name).collect();
+            info!("event=replica-set-change replicas={} version={}", names.join(","), next.version);
             self.start_request(now, None, Request::ProposeReplicaSet(next));
         }
     }
--- a/crates/control-plane/src/state_machine/handlers/tombstones.rs
+++ b/crates/control-plane/src/state_machine/handlers/tombstones.rs
@@ -81,23 +81,30 @@
         } else {
             self.tombstones.contact_missing(now, !self.configuration.items().is_empty());
         }
-        self.discard_if_outsider(now);
     }
 
-    /// Discards what this process holds from before it was away, if it is no member. True if it has.
+    /// Discards what this process holds from before it was away, if it is no member. True if it has. To be called when the
+    /// replica set that is known here has been confirmed by a peer that serves, or by a read quorum.
+    ///
+    /// Why not by what is on disk alone: while this process was away it may have become a member again, and others count on
+    /// what it holds.
     ///
     /// Assumption: a tombstone is forgotten only once every member holds it. Invariant: what a process held while it was no
     /// member counts for nothing. Why: it may hold what was dropped meanwhile, and nobody knows any more that it was.
     pub(in crate::state_machine) fn discard_if_outsider(&mut self, now: Timestamp) -> bool {
+        let is_discarded = self.is_stale_outsider() && self.replica_state() != ReplicaState::ShuttingDown;
+        if is_discarded {
+            self.discard(now);
+        }
+        is_discarded
+    }
+
+    /// Whether, by what is known here, this process was away and is no member.
+    pub(in crate::state_machine) fn is_stale_outsider(&self) -> bool {
         let own_name = &self.identity.name;
         let is_outsider = self.tombstones.is_unproven() && self.configuration.is_outsider(own_name);
-        // A replica set that it belongs to may be chosen by what it accepted, and not be known to be.
-        let may_be_member = || self.proposals.has_accepted_membership_of(own_name);
-        if !is_outsider || may_be_member() || self.replica_state() == ReplicaState::ShuttingDown {
-            return false;
-        }
-        self.discard(now);
-        true
+        // A replica set that it belongs to may be chosen, or need what it holds to be chosen, and not be known to be.
+        is_outsider && !self.proposals.may_be_member(own_name)
     }
 
     /// Discards all items but the replica sets, and catches up from nothing.
--- a/crates/control-plane/src/state_machine/mod.rs
+++ b/crates/control-plane/src/state_machine/mod.rs
@@ -163,11 +163,17 @@
             is_control_plane: true,
             client_address: String::new(),
             is_serving: self.replica_state() == ReplicaState::Serving,
-            is_complete: self.lifecycle.is_complete(),
+            is_complete: self.is_ready_to_join(),
             replica_id: replica.replica_id,
         }
     }
 
+    /// Whether the coordinator may bring this replica in: its disk is complete, and it will not be discarded as soon as a peer
+    /// confirms that this replica is no member.
+    fn is_ready_to_join(&self) -> bool {
+        self.lifecycle.is_complete() && !self.is_stale_outsider()
+    }
+
     /// How far this process may be relied on.
     pub fn replica_state(&self) -> ReplicaState {
         self.lifecycle.state()
--- a/crates/control-plane/src/state_machine/proposals/mod.rs
+++ b/crates/control-plane/src/state_machine/proposals/mod.rs
@@ -66,9 +66,12 @@
         self.acceptor.pending().next().is_some()
     }
 
-    /// Whether a replica set with this member is accepted here: it may be chosen, and not be known to be.
-    pub(super) fn has_accepted_membership_of(&self, name: &str) -> bool {
-        let mut items = self.acceptor.pending().flat_map(|(_, proposal)| proposal.items().iter());
+    /// Whether a replica set with this member is accepted here or, as was told, elsewhere: it may be chosen, and not be known
+    /// to be.
+    pub(super) fn may_be_member(&self, name: &str) -> bool {
+        let accepted = self.acceptor.pending().map(|(_, proposal)| proposal);
+        let mut items =
+            accepted.chain(self.watch_list.proposals()).flat_map(|proposal| proposal.items().iter());
         let is_member = |item: &Item| ReplicaSet::from_item(item).is_some_and(|set| set.contains(name));
         items.any(|item| item.kind == Kind::ReplicaSet && is_member(item))
     }
--- a/crates/control-plane/src/state_machine/startup.rs
+++ b/crates/control-plane/src/state_machine/startup.rs
@@ -110,7 +110,6 @@
         if !removals.is_empty() {
             state_machine.persist(removals, PendingWrite::Nothing);
         }
-        state_machine.discard_if_outsider(now);
         state_machine
     }
 
