--- a/crates/coordination/src/membership/succession.rs
+++ b/crates/coordination/src/membership/succession.rs
@@ -73,11 +73,15 @@
         self
     }
 
-    /// An unresponsive replica is left out only where the zone has another one: a newcomer has taken its place.
+    /// An unresponsive replica is left out only where the zone has another one that responds now: a newcomer has taken its
+    /// place. Of two that were lost together one is found unresponsive a moment before the other, which must not pass for its
+    /// replacement: the set without the first could not be put in force once the second is known to be lost.
     fn without_replaced(&self, mut next: ReplicaSet, observed: &ReplicaObservations) -> ReplicaSet {
         let is_unresponsive = |replica: &Replica| observed.unresponsive.contains(&replica.name());
         for lost in self.replicas.iter().filter(|replica| is_unresponsive(replica)) {
-            let replaces = |other: &Replica| other.zone == lost.zone && !is_unresponsive(other);
+            let replaces = |other: &Replica| {
+                other.zone == lost.zone && !is_unresponsive(other) && observed.complete.contains(other)
+            };
             if next.replicas.len() > 1 && next.replicas.iter().any(replaces) {
                 next = next.without(&lost.name());
             }
--- a/crates/coordination/src/membership/tests.rs
+++ b/crates/coordination/src/membership/tests.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Two of one zone are lost together, and one is found unresponsive before the other.
+#[test]
+fn a_lost_replica_is_no_replacement_for_another() {
+    let old = replica_set(&[("a1", "a"), ("a1", "a"), ("b1", "b"), ("c1", "c")]);
+    let [one, other, third, fourth] = &old.replicas[..] else { panic!("four replicas") };
+    assert_eq!(old.successor(&observations(&[third, fourth], &[], &[0])), None);
+    let next = old.successor(&observations(&[other, third, fourth], &[], &[0])).expect("the other responds");
+    assert!(!next.contains(&one.name()) && next.contains(&other.name()));
+}
+
 #[test]
 fn one_successor_has_all_that_changed_one_version_above_its_base() {
     let old = replica_set(&SIX);
