--- a/crates/control-plane/src/state_machine/handlers/catch_up.rs
+++ b/crates/control-plane/src/state_machine/handlers/catch_up.rs
@@ -132,7 +132,7 @@
         let complete = if is_own { Some(response) } else { self.receive_chunk(now, node_id, name, response) };
         self.end_transfer();
         // A replica set may have come that this process is no member of: then what was read is not held any more.
-        self.watch_replica_sets(now, complete.as_ref());
+        self.note_replica_sets(complete.as_ref());
         // Invariant: only a peer that serves is believed in this. One that was away as well may know an older replica set than
         // the one that counts on what this process holds.
         let is_serving = self.quorum.get(node_id).is_some_and(|peer| peer.hello.is_serving);
@@ -154,13 +154,11 @@
         }
     }
 
-    /// Watches the replica sets that a response tells of as accepted and undecided: this process may be a member of one.
-    fn watch_replica_sets(&mut self, now: Timestamp, response: Option<&PrepareResponse>) {
+    /// Notes the replica sets that a response tells of as accepted and undecided: this process may be a member of one.
+    fn note_replica_sets(&mut self, response: Option<&PrepareResponse>) {
         let accepted = response.into_iter().flat_map(|response| response.accepted.iter().cloned());
-        for (ballot, proposal) in accepted.filter_map(ProposalMessage::into_proposal) {
-            if proposal.items().iter().any(|item| item.kind == Kind::ReplicaSet) {
-                self.watch(now, ballot, &proposal);
-            }
+        for (_, proposal) in accepted.filter_map(ProposalMessage::into_proposal) {
+            self.proposals.note_replica_sets(&proposal);
         }
     }
 
--- a/crates/control-plane/src/state_machine/handlers/tombstones.rs
+++ b/crates/control-plane/src/state_machine/handlers/tombstones.rs
@@ -104,7 +104,7 @@
         let own_name = &self.identity.name;
         let is_outsider = self.tombstones.is_unproven() && self.configuration.is_outsider(own_name);
         // A replica set that it belongs to may be chosen, or need what it holds to be chosen, and not be known to be.
-        is_outsider && !self.proposals.may_be_member(own_name)
+        is_outsider && !self.proposals.may_be_member(own_name, self.configuration.replica_set().as_ref())
     }
 
     /// Discards all items but the replica sets, and catches up from nothing.
--- a/crates/control-plane/src/state_machine/proposals/mod.rs
+++ b/crates/control-plane/src/state_machine/proposals/mod.rs
@@ -34,6 +34,8 @@
     highest_ballot: Ballot,
     pub(super) pending: PendingRequests,
     pub(super) watch_list: WatchList,
+    /// The newest replica set that is accepted elsewhere, as peers told.
+    reported_set: Option<ReplicaSet>,
 }
 
 impl Proposals {
@@ -43,6 +45,7 @@
             highest_ballot: Ballot::default(),
             pending: PendingRequests::default(),
             watch_list: WatchList::default(),
+            reported_set: None,
         }
     }
 
@@ -66,14 +69,23 @@
         self.acceptor.pending().next().is_some()
     }
 
-    /// Whether a replica set with this member is accepted here or, as was told, elsewhere: it may be chosen, and not be known
-    /// to be.
-    pub(super) fn may_be_member(&self, name: &str) -> bool {
-        let accepted = self.acceptor.pending().map(|(_, proposal)| proposal);
-        let mut items =
-            accepted.chain(self.watch_list.proposals()).flat_map(|proposal| proposal.items().iter());
+    /// Notes the replica set of a proposal that is accepted elsewhere.
+    pub(super) fn note_replica_sets(&mut self, proposal: &Proposal) {
+        let items = proposal.items().iter().filter(|item| item.kind == Kind::ReplicaSet);
+        let newest = items.filter_map(ReplicaSet::from_item).max_by_key(|set| set.version);
+        let known = self.reported_set.as_ref().map_or(0, |set| set.version);
+        self.reported_set = newest.filter(|set| set.version > known).or(self.reported_set.take());
+    }
+
+    /// Whether a replica set with this member is accepted here or, as was told and newer than the current one, elsewhere: it
+    /// may be chosen, and not be known to be.
+    pub(super) fn may_be_member(&self, name: &str, current: Option<&ReplicaSet>) -> bool {
+        let mut items = self.acceptor.pending().flat_map(|(_, proposal)| proposal.items().iter());
         let is_member = |item: &Item| ReplicaSet::from_item(item).is_some_and(|set| set.contains(name));
+        let current_version = current.map_or(0, |set| set.version);
+        let mut reported = self.reported_set.iter().filter(|set| set.version > current_version);
         items.any(|item| item.kind == Kind::ReplicaSet && is_member(item))
+            || reported.any(|set| set.contains(name))
     }
 
     /// The items of a proposal that is accepted here.
--- a/crates/control-plane/src/state_machine/proposals/watch.rs
+++ b/crates/control-plane/src/state_machine/proposals/watch.rs
@@ -65,11 +65,6 @@
         self.watched.contains_key(&id)
     }
 
-    /// The proposals that are watched.
-    pub(in crate::state_machine) fn proposals(&self) -> impl Iterator<Item = &Proposal> {
-        self.watched.values().map(|watched| &watched.proposal)
-    }
-
     /// The highest ballot that a watched proposal was reported with.
     pub(in crate::state_machine) fn ballot(&self, id: ProposalId) -> Option<Ballot> {
         self.watched.get(&id).map(|watched| watched.ballot)
