--- a/crates/control-plane/src/state_machine/sessions.rs
+++ b/crates/control-plane/src/state_machine/sessions.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A gateway that has said nothing for this long has its session closed. From [`UNRESPONSIVE_TIMEOUT`] on it is no member,
+/// A gateway that has said nothing for this long has its session closed. It is no member from 1.5 s on already,
 /// so that no client is sent to it; but its network link may only be congested, and then what the session still brings it,
 /// late and in order, is all that it learns.
 pub const SESSION_TIMEOUT: Duration = Duration::from_micros(10_000_000);
