Messages are drained once a read, and nothing is decoded twice for a replica set

Change: used bytes go before the next read; replica sets are read from their own messages; only tenants and routes are copied; Extent::of_message serves both. Behaviour is the same.

--- a/crates/control-plane/src/state_machine/configuration.rs
+++ b/crates/control-plane/src/state_machine/configuration.rs
@@ -35,8 +35,10 @@
     pub(super) fn new(item_store: ItemStore) -> Configuration {
         let mut configuration =
             Configuration { item_store, rate_limits: BTreeMap::new(), homes: HostHomes::default() };
-        let items: Vec<Item> = configuration.item_store.items().cloned().collect();
-        configuration.update_derived(&items);
+        let item_store = &configuration.item_store;
+        let sources = item_store.items_of(Kind::Tenant).chain(item_store.items_of(Kind::Route));
+        let sources: Vec<Item> = sources.cloned().collect();
+        configuration.update_derived(&sources);
         configuration
     }
 
--- a/crates/control-plane/src/state_machine/handlers/catch_up.rs
+++ b/crates/control-plane/src/state_machine/handlers/catch_up.rs
@@ -4,7 +4,6 @@
 use crate::state_machine::persistence::PendingWrite;
 use crate::state_machine::{records, ReplicaState, StateMachine};
 use kitepass_config::{Item, Kind};
-use kitepass_coordination::consensus::ProposalMessage;
 use kitepass_coordination::protocol::{
     AcceptRequest, Extent, ItemMessage, Message, PrepareRequest, PrepareResponse,
 };
@@ -156,10 +155,12 @@
 
     /// Notes the replica sets that a response tells of as accepted and undecided: this process may be a member of one.
     fn note_replica_sets(&mut self, response: Option<&PrepareResponse>) {
-        let accepted = response.into_iter().flat_map(|response| response.accepted.iter().cloned());
-        for (_, proposal) in accepted.filter_map(ProposalMessage::into_proposal) {
-            self.proposals.note_replica_sets(&proposal);
-        }
+        let accepted = response.into_iter().flat_map(|response| &response.accepted);
+        // Of the other items, which may be megabytes, nothing is made here.
+        let messages =
+            accepted.flat_map(|proposal| &proposal.items).filter(|item| item.kind == Kind::ReplicaSet as u32);
+        let replica_sets = messages.cloned().filter_map(ItemMessage::into_item);
+        replica_sets.for_each(|item| self.proposals.note_replica_set(&item));
     }
 
     /// An accept request waits until this process holds all that its proposer does.
--- a/crates/control-plane/src/state_machine/proposals/mod.rs
+++ b/crates/control-plane/src/state_machine/proposals/mod.rs
@@ -69,12 +69,11 @@
         self.acceptor.pending().next().is_some()
     }
 
-    /// Notes the replica set of a proposal that is accepted elsewhere.
-    pub(super) fn note_replica_sets(&mut self, proposal: &Proposal) {
-        let items = proposal.items().iter().filter(|item| item.kind == Kind::ReplicaSet);
-        let newest = items.filter_map(ReplicaSet::from_item).max_by_key(|set| set.version);
+    /// Notes a replica set that is accepted elsewhere.
+    pub(super) fn note_replica_set(&mut self, item: &Item) {
         let known = self.reported_set.as_ref().map_or(0, |set| set.version);
-        self.reported_set = newest.filter(|set| set.version > known).or(self.reported_set.take());
+        let newer = ReplicaSet::from_item(item).filter(|set| set.version > known);
+        self.reported_set = newer.or(self.reported_set.take());
     }
 
     /// Whether a replica set with this member is accepted here or, as was told and newer than the current one, elsewhere: it
--- a/crates/coordination/src/protocol/messages/items.rs
+++ b/crates/coordination/src/protocol/messages/items.rs
@@ -106,6 +106,17 @@
     Transfer = 2,
 }
 
+impl Extent {
+    /// The extent of one of `count` messages that carry items of this extent together.
+    pub fn of_message(self, index: usize, count: usize) -> Extent {
+        if self == Extent::Complete && index + 1 < count {
+            Extent::Continued
+        } else {
+            self
+        }
+    }
+}
+
 /// Committed items.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Items {
@@ -181,11 +192,8 @@
         bytes += item.wire_bytes();
         batches.last_mut().into_iter().for_each(|batch| batch.push(ItemMessage::from(item)));
     }
-    let last = batches.len().saturating_sub(1);
-    let message = |(index, items)| {
-        let is_continued = extent == Extent::Complete && index < last;
-        let extent = if is_continued { Extent::Continued } else { extent };
-        Message::Items(Items { items, extent: extent.into() })
-    };
+    let count = batches.len();
+    let message =
+        |(index, items)| Message::Items(Items { items, extent: extent.of_message(index, count).into() });
     batches.into_iter().enumerate().map(message).collect()
 }
--- a/crates/data-plane/src/server/control_connection.rs
+++ b/crates/data-plane/src/server/control_connection.rs
@@ -25,6 +25,8 @@
     pub(super) id: u64,
     connection: Connection,
     assembler: Assembler,
+    /// Bytes of the input that messages were taken of. They go before the next read, all at once.
+    used_bytes: usize,
 }
 
 /// Why a connection is over.
@@ -64,6 +66,7 @@
 
     /// Reads what has come, as far as there is room.
     fn read(&mut self, scratch: &mut [u8]) -> Result<ReadStatus, ConnectionEnd> {
+        self.connection.input.drain(..std::mem::take(&mut self.used_bytes));
         let has_ended =
             self.connection.read_available(scratch, MAX_UNUSED_BYTES).map_err(ConnectionEnd::Failed)?;
         Ok(ReadStatus { has_input: !self.connection.input.is_empty(), has_ended })
@@ -71,9 +74,7 @@
 
     /// The next message of what has been read, if all of one is there.
     fn next_message(&mut self) -> Result<Option<Message>, ConnectionEnd> {
-        let mut offset = 0;
-        let message = self.assembler.next(&self.connection.input, &mut offset);
-        self.connection.input.drain(..offset);
+        let message = self.assembler.next(&self.connection.input, &mut self.used_bytes);
         message.map_err(|_| ConnectionEnd::Malformed)
     }
 
@@ -110,7 +111,8 @@
         match opened {
             Some(connection) => {
                 let assembler = Assembler::default();
-                self.candidate_connection = Some(ControlConnection { id, connection, assembler });
+                self.candidate_connection =
+                    Some(ControlConnection { id, connection, assembler, used_bytes: 0 });
             }
             None => self.control_session.candidate_lost("not-opened"),
         }
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -10,7 +10,7 @@
 use kitepass_control_plane::request::{Request, Response};
 use kitepass_control_plane::state_machine::{Action, ItemUpdate, ReplicaState, Start, StateMachine};
 use kitepass_coordination::membership::{Replica, ReplicaSet, CURRENT, INCOMING};
-use kitepass_coordination::protocol::{Extent, Hello, Items, Message};
+use kitepass_coordination::protocol::{Hello, Items, Message};
 use kitepass_coordination::usage::QuotaTolerance;
 use kitepass_time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -312,8 +312,7 @@
 fn item_messages(update: &ItemUpdate) -> Vec<Message> {
     let count = update.items.len().div_ceil(MAX_ITEMS_PER_MESSAGE);
     let message = |(index, items)| {
-        let is_continued = update.extent == Extent::Complete && index + 1 < count;
-        let extent = if is_continued { Extent::Continued } else { update.extent };
+        let extent = update.extent.of_message(index, count);
         Message::Items(Items { extent: extent.into(), ..to_message(items) })
     };
     update.items.chunks(MAX_ITEMS_PER_MESSAGE).enumerate().map(message).collect()
