A gateway logs what configuration is in force, and counts requests it rejects as wrong

Cause: in the incident of proper requests refused with 404 no log tells when a gateway's routing table was put in force, with how many routes, nor that requests were rejected with a 4xx at all, so the hypotheses cannot be told apart. Change: events configuration-in-force (routes, tenants, services) and requests-rejected (status, requests, routes in force), the latter a line a second and kind at most. No decision is changed.

--- a/crates/config/src/routing_table.rs
+++ b/crates/config/src/routing_table.rs
@@ -147,6 +147,11 @@
         !self.tenants.is_empty()
     }
 
+    /// How many routes are in force.
+    pub fn route_count(&self) -> usize {
+        self.parsed_routes.len()
+    }
+
     /// The routes in force, by name; those too that lost their host and path prefix to another one.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.parsed_routes.iter().map(|parsed| &parsed.value)
--- a/crates/data-plane/src/server/local_response.rs
+++ b/crates/data-plane/src/server/local_response.rs
@@ -25,6 +25,7 @@
     /// Writes a response of this gateway's own, without a body, for a client.
     pub(super) fn respond(&mut self, id: ClientId, status: u16, retry_after_ms: Option<u64>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        self.rejection_log.record(status, self.routing_table.route_count());
         let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n", reason_phrase(status));
         if let Some(millis) = retry_after_ms {
             head.push_str(&format!("Retry-After: {}\r\n", millis as f64 / 1000.0));
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -19,6 +19,7 @@
 mod idle_connections;
 mod local_response;
 mod readiness;
+mod rejection_log;
 mod request_body;
 mod request_head;
 mod response;
@@ -46,6 +47,7 @@
 use kitepass_node::{Settings, Watch};
 use kitepass_time::{Duration, Timestamp};
 use log::{error, info};
+use rejection_log::RejectionLog;
 use schedule::Schedule;
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeMap;
@@ -148,6 +150,7 @@
     /// The connection that is being opened to a control process.
     candidate_connection: Option<ControlConnection>,
     routing_table: Arc<RoutingTable>,
+    rejection_log: RejectionLog,
     /// Whether the configuration has changed since the routing table was built.
     is_routing_table_stale: bool,
     quota: Quota,
@@ -246,6 +249,7 @@
             idle_connections: IdleConnections::default(),
             unread_upstreams: Vec::new(),
             routing_table: Arc::new(RoutingTable::build(&control_session.item_store)),
+            rejection_log: RejectionLog::default(),
             is_routing_table_stale: false,
             control_session,
             control_connection: None,
@@ -287,6 +291,7 @@
             }
             if schedule.is_period_over(now) {
                 self.report_period(now);
+                self.rejection_log.close_period();
             }
             if self.signals.take_reload_request() || schedule.is_settings_check_due(now) {
                 schedule.settings_checked(now);
@@ -367,6 +372,12 @@
         let services = routing_table.services.values();
         let rates = services.map(|service| (service.name.clone(), service.slow_start_rate));
         self.load_balancer.set_slow_start_rates(rates);
+        info!(
+            "event=configuration-in-force routes={} tenants={} services={}",
+            routing_table.route_count(),
+            routing_table.tenants.len(),
+            routing_table.services.len()
+        );
         self.routing_table = Arc::new(routing_table);
     }
 
