Failing tests: a gateway that has just started rejects proper requests with 404

Cause: whether a gateway answers 503 follows the session's progress, what it routes by is replaced later: at the end of the turn, at the end of a transfer, or never where no configuration exists. In between the empty routing table says 404.

--- a/crates/data-plane/tests/sockets/harness.rs
+++ b/crates/data-plane/tests/sockets/harness.rs
@@ -432,9 +432,24 @@
     /// Sends the beginning of a change, which it holds itself only with the rest, and waits until the gateway has it.
     pub(crate) fn publish_beginning(&self, items: &[Item]) {
         self.state.lock().expect("not poisoned").send_items(items, Extent::Continued);
+        self.wait_until_different();
+    }
+
+    /// Sends part of what it is reading itself, which it does not hold as a whole.
+    pub(crate) fn send_transfer(&self, items: &[Item]) {
+        self.state.lock().expect("not poisoned").send_items(items, Extent::Transfer);
+    }
+
+    /// Waits until the gateway holds something else.
+    pub(crate) fn wait_until_different(&self) {
         while self.is_same_as(&self.next_heartbeat()) {}
     }
 
+    /// Waits until the gateway has a session.
+    pub(crate) fn wait_for_session(&self) {
+        self.next_heartbeat();
+    }
+
     /// Waits until the gateway goes by the shared count: its second report was answered a short time ago.
     pub(crate) fn wait_until_counted(&self) {
         while self.state.lock().expect("not poisoned").answered_periods < 2 {
--- a/crates/data-plane/tests/sockets/main.rs
+++ b/crates/data-plane/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod harness;
 mod reconfiguration;
+mod start;
 
 use harness::{answer, get, ok, request, serving};
 use rstest::rstest;
