A gateway routes and says that it is ready by the configuration in force alone

Cause: two states told whether a gateway knows its configuration. Readiness and 503 followed the session (is_caught_up), routing the table, which is replaced at the end of the turn and only where no transfer is open. Between the two an empty table, which passed for a configuration without routes, said 404. Class: a state that is announced by another owner than the one that acts on it; an empty value for an unknown one. Change: server/configuration.rs owns it: Unknown or InForce(table), changed in one place. Without a table there is nothing to look a route up in, so that 503 is the only answer; readiness asks the same state. A control plane that no operator has given a configuration leaves it Unknown. Limits before that are the widest, so no head is too long by a limit that nobody has set (431 before).

--- a/crates/data-plane/src/server/control_connection.rs
+++ b/crates/data-plane/src/server/control_connection.rs
@@ -219,7 +219,7 @@
             match item.kind {
                 Kind::Backend => self.load_balancer.update_backend(now, item),
                 Kind::ReplicaSet => {}
-                _ => self.is_routing_table_stale = true,
+                _ => self.configuration.items_changed(),
             }
         }
         if let Some(live) = updates.live_gateways {
--- a/crates/data-plane/src/server/local_response.rs
+++ b/crates/data-plane/src/server/local_response.rs
@@ -25,7 +25,7 @@
     /// Writes a response of this gateway's own, without a body, for a client.
     pub(super) fn respond(&mut self, id: ClientId, status: u16, retry_after_ms: Option<u64>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        self.rejection_log.record(status, self.routing_table.route_count());
+        self.rejection_log.record(status, self.configuration.route_count());
         let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n", reason_phrase(status));
         if let Some(millis) = retry_after_ms {
             head.push_str(&format!("Retry-After: {}\r\n", millis as f64 / 1000.0));
@@ -39,7 +39,7 @@
     /// Writes the rest of a response's head, with the fields that tell whether the connection stays open.
     pub(super) fn finish_head(&mut self, id: ClientId, mut head: String) {
         let is_shutting_down = self.shutdown_began.is_some();
-        let idle_secs = self.routing_table.limits.idle_ms / 1000;
+        let idle_secs = self.configuration.limits().idle_ms / 1000;
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.is_closing |= client.wants_close || is_shutting_down;
         head.push_str(&connection_fields(client, idle_secs));
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -13,6 +13,7 @@
 //! | SIGHUP, or a changed settings file | `Server::reload_settings` |
 //! | SIGTERM | `shutdown` |
 
+mod configuration;
 mod control_connection;
 mod downstream;
 mod forwarding;
@@ -34,10 +35,10 @@
 use crate::quota::Quota;
 use crate::request::Request;
 use crate::retry_budget::{RetryBudget, RetryLimits};
+use configuration::Configuration;
 use control_connection::ControlConnection;
 use downstream::Client;
 use idle_connections::IdleConnections;
-use kitepass_config::RoutingTable;
 use kitepass_coordination::protocol::Hello;
 use kitepass_coordination::usage::QuotaTolerance;
 use kitepass_net::poller::{self, Clock, Poller, ReadyEvent};
@@ -53,7 +54,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use upstream::Upstream;
 
 /// Bytes buffered for one peer that does not read; beyond that nothing more is read for it.
@@ -149,10 +149,8 @@
     control_connection: Option<ControlConnection>,
     /// The connection that is being opened to a control process.
     candidate_connection: Option<ControlConnection>,
-    routing_table: Arc<RoutingTable>,
+    configuration: Configuration,
     rejection_log: RejectionLog,
-    /// Whether the configuration has changed since the routing table was built.
-    is_routing_table_stale: bool,
     quota: Quota,
     load_balancer: LoadBalancer,
     retry_budget: RetryBudget,
@@ -248,9 +246,8 @@
             upstreams: BTreeMap::new(),
             idle_connections: IdleConnections::default(),
             unread_upstreams: Vec::new(),
-            routing_table: Arc::new(RoutingTable::build(&control_session.item_store)),
+            configuration: Configuration::new(),
             rejection_log: RejectionLog::default(),
-            is_routing_table_stale: false,
             control_session,
             control_connection: None,
             candidate_connection: None,
@@ -360,25 +357,13 @@
         }
     }
 
-    /// Rebuilds the routing table if the configuration has changed, once it holds whole changes; requests that come from here
-    /// on see the new one.
+    /// Puts in force what the session has brought, where it holds whole changes; requests that come from here on see it.
     fn apply_configuration(&mut self, now: Timestamp) {
-        if !self.is_routing_table_stale || !self.control_session.holds_whole_changes() {
-            return;
-        }
-        self.is_routing_table_stale = false;
-        let routing_table = RoutingTable::rebuild(&self.routing_table, &self.control_session.item_store);
+        let Some(routing_table) = self.configuration.refresh(&self.control_session) else { return };
         self.load_balancer.set_evacuated_zones(now, &routing_table.evacuated_zones);
         let services = routing_table.services.values();
         let rates = services.map(|service| (service.name.clone(), service.slow_start_rate));
         self.load_balancer.set_slow_start_rates(rates);
-        info!(
-            "event=configuration-in-force routes={} tenants={} services={}",
-            routing_table.route_count(),
-            routing_table.tenants.len(),
-            routing_table.services.len()
-        );
-        self.routing_table = Arc::new(routing_table);
     }
 
     /// A new id for a connection or a request.
--- a/crates/data-plane/src/server/readiness.rs
+++ b/crates/data-plane/src/server/readiness.rs
@@ -4,10 +4,10 @@
 use log::info;
 
 impl Server {
-    /// Updates whether the gateway is ready: it knows the configuration, some backend, and is not shutting down.
+    /// Updates whether the gateway is ready: a configuration is in force, it knows some backend, and is not shutting down.
     pub(super) fn update_readiness(&mut self) {
         let is_ready = self.shutdown_began.is_none()
-            && self.control_session.is_caught_up()
+            && self.configuration.is_known()
             && self.control_session.has_backends();
         if is_ready != self.control_session.is_ready {
             info!("event=ready ready={is_ready} backends={}", self.load_balancer.len());
--- a/crates/data-plane/src/server/request_head.rs
+++ b/crates/data-plane/src/server/request_head.rs
@@ -4,7 +4,7 @@
 use crate::ids::{ClientId, RequestId};
 use crate::quota::Admission;
 use crate::request::{Request, RequestInfo};
-use kitepass_config::{Route, Tenant};
+use kitepass_config::{Route, RoutingTable, Tenant};
 use kitepass_coordination::usage::RateLimit;
 use kitepass_net::http::body::{Framing, Head};
 use kitepass_net::http::parse_decimal;
@@ -32,6 +32,7 @@
 
 /// What the configuration says of a request.
 struct Destination {
+    routing_table: Arc<RoutingTable>,
     route: Arc<Route>,
     tenant: Option<Arc<Tenant>>,
 }
@@ -70,10 +71,9 @@
 
     /// Checks a request against the configuration.
     fn check_head(&self, head: &Head, content_length: Option<u64>) -> Result<Destination, Rejection> {
-        let routing_table = &self.routing_table;
-        if !self.control_session.is_caught_up() {
+        let Some(routing_table) = self.configuration.routing_table() else {
             return Err(Rejection { retry_after_ms: Some(NOT_READY_RETRY_MS), ..Rejection::of(503) });
-        }
+        };
         if content_length.is_some_and(|length| length > routing_table.limits.body_bytes) {
             return Err(Rejection { closes_connection: true, ..Rejection::of(413) });
         }
@@ -88,7 +88,7 @@
         if head.field("x-try-id").is_none_or(<[u8]>::is_empty) {
             return Err(Rejection::of(400));
         }
-        Ok(Destination { route, tenant })
+        Ok(Destination { routing_table: routing_table.clone(), route, tenant })
     }
 
     /// Counts a request against its tenant's quota.
@@ -116,7 +116,7 @@
         content_length: Option<u64>,
         destination: Destination,
     ) -> RequestInfo {
-        let Destination { route, tenant } = destination;
+        let Destination { routing_table, route, tenant } = destination;
         let max_time_ms = u64::from(route.deadline_ms);
         let time_left_ms = head.field("x-time-left-ms").and_then(parse_decimal).unwrap_or(max_time_ms);
         let time_left = Duration::from_micros(time_left_ms.min(max_time_ms) as i64 * 1000);
@@ -126,7 +126,7 @@
             service: self.draw_service(&route),
             route,
             tenant,
-            routing_table: self.routing_table.clone(),
+            routing_table,
             arrived_at: now,
             deadline: now + time_left,
             content_length,
--- a/crates/data-plane/tests/sockets/start.rs
+++ b/crates/data-plane/tests/sockets/start.rs
@@ -1,7 +1,7 @@
 //! A gateway that has just started: until a whole configuration is in force, every request is told to come again, and none that the
 //! configuration allows is rejected as wrong.
 
-use crate::harness::{change_request, get, ok, publish_all, waiting, Gateway, Peer, TestBackends};
+use crate::harness::{change_request, get, ok, publish_all, request, waiting, Gateway, Peer, TestBackends};
 use rustix::process::Signal;
 
 /// Clients whose requests come at the same moment as the configuration.
@@ -80,3 +80,12 @@
     control.wait_until_synced();
     assert_served(&gateway, &backends, "late");
 }
+
+/// How long a head may be is known only from the configuration.
+#[test]
+fn long_heads_before_the_configuration_are_not_rejected_as_wrong() {
+    let (gateway, _control, _backends) = waiting();
+    let mut client = gateway.connect();
+    client.send(request("GET", "/once/", "early") + "X-Long: " + &"a".repeat(60_000) + "\r\n\r\n");
+    assert_not_ready(&mut client);
+}
