--- /dev/null
+++ b/crates/soak/src/checker/configuration.rs
@@ -0,0 +1,146 @@
+//! Rules about the configuration: what was acknowledged is in force, stays so, and can be read.
+
+use super::lives::Lives;
+use super::{Finding, Rule};
+use crate::history::{
+    ChangeRecord, Event, Micros, ReadRecord, Record, RequestOutcome, RequestRecord, RouteKind,
+};
+use crate::stand_ins::operator::VERSION_ROUTE;
+use std::collections::BTreeMap;
+
+/// An acknowledged change is in force on gateways in contact after so long; the system promises 4 s.
+const IN_FORCE_WITHIN: Micros = 8_000_000;
+/// A gateway is in contact where nothing has become of it or of a control process for so long.
+const CONTACT_AFTER: Micros = 15_000_000;
+
+pub(super) fn check(records: &[Record], lives: &Lives) -> Vec<Finding> {
+    let changes: Vec<&ChangeRecord> = records.iter().filter_map(|record| change(&record.event)).collect();
+    let mut findings = check_observed_versions(records, &changes, lives);
+    findings.extend(check_reads(records, &changes));
+    for record in records {
+        if let Some(ChangeRecord { item, version, refused: Some(status), .. }) = change(&record.event) {
+            let detail = format!("item={item} version={version} status={status}");
+            findings.push(Finding::new(Rule::ChangeRefused, record.at, "operator", detail));
+        }
+    }
+    findings
+}
+
+fn change(event: &Event) -> Option<&ChangeRecord> {
+    match event {
+        Event::Change(change) => Some(change),
+        _ => None,
+    }
+}
+
+/// What a client saw of the version route.
+struct Observation<'a> {
+    request: &'a RequestRecord,
+    ended_at: Micros,
+    version: u64,
+}
+
+fn check_observed_versions(records: &[Record], changes: &[&ChangeRecord], lives: &Lives) -> Vec<Finding> {
+    let observations: Vec<Observation> =
+        records.iter().filter_map(|record| observation(record, changes)).collect();
+    let mut findings: Vec<Finding> =
+        observations.iter().filter_map(|seen| stale(seen, changes, lives)).collect();
+    findings.extend(went_back(&observations, lives));
+    findings
+}
+
+/// The newest version that a response may be of: several lead to the same service.
+fn observation<'a>(record: &'a Record, changes: &[&ChangeRecord]) -> Option<Observation<'a>> {
+    let Event::Request(request) = &record.event else { return None };
+    let RequestOutcome::Response { status: 200, service: Some(service), .. } = &request.outcome else {
+        return None;
+    };
+    if request.route != RouteKind::Version {
+        return None;
+    }
+    let is_possible =
+        |change: &&&ChangeRecord| change.service.as_ref() == Some(service) && change.sent_at <= record.at;
+    let version = changes.iter().filter(is_possible).map(|change| change.version).max()?;
+    Some(Observation { request, ended_at: record.at, version })
+}
+
+fn stale(seen: &Observation, changes: &[&ChangeRecord], lives: &Lives) -> Option<Finding> {
+    let sent_at = seen.request.sent_at;
+    let is_newer_in_force = |change: &&&ChangeRecord| {
+        let acknowledged_at = change.acknowledged_at.filter(|at| at + IN_FORCE_WITHIN < sent_at);
+        change.item == VERSION_ROUTE && change.version > seen.version && acknowledged_at.is_some()
+    };
+    let newer = changes.iter().find(is_newer_in_force)?;
+    let node = &seen.request.node;
+    if !lives.is_calm(node, sent_at.saturating_sub(CONTACT_AFTER), seen.ended_at) {
+        return None;
+    }
+    let detail = format!("version={} acknowledged={}", seen.version, newer.version);
+    Some(Finding::new(Rule::Stale, seen.ended_at, node, detail).of_request(&seen.request.id))
+}
+
+/// The newest version that was seen of one life of a gateway, by when.
+#[derive(Default)]
+struct Progress(Vec<(Micros, u64)>);
+
+impl Progress {
+    fn newest_before(&self, at: Micros) -> u64 {
+        let count = self.0.partition_point(|(ended_at, _)| *ended_at <= at);
+        count.checked_sub(1).map_or(0, |last| self.0[last].1)
+    }
+
+    fn add(&mut self, ended_at: Micros, version: u64) {
+        let newest = self.0.last().map_or(0, |(_, newest)| *newest);
+        self.0.push((ended_at, newest.max(version)));
+    }
+}
+
+fn went_back(observations: &[Observation], lives: &Lives) -> Vec<Finding> {
+    let mut progress: BTreeMap<(&str, usize), Progress> = BTreeMap::new();
+    let mut findings = Vec::new();
+    for seen in observations {
+        let request = seen.request;
+        let Some((life, _)) = lives.at(&request.node, request.connected_at) else { continue };
+        let progress = progress.entry((&request.node, life)).or_default();
+        let newest = progress.newest_before(request.sent_at);
+        if seen.version < newest {
+            let detail = format!("version={} seen-before={newest}", seen.version);
+            let finding = Finding::new(Rule::WentBack, seen.ended_at, &request.node, detail);
+            findings.push(finding.of_request(&request.id));
+        }
+        progress.add(seen.ended_at, seen.version);
+    }
+    findings
+}
+
+fn check_reads(records: &[Record], changes: &[&ChangeRecord]) -> Vec<Finding> {
+    let reads = records.iter().filter_map(|record| match &record.event {
+        Event::Read(read) => Some((record.at, read)),
+        _ => None,
+    });
+    reads.flat_map(|(at, read)| check_read(at, read, changes)).collect()
+}
+
+fn check_read(at: Micros, read: &ReadRecord, changes: &[&ChangeRecord]) -> Vec<Finding> {
+    let Some(versions) = &read.versions else {
+        return vec![Finding::new(Rule::NotRecovered, at, &read.node, "no configuration".to_owned())];
+    };
+    let grace = if read.is_final { 0 } else { IN_FORCE_WITHIN };
+    let mut acknowledged: BTreeMap<&str, u64> = BTreeMap::new();
+    for change in changes.iter().filter(|change| change.version > 0) {
+        if change.acknowledged_at.is_some_and(|at| at + grace <= read.sent_at) {
+            let newest = acknowledged.entry(&change.item).or_default();
+            *newest = change.version.max(*newest);
+        }
+    }
+    let rule = if read.is_final { Rule::ChangeLost } else { Rule::OldRead };
+    let older = acknowledged
+        .into_iter()
+        .filter(|(item, version)| versions.get(*item).is_none_or(|read| read < version));
+    older
+        .map(|(item, version)| {
+            let detail = format!("item={item} acknowledged={version} read={:?}", versions.get(item));
+            Finding::new(rule, at, &read.node, detail)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/soak/src/checker/requests.rs
@@ -0,0 +1,87 @@
+//! Rules about single requests: what their clients got, and where they ran.
+
+use super::lives::Lives;
+use super::{Finding, Rule};
+use crate::history::{Event, Micros, Record, RequestOutcome, RequestRecord, RouteKind, RunRecord};
+use std::collections::HashMap;
+
+/// Statuses of a gateway's own that say nothing of the request: it may come again.
+const RETRY_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+pub(super) fn check(records: &[Record], lives: &Lives) -> Vec<Finding> {
+    let mut runs: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+    let mut requests: HashMap<&str, &RequestRecord> = HashMap::new();
+    for record in records {
+        match &record.event {
+            Event::Run(run) => runs.entry(&run.id).or_default().push(run),
+            Event::Request(request) => _ = requests.insert(&request.id, request),
+            _ => {}
+        }
+    }
+    let mut findings = Vec::new();
+    for record in records {
+        match &record.event {
+            Event::Request(request) => {
+                let runs = runs.get(&*request.id).map_or(&[][..], Vec::as_slice);
+                findings.extend(check_request(record.at, request, runs, lives));
+            }
+            Event::Run(run) => findings.extend(check_run(record.at, run, requests.get(&*run.id).copied())),
+            _ => {}
+        }
+    }
+    findings
+}
+
+fn check_request(at: Micros, request: &RequestRecord, runs: &[&RunRecord], lives: &Lives) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let mut add = |rule, detail: String| {
+        findings.push(Finding::new(rule, at, &request.node, detail).of_request(&request.id));
+    };
+    let has_run = !runs.is_empty();
+    let is_once = request.route == RouteKind::Once;
+    if is_once && runs.len() > 1 {
+        add(Rule::Doubled, format!("runs={}", runs.len()));
+    }
+    let is_disturbed =
+        || lives.at(&request.node, request.connected_at).is_none_or(|(_, life)| life.is_disturbed(at));
+    match &request.outcome {
+        RequestOutcome::Response { status, is_gateways_own: true, .. } => {
+            if (300..500).contains(status) && !RETRY_STATUSES.contains(status) {
+                add(Rule::Denied, format!("status={status}"));
+            }
+            if RETRY_STATUSES.contains(status) && is_once && has_run {
+                add(Rule::Refused, format!("status={status}"));
+            }
+        }
+        RequestOutcome::Broken => {
+            let was_answered = runs.iter().any(|run| run.is_answered);
+            if request.complete_at.is_some() && was_answered && !is_disturbed() {
+                add(Rule::Lost, "a backend answered".to_owned());
+            }
+        }
+        RequestOutcome::TimedOut if request.complete_at.is_some() && !is_disturbed() => {
+            add(Rule::Unanswered, "no response".to_owned());
+        }
+        RequestOutcome::Malformed => add(Rule::Mixed, "no response in the protocol".to_owned()),
+        RequestOutcome::TimedOut | RequestOutcome::Response { .. } => {}
+    }
+    if let RequestOutcome::Response { status, is_intact: false, service, .. } = &request.outcome {
+        add(Rule::Mixed, format!("status={status} service={service:?}"));
+    }
+    findings
+}
+
+fn check_run(at: Micros, run: &RunRecord, request: Option<&RequestRecord>) -> Option<Finding> {
+    let finding =
+        |rule, detail: &str| Finding::new(rule, at, &run.backend, detail.to_owned()).of_request(&run.id);
+    let Some(request) = request else { return Some(finding(Rule::Unasked, "no client sent it")) };
+    if run.is_garbled && request.complete_at.is_some() {
+        return Some(finding(Rule::Unasked, "its body is another"));
+    }
+    let is_right = match request.route {
+        RouteKind::Safe | RouteKind::Limited => run.service == "books",
+        RouteKind::Once => run.service == "loans",
+        RouteKind::Version => run.service.starts_with("version-"),
+    };
+    (!is_right).then(|| finding(Rule::WrongService, &run.service))
+}
--- /dev/null
+++ b/crates/soak/src/checker/resources.rs
@@ -0,0 +1,72 @@
+//! Rules about what processes take of the machine: it levels off.
+
+use super::{Finding, Rule};
+use crate::history::{Event, Micros, ProcessChange, Record, ResourceSample};
+use std::collections::BTreeMap;
+
+const MAX_MEMORY_KIB: u64 = 256 * 1024;
+const MAX_DESCRIPTORS: u64 = 1_500;
+const MAX_THREADS: u64 = 4;
+const MAX_DISK_BYTES: u64 = 96 << 20;
+/// Bytes of log in a second, on average over the soak.
+const MAX_LOG_RATE: u64 = 16 * 1024;
+/// Growth is judged of lives with at least so many samples.
+const MIN_SAMPLES: usize = 40;
+/// The least of a life's last quarter may be so much of the most of its second quarter, in percent, and this much more.
+const MAX_GROWTH_PERCENT: u64 = 150;
+const MEMORY_SLACK_KIB: u64 = 12 * 1024;
+const DESCRIPTOR_SLACK: u64 = 60;
+
+/// The samples of one life of a process.
+type Samples<'a> = Vec<(Micros, &'a ResourceSample)>;
+
+pub(super) fn check(records: &[Record]) -> Vec<Finding> {
+    let mut by_life: BTreeMap<(&str, usize), Samples> = BTreeMap::new();
+    let mut lives: BTreeMap<&str, usize> = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            Event::Process { node, change: ProcessChange::Started { .. } } => {
+                *lives.entry(node).or_default() += 1
+            }
+            Event::Sample(sample) => {
+                let life = lives.get(&*sample.node).copied().unwrap_or_default();
+                by_life.entry((&sample.node, life)).or_default().push((record.at, sample));
+            }
+            _ => {}
+        }
+    }
+    by_life.values().filter_map(|samples| check_bounds(samples).or_else(|| check_growth(samples))).collect()
+}
+
+fn check_bounds(samples: &Samples) -> Option<Finding> {
+    samples.iter().find_map(|(at, sample)| {
+        let seconds = (at / 1_000_000).max(60);
+        let bounds = [
+            ("memory-kib", sample.memory_kib, MAX_MEMORY_KIB),
+            ("descriptors", sample.descriptors, MAX_DESCRIPTORS),
+            ("threads", sample.threads, MAX_THREADS),
+            ("disk-bytes", sample.disk_bytes, MAX_DISK_BYTES),
+            ("log-bytes-per-s", sample.log_bytes / seconds, MAX_LOG_RATE),
+        ];
+        let (name, value, bound) = bounds.into_iter().find(|(_, value, bound)| value > bound)?;
+        Some(Finding::new(Rule::Resources, *at, &sample.node, format!("{name}={value} bound={bound}")))
+    })
+}
+
+fn check_growth(samples: &Samples) -> Option<Finding> {
+    if samples.len() < MIN_SAMPLES {
+        return None;
+    }
+    let quarter = samples.len() / 4;
+    let (at, sample) = samples[samples.len() - 1];
+    let grown = |name: &str, value: fn(&ResourceSample) -> u64, slack: u64| {
+        let early = samples[quarter..2 * quarter].iter().map(|(_, sample)| value(sample)).max()?;
+        let late = samples[3 * quarter..].iter().map(|(_, sample)| value(sample)).min()?;
+        let is_grown = late > early * MAX_GROWTH_PERCENT / 100 + slack;
+        is_grown.then(|| {
+            Finding::new(Rule::Resources, at, &sample.node, format!("{name} grew from={early} to={late}"))
+        })
+    };
+    grown("memory-kib", |sample| sample.memory_kib, MEMORY_SLACK_KIB)
+        .or_else(|| grown("descriptors", |sample| sample.descriptors, DESCRIPTOR_SLACK))
+}
--- /dev/null
+++ b/crates/soak/src/resources.rs
@@ -0,0 +1,45 @@
+//! What a process takes of the machine, read from `/proc`.
+
+use crate::history::ResourceSample;
+use crate::topology::Topology;
+use std::fs;
+use std::path::Path;
+
+/// Milliseconds of a tick in which `/proc` counts processor time (`sysconf(_SC_CLK_TCK)` is 100 on Linux).
+const TICK_MS: u64 = 10;
+/// Fields of `/proc/PID/stat` behind the command's closing parenthesis: user and system time, in ticks.
+const USER_TIME_FIELD: usize = 11;
+
+/// The resources of a process that runs.
+pub fn sample(topology: &Topology, index: usize, pid: u32) -> Option<ResourceSample> {
+    let folder = format!("/proc/{pid}");
+    let status = fs::read_to_string(format!("{folder}/status")).ok()?;
+    let status_field = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse::<u64>().ok()
+    };
+    let stat = fs::read_to_string(format!("{folder}/stat")).ok()?;
+    let times = stat.rsplit(')').next()?.split_whitespace().skip(USER_TIME_FIELD).take(2);
+    let ticks: u64 = times.filter_map(|time| time.parse::<u64>().ok()).sum();
+    Some(ResourceSample {
+        node: topology.nodes[index].name.clone(),
+        memory_kib: status_field("VmRSS:")?,
+        descriptors: fs::read_dir(format!("{folder}/fd")).ok()?.count() as u64,
+        threads: status_field("Threads:")?,
+        processor_ms: ticks * TICK_MS,
+        log_bytes: fs::metadata(topology.log_path(index)).map_or(0, |log| log.len()),
+        disk_bytes: topology.data_directory(index).map_or(0, |directory| folder_bytes(&directory)),
+    })
+}
+
+fn folder_bytes(folder: &Path) -> u64 {
+    let files = fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len()).sum()
+}
+
+/// Half of the machine's memory in KiB: what a soak may take at most.
+pub fn memory_limit_kib() -> Option<u64> {
+    let information = fs::read_to_string("/proc/meminfo").ok()?;
+    let line = information.lines().find_map(|line| line.strip_prefix("MemTotal:"))?;
+    Some(line.split_whitespace().next()?.parse::<u64>().ok()? / 2)
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,469 @@
+//! Plays a plan: starts the system and the stand-ins, does what is due, lets everything recover, and judges the history.
+
+use crate::checker;
+use crate::error::{EndedAtStartSnafu, Error, FileSnafu, NotUpSnafu, SignalsSnafu};
+use crate::history::{Event, Recorder, SignalKind};
+use crate::http_stream::{HttpStream, RESPONSE};
+use crate::plan::{Action, Plan, Step};
+use crate::processes::Processes;
+use crate::report::Report;
+use crate::resources;
+use crate::stand_ins::backends::Backends;
+use crate::stand_ins::clients::{self, Purpose, Target};
+use crate::stand_ins::operator::{self, Desk, Operator};
+use crate::stand_ins::{platform, StopFlag};
+use crate::topology::{Role, Topology, GRACE_S, ZONES};
+use kitepass_node::process::Signals;
+use snafu::ResultExt;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const LOOP_INTERVAL: Duration = Duration::from_millis(20);
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(2);
+const READ_INTERVAL: Duration = Duration::from_secs(3);
+/// A process that has ended is started again after this and up to [`RESTART_SPREAD_MS`] more.
+const RESTART_DELAY_MS: u64 = 100;
+const RESTART_SPREAD_MS: u64 = 600;
+/// The system comes up, and recovers at the end, within this.
+const COMES_UP: Duration = Duration::from_secs(90);
+/// Clients go on for so long once everything has recovered.
+const CALM_TIME: Duration = Duration::from_secs(8);
+/// The operator's threads at a time.
+const MAX_OPERATOR_CALLS: usize = 8;
+/// Clients of each gateway for requests of all kinds.
+const MIXED_CLIENTS: usize = 2;
+const BEYOND_QUOTA_CLIENTS: usize = 3;
+const CHECK_TIMEOUT: Duration = Duration::from_millis(800);
+/// The file of the history in the soak's folder.
+pub const HISTORY_FILE: &str = "history.jsonl";
+
+/// What a soak is to be.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed of its plan and its clients.
+    pub seed: u64,
+    /// How long faults go on.
+    pub length: Duration,
+    /// Processes of the system.
+    pub processes: usize,
+    /// The folder of both programs.
+    pub programs: PathBuf,
+    /// Where its files are.
+    pub folder: PathBuf,
+}
+
+/// The backends of a soak: their services and zones.
+pub fn placements() -> Vec<(String, usize)> {
+    let mut placements = Vec::new();
+    for (number, service) in operator::services().into_iter().enumerate() {
+        let is_version = service.starts_with("version");
+        let zones = if is_version { vec![number % 3, (number + 1) % 3] } else { vec![0, 1, 2, 0, 1, 2] };
+        placements.extend(zones.into_iter().map(|zone| (service.clone(), zone)));
+    }
+    placements
+}
+
+/// The plan of a soak.
+pub fn plan(options: &Options) -> Plan {
+    let topology = Topology::new(options.processes, options.folder.clone());
+    Plan::draw(options.seed, &topology, placements().len(), options.length.as_millis() as u64)
+}
+
+/// What ends a fault of a backend.
+enum BackendRepair {
+    Restart(usize),
+    Speed(usize),
+    Succeed(usize),
+    KeepIdle(usize),
+    EndEvacuation(usize),
+}
+
+/// A soak under way.
+struct Soak {
+    processes: Processes,
+    backends: Arc<Backends>,
+    operator: Arc<Operator>,
+    operator_calls: Arc<AtomicUsize>,
+    recorder: Arc<Recorder>,
+    signals: Signals,
+    stop: StopFlag,
+    clients: Vec<JoinHandle<()>>,
+    /// When each process that has ended is to be started again, and whether with an empty disk.
+    restarts: Vec<Option<Instant>>,
+    loses_disk: Vec<bool>,
+    /// `disk-complete` events in all logs at the time of the last lost disk.
+    disks_lost: usize,
+    repairs: Vec<(Instant, BackendRepair)>,
+    history_path: PathBuf,
+    last_sample: Instant,
+    last_read: Instant,
+    reads: usize,
+}
+
+/// Plays a soak and judges it.
+///
+/// # Errors
+///
+/// The soak itself cannot begin or go on: no address, no program, a full disk, or it is interrupted.
+pub fn run(options: &Options) -> Result<Report, Error> {
+    let signals = Signals::default();
+    signals.install_handlers().context(SignalsSnafu)?;
+    let topology = Topology::new(options.processes, options.folder.clone());
+    topology.check_addresses()?;
+    topology.make_folders()?;
+    let plan = plan(options);
+    let steps = plan.steps.len();
+    let mut soak = Soak::open(options, topology, signals)?;
+    soak.come_up()?;
+    soak.start_clients(options.seed);
+    let may_go_on = soak.play(plan.steps, options.length)?;
+    if may_go_on {
+        soak.recover()?;
+    }
+    let records = soak.end()?;
+    let findings = checker::check(&records);
+    Ok(Report::new(options.seed, options.processes, steps, &records, findings))
+}
+
+impl Soak {
+    fn open(options: &Options, topology: Topology, signals: Signals) -> Result<Soak, Error> {
+        let history_path = topology.folder.join(HISTORY_FILE);
+        let recorder = Arc::new(Recorder::create(&history_path)?);
+        let stop = StopFlag::default();
+        let backends = Backends::start(topology.stand_in_ip(), placements(), recorder.clone(), stop.clone())?;
+        let backends = Arc::new(backends);
+        platform::serve(topology.platform_address(), backends.clone(), stop.clone())?;
+        let desk = |index: usize| {
+            let node = &topology.nodes[index];
+            Desk { node: node.name.clone(), address: node.operator_address() }
+        };
+        let desks = topology.of_role(Role::ControlPlane).into_iter().map(desk).collect();
+        let operator = Operator::new(desks, options.seed, recorder.clone(), stop.clone());
+        let count = topology.nodes.len();
+        let now = Instant::now();
+        Ok(Soak {
+            processes: Processes::new(topology, options.programs.clone(), recorder.clone()),
+            backends,
+            operator: Arc::new(operator),
+            operator_calls: Arc::default(),
+            recorder,
+            signals,
+            stop,
+            clients: Vec::new(),
+            restarts: vec![None; count],
+            loses_disk: vec![false; count],
+            disks_lost: 0,
+            repairs: Vec::new(),
+            history_path,
+            last_sample: now,
+            last_read: now,
+            reads: 0,
+        })
+    }
+
+    fn nodes(&self) -> usize {
+        self.processes.topology().nodes.len()
+    }
+
+    fn come_up(&mut self) -> Result<(), Error> {
+        (0..self.nodes()).try_for_each(|index| self.processes.start(index, false))?;
+        log::info!("event=started processes={}", self.nodes());
+        let operator = self.operator.clone();
+        let configuration = std::thread::spawn(move || operator.bring_configuration());
+        self.wait_until("the first configuration is acknowledged", |soak| {
+            configuration.is_finished() || soak.has_unexpected_end()
+        })?;
+        self.wait_until("all gateways are ready", |soak| {
+            soak.are_gateways_ready() || soak.has_unexpected_end()
+        })?;
+        let folder = self.processes.topology().folder.clone();
+        snafu::ensure!(!self.has_unexpected_end(), EndedAtStartSnafu { folder });
+        Ok(())
+    }
+
+    /// Goes on with what is due until it is so.
+    fn wait_until(&mut self, what: &'static str, is_so: impl Fn(&Soak) -> bool) -> Result<(), Error> {
+        let began = Instant::now();
+        while !is_so(self) {
+            if began.elapsed() > COMES_UP {
+                let folder = self.processes.topology().folder.clone();
+                return NotUpSnafu { what, seconds: COMES_UP.as_secs(), folder }.fail();
+            }
+            self.turn()?;
+        }
+        Ok(())
+    }
+
+    fn are_gateways_ready(&self) -> bool {
+        let topology = self.processes.topology();
+        let gateways = topology.of_role(Role::DataPlane);
+        gateways.into_iter().all(|index| is_ready(topology.nodes[index].readiness_address()))
+    }
+
+    fn start_clients(&mut self, seed: u64) {
+        let topology = self.processes.topology();
+        let target = |index: usize| {
+            let node = &topology.nodes[index];
+            Target { node: node.name.clone(), address: node.client_address() }
+        };
+        let targets: Vec<Target> = topology.of_role(Role::DataPlane).into_iter().map(target).collect();
+        let mixed = std::iter::repeat_n(Purpose::Mixed, MIXED_CLIENTS * targets.len());
+        let version = std::iter::repeat_n(Purpose::Version, targets.len());
+        let limited = std::iter::repeat_n(Purpose::BeyondQuota, BEYOND_QUOTA_CLIENTS);
+        let eager = std::iter::repeat_n(Purpose::Eager, targets.len());
+        let purposes = mixed.chain(version).chain(eager).chain(limited).enumerate();
+        let (recorder, stop) = (&self.recorder, &self.stop);
+        let start = |(number, purpose)| {
+            clients::start(number, purpose, targets.clone(), seed, recorder.clone(), stop.clone())
+        };
+        self.clients = purposes.map(start).collect();
+    }
+
+    /// Does the steps at their times; false if a process has ended by itself, which ends the soak.
+    fn play(&mut self, steps: Vec<Step>, length: Duration) -> Result<bool, Error> {
+        let began = Instant::now();
+        let mut steps = VecDeque::from(steps);
+        while began.elapsed() < length {
+            let elapsed_ms = began.elapsed().as_millis() as u64;
+            while let Some(step) = steps.pop_front_if(|step| step.at_ms <= elapsed_ms) {
+                self.act(step.action)?;
+            }
+            self.turn()?;
+            if self.has_unexpected_end() {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Whether the checker will find that a process ended by itself. It looks at processes' ends only, which are few.
+    fn has_unexpected_end(&self) -> bool {
+        self.processes.unexpected_ends() > 0
+    }
+
+    /// What is to be done all the time.
+    fn turn(&mut self) -> Result<(), Error> {
+        if self.signals.is_shutdown_requested() {
+            return Err(Error::Interrupted);
+        }
+        std::thread::sleep(LOOP_INTERVAL);
+        self.processes.reap();
+        self.restart_ended()?;
+        self.repair_backends()?;
+        if self.last_sample.elapsed() >= SAMPLE_INTERVAL {
+            self.last_sample = Instant::now();
+            self.sample();
+            self.recorder.flush(&self.history_path)?;
+        }
+        if self.last_read.elapsed() >= READ_INTERVAL && !self.clients.is_empty() {
+            self.last_read = Instant::now();
+            self.reads += 1;
+            let desks = self.operator.desks();
+            let desk = desks[self.reads % desks.len()].clone();
+            self.call_operator(move |operator| _ = operator.read(&desk, false));
+        }
+        Ok(())
+    }
+
+    fn restart_ended(&mut self) -> Result<(), Error> {
+        let now = Instant::now();
+        for index in 0..self.nodes() {
+            if self.processes.is_running(index) {
+                continue;
+            }
+            let delay = RESTART_DELAY_MS + index as u64 * 137 % RESTART_SPREAD_MS;
+            let due = *self.restarts[index].get_or_insert(now + Duration::from_millis(delay));
+            if now >= due {
+                self.restarts[index] = None;
+                let loses_disk = std::mem::take(&mut self.loses_disk[index]);
+                self.processes.start(index, loses_disk)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn sample(&self) {
+        for index in 0..self.nodes() {
+            let Some(pid) = self.processes.pid(index) else { continue };
+            let sample = resources::sample(self.processes.topology(), index, pid);
+            sample.into_iter().for_each(|sample| self.recorder.record(Event::Sample(sample)));
+        }
+    }
+
+    /// Runs a call of the operator beside everything else, unless too many are under way.
+    fn call_operator(&self, call: impl FnOnce(&Operator) + Send + 'static) {
+        if self.operator_calls.load(Ordering::Relaxed) >= MAX_OPERATOR_CALLS {
+            return;
+        }
+        self.operator_calls.fetch_add(1, Ordering::Relaxed);
+        let (operator, calls) = (self.operator.clone(), self.operator_calls.clone());
+        std::thread::spawn(move || {
+            call(&operator);
+            calls.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+
+    fn act(&mut self, action: Action) -> Result<(), Error> {
+        log::info!("event=step action={action:?}");
+        match action {
+            Action::Terminate(index) => self.processes.signal(index, SignalKind::Terminate)?,
+            Action::Kill(index) => self.processes.signal(index, SignalKind::Kill)?,
+            Action::Reload(index) => self.processes.signal(index, SignalKind::Reload)?,
+            Action::Freeze(index) => self.processes.signal(index, SignalKind::Freeze)?,
+            Action::Continue(index) => self.processes.signal(index, SignalKind::Continue)?,
+            Action::KillAll(nodes) => {
+                nodes.into_iter().try_for_each(|index| self.processes.signal(index, SignalKind::Kill))?;
+            }
+            Action::LoseDisk(index) => self.lose_disk(index)?,
+            Action::CrashBackend(index, millis) => {
+                self.backends.crash(index);
+                self.repair_after(millis, BackendRepair::Restart(index));
+            }
+            Action::SlowBackend(index, millis) => {
+                self.backends.set_slow(index, true);
+                self.repair_after(millis, BackendRepair::Speed(index));
+            }
+            Action::FailBackend(index, millis) => {
+                self.backends.set_failing(index, true);
+                self.repair_after(millis, BackendRepair::Succeed(index));
+            }
+            Action::CloseIdleBackend(index, millis) => {
+                self.backends.set_closes_idle(index, true);
+                self.repair_after(millis, BackendRepair::KeepIdle(index));
+            }
+            Action::ChangeVersion => self.call_operator(Operator::change_version),
+            Action::ChangeVersionTwice => {
+                self.call_operator(Operator::change_version);
+                self.call_operator(Operator::change_version);
+            }
+            Action::ChangeManyRoutes => self.call_operator(Operator::change_many_routes),
+            Action::Evacuate(zone, millis) => {
+                self.call_operator(move |operator| operator.evacuate(zone, true));
+                self.repair_after(millis, BackendRepair::EndEvacuation(zone));
+            }
+        }
+        Ok(())
+    }
+
+    /// A disk is lost only while all others hold everything; otherwise its process is killed alone.
+    fn lose_disk(&mut self, index: usize) -> Result<(), Error> {
+        let controls = self.processes.topology().of_role(Role::ControlPlane);
+        let all_run = controls.iter().all(|control| self.processes.is_running(*control));
+        let completed: usize = controls.iter().map(|control| self.completed_disks(*control)).sum();
+        if all_run && self.processes.is_running(index) && completed >= controls.len() + self.disks_lost {
+            self.disks_lost += 1;
+            self.loses_disk[index] = true;
+        }
+        self.processes.signal(index, SignalKind::Kill)
+    }
+
+    /// How often a control process has told that its disk has become complete.
+    fn completed_disks(&self, index: usize) -> usize {
+        let log = std::fs::read_to_string(self.processes.topology().log_path(index)).unwrap_or_default();
+        log.matches("event=disk-complete").count()
+    }
+
+    fn repair_after(&mut self, millis: u64, repair: BackendRepair) {
+        self.repairs.push((Instant::now() + Duration::from_millis(millis), repair));
+    }
+
+    fn repair_backends(&mut self) -> Result<(), Error> {
+        let now = Instant::now();
+        let due = self.repairs.extract_if(.., |(at, _)| *at <= now).map(|(_, repair)| repair);
+        for repair in due.collect::<Vec<_>>() {
+            match repair {
+                BackendRepair::Restart(index) => self.backends.begin_life(index)?,
+                BackendRepair::Speed(index) => self.backends.set_slow(index, false),
+                BackendRepair::Succeed(index) => self.backends.set_failing(index, false),
+                BackendRepair::KeepIdle(index) => self.backends.set_closes_idle(index, false),
+                BackendRepair::EndEvacuation(zone) => {
+                    self.call_operator(move |operator| operator.evacuate(zone, false));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults, waits until everything is well, and asks everybody for the last time.
+    fn recover(&mut self) -> Result<(), Error> {
+        self.recorder.record(Event::Calm);
+        (0..self.nodes()).try_for_each(|index| self.processes.signal(index, SignalKind::Continue))?;
+        (0..ZONES.len()).for_each(|zone| self.repair_after(0, BackendRepair::EndEvacuation(zone)));
+        // Whoever does not recover is found by what is asked below.
+        match self.wait_until("all gateways are ready again", Soak::are_gateways_ready) {
+            Ok(()) | Err(Error::NotUp { .. }) => {}
+            Err(error) => return Err(error),
+        }
+        let (began, calls) = (Instant::now(), self.operator_calls.clone());
+        while began.elapsed() < CALM_TIME || (calls.load(Ordering::Relaxed) > 0 && began.elapsed() < COMES_UP)
+        {
+            self.turn()?;
+        }
+        for desk in self.operator.desks().to_vec() {
+            self.read_finally(&desk)?;
+        }
+        for index in self.processes.topology().of_role(Role::DataPlane) {
+            let node = &self.processes.topology().nodes[index];
+            let (node, is_ready) = (node.name.clone(), is_ready(node.readiness_address()));
+            self.recorder.record(Event::FinalReadiness { node, is_ready });
+        }
+        Ok(())
+    }
+
+    fn read_finally(&mut self, desk: &Desk) -> Result<(), Error> {
+        let began = Instant::now();
+        // A read that fails is recorded only as the last one.
+        while !self.operator.read(desk, false) && began.elapsed() < COMES_UP / 3 {
+            self.turn()?;
+        }
+        self.operator.read(desk, true);
+        Ok(())
+    }
+
+    /// Ends clients, then processes in order, and gives the history.
+    fn end(mut self) -> Result<Vec<crate::history::Record>, Error> {
+        self.stop.stop();
+        self.clients.drain(..).for_each(|client| _ = client.join());
+        (0..self.nodes()).try_for_each(|index| self.processes.signal(index, SignalKind::Terminate))?;
+        let began = Instant::now();
+        let is_any_running = |processes: &Processes| {
+            (0..processes.topology().nodes.len()).any(|index| processes.is_running(index))
+        };
+        while is_any_running(&self.processes) && began.elapsed() < Duration::from_secs(GRACE_S * 4) {
+            std::thread::sleep(LOOP_INTERVAL);
+            self.processes.reap();
+        }
+        self.recorder.flush(&self.history_path)?;
+        Ok(self.recorder.records())
+    }
+}
+
+/// Whether a gateway says that it is ready.
+fn is_ready(address: SocketAddr) -> bool {
+    let ask = || {
+        let mut stream = HttpStream::connect(address, CHECK_TIMEOUT).ok()?;
+        stream.send(b"GET /v1/ready HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n").ok()?;
+        let (head, _) = stream.read_message(RESPONSE, CHECK_TIMEOUT).ok()?;
+        Some(head.status())
+    };
+    ask() == Some(200)
+}
+
+/// The folder that a soak uses if none is named.
+pub fn default_folder(seed: u64) -> PathBuf {
+    std::env::temp_dir().join(format!("kitepass-soak-{seed}-{}", std::process::id()))
+}
+
+/// Removes the files of a soak that found nothing.
+///
+/// # Errors
+///
+/// They cannot be removed.
+pub fn remove_folder(folder: &Path) -> Result<(), Error> {
+    std::fs::remove_dir_all(folder).context(FileSnafu { path: folder })
+}
--- /dev/null
+++ b/crates/soak/src/stand_ins/backends.rs
@@ -0,0 +1,352 @@
+//! Backends: a listener each, a thread a connection. A backend that crashes comes back under another id and address.
+
+use super::{postmark, response_body, StopFlag};
+use crate::error::{Error, ListenSnafu};
+use crate::history::{Event, Recorder, RunRecord};
+use crate::http_stream::{HttpStream, ReadError};
+use kitepass_net::http::{Head, MessageKind};
+use snafu::ResultExt;
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Requests that a backend works on at a time.
+pub const SLOTS: usize = 16;
+/// How often a listener looks for connections, and whether it is to end.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// A connection on which nothing comes for so long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// The same, while the backend closes idle connections early.
+const SHORT_IDLE_TIMEOUT: Duration = Duration::from_millis(150);
+/// A request takes so long.
+const WORK: Duration = Duration::from_millis(8);
+/// The same, while the backend is slow.
+const SLOW_WORK: Duration = Duration::from_millis(400);
+/// Pieces of a streamed response, and the pause between them.
+const STREAM_PIECES: usize = 8;
+const STREAM_PAUSE: Duration = Duration::from_millis(60);
+/// A crashed backend stays on the platform's list for so long.
+const LIST_LAG: Duration = Duration::from_secs(2);
+/// One in so many requests fails, while the backend fails some.
+const FAILING_ONE_IN: u64 = 3;
+
+/// How a backend behaves.
+#[derive(Debug, Default)]
+struct Behaviour {
+    is_slow: AtomicBool,
+    is_failing: AtomicBool,
+    closes_idle: AtomicBool,
+}
+
+/// One life of a backend: from its start to its crash.
+struct Life {
+    id: String,
+    address: SocketAddr,
+    is_over: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+struct Backend {
+    service: String,
+    zone: usize,
+    behaviour: Behaviour,
+    life: Mutex<Option<Arc<Life>>>,
+    /// The life that ended last, and when.
+    former: Mutex<Option<(Arc<Life>, Instant)>>,
+    requests: AtomicU64,
+    busy_slots: AtomicUsize,
+}
+
+/// A backend as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct ListedBackend {
+    /// Its id, another one in each life.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone, by index.
+    pub zone: usize,
+}
+
+/// All backends.
+pub struct Backends {
+    all: Vec<Arc<Backend>>,
+    ip: IpAddr,
+    next_life: AtomicU64,
+    recorder: Arc<Recorder>,
+    stop: StopFlag,
+}
+
+impl Backends {
+    /// Starts a backend of each of these services in each zone.
+    ///
+    /// # Errors
+    ///
+    /// No address to listen on.
+    pub fn start(
+        ip: IpAddr,
+        placements: Vec<(String, usize)>,
+        recorder: Arc<Recorder>,
+        stop: StopFlag,
+    ) -> Result<Backends, Error> {
+        let backend = |(service, zone)| {
+            Arc::new(Backend {
+                service,
+                zone,
+                behaviour: Behaviour::default(),
+                life: Mutex::new(None),
+                former: Mutex::new(None),
+                requests: AtomicU64::new(0),
+                busy_slots: AtomicUsize::new(0),
+            })
+        };
+        let all = placements.into_iter().map(backend).collect();
+        let backends = Backends { all, ip, next_life: AtomicU64::new(1), recorder, stop };
+        (0..backends.all.len()).try_for_each(|index| backends.begin_life(index))?;
+        Ok(backends)
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Starts a backend that does not run, under a new id and address.
+    ///
+    /// # Errors
+    ///
+    /// No address to listen on.
+    ///
+    /// # Panics
+    ///
+    /// If another thread has panicked in here.
+    pub fn begin_life(&self, index: usize) -> Result<(), Error> {
+        let backend = &self.all[index];
+        let mut current = backend.life.lock().expect("no thread panics in here");
+        if current.is_some() {
+            return Ok(());
+        }
+        let wanted = SocketAddr::new(self.ip, 0);
+        let listener = TcpListener::bind(wanted).context(ListenSnafu { address: wanted })?;
+        listener.set_nonblocking(true).context(ListenSnafu { address: wanted })?;
+        let address = listener.local_addr().context(ListenSnafu { address: wanted })?;
+        let number = self.next_life.fetch_add(1, Ordering::Relaxed);
+        let life = Arc::new(Life {
+            id: format!("b{index}-{number}"),
+            address,
+            is_over: AtomicBool::new(false),
+            connections: Mutex::new(Vec::new()),
+        });
+        *current = Some(life.clone());
+        let (backend, recorder, stop) = (backend.clone(), self.recorder.clone(), self.stop.clone());
+        std::thread::spawn(move || accept(&listener, &backend, &life, &recorder, &stop));
+        Ok(())
+    }
+
+    /// Ends a backend with all its connections, whatever it works on.
+    ///
+    /// # Panics
+    ///
+    /// If another thread has panicked in here.
+    pub fn crash(&self, index: usize) {
+        let backend = &self.all[index];
+        let Some(life) = backend.life.lock().expect("no thread panics in here").take() else { return };
+        life.is_over.store(true, Ordering::Relaxed);
+        for connection in life.connections.lock().expect("no thread panics in here").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both); // the other side may have closed it
+        }
+        *backend.former.lock().expect("no thread panics in here") = Some((life, Instant::now()));
+    }
+
+    /// Makes a backend slow, or no longer.
+    pub fn set_slow(&self, index: usize, is_slow: bool) {
+        self.all[index].behaviour.is_slow.store(is_slow, Ordering::Relaxed);
+    }
+
+    /// Makes a backend fail some requests, or no longer.
+    pub fn set_failing(&self, index: usize, is_failing: bool) {
+        self.all[index].behaviour.is_failing.store(is_failing, Ordering::Relaxed);
+    }
+
+    /// Makes a backend close idle connections early, or no longer.
+    pub fn set_closes_idle(&self, index: usize, closes_idle: bool) {
+        self.all[index].behaviour.closes_idle.store(closes_idle, Ordering::Relaxed);
+    }
+
+    /// The backends as the platform lists them, which learns late that one has crashed.
+    ///
+    /// # Panics
+    ///
+    /// If another thread has panicked in here.
+    pub fn listed(&self) -> Vec<ListedBackend> {
+        let mut listed = Vec::new();
+        for backend in &self.all {
+            let listed_as = |life: &Life| ListedBackend {
+                id: life.id.clone(),
+                service: backend.service.clone(),
+                address: life.address,
+                zone: backend.zone,
+            };
+            let life = backend.life.lock().expect("no thread panics in here");
+            listed.extend(life.as_deref().map(listed_as));
+            let former = backend.former.lock().expect("no thread panics in here");
+            let lately = former.as_ref().filter(|(_, ended_at)| ended_at.elapsed() < LIST_LAG);
+            listed.extend(lately.map(|(life, _)| listed_as(life)));
+        }
+        listed
+    }
+}
+
+fn accept(
+    listener: &TcpListener,
+    backend: &Arc<Backend>,
+    life: &Arc<Life>,
+    recorder: &Arc<Recorder>,
+    stop: &StopFlag,
+) {
+    while !life.is_over.load(Ordering::Relaxed) && !stop.is_stopped() {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(POLL_INTERVAL);
+            continue;
+        };
+        let _ = stream.set_nonblocking(false);
+        let mut connections = life.connections.lock().expect("no thread panics in here");
+        connections.retain(|connection| connection.peer_addr().is_ok());
+        connections.extend(stream.try_clone());
+        let (backend, life, recorder) = (backend.clone(), life.clone(), recorder.clone());
+        std::thread::spawn(move || {
+            let mut connection =
+                BackendConnection { stream: HttpStream::new(stream), backend, life, recorder };
+            connection.serve();
+        });
+    }
+}
+
+/// A gateway's connection to a backend.
+struct BackendConnection {
+    stream: HttpStream,
+    backend: Arc<Backend>,
+    life: Arc<Life>,
+    recorder: Arc<Recorder>,
+}
+
+impl BackendConnection {
+    fn serve(&mut self) {
+        loop {
+            let closes_idle = self.backend.behaviour.closes_idle.load(Ordering::Relaxed);
+            let timeout = if closes_idle { SHORT_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
+            let (head, body) = match self.stream.read_message(MessageKind::Request, timeout) {
+                Ok(message) => message,
+                Err(ReadError::Closed | ReadError::TimedOut | ReadError::Malformed) => return,
+            };
+            if !self.answer(&head, &body) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; true if the connection stays.
+    fn answer(&mut self, head: &Head, body: &[u8]) -> bool {
+        let field = |name| head.field(name).map(|value| String::from_utf8_lossy(value).into_owned());
+        let path = String::from_utf8_lossy(head.start_line_part(1)).into_owned();
+        if path == "/checkpoint" {
+            let id = format!("X-Delivered-By: {}\r\n", self.life.id);
+            return self.respond("200 OK", &id, b"");
+        }
+        let Some(id) = field("x-try-id") else { return self.turn_away("400 Bad Request", "") };
+        let echo = format!("X-Try-Id: {id}\r\n");
+        if field("x-deliver-to").is_some_and(|wanted| wanted != self.life.id) {
+            return self.turn_away("421 Misdirected Request", &echo);
+        }
+        if self.backend.busy_slots.fetch_add(1, Ordering::Relaxed) >= SLOTS {
+            self.backend.busy_slots.fetch_sub(1, Ordering::Relaxed);
+            return self.turn_away("503 Service Unavailable", &echo);
+        }
+        let began_at = self.recorder.now();
+        let call = RequestPath::parse(&path);
+        let is_answered = self.run(&id, &echo, &call);
+        self.backend.busy_slots.fetch_sub(1, Ordering::Relaxed);
+        self.recorder.record(Event::Run(RunRecord {
+            id,
+            backend: self.life.id.clone(),
+            service: self.backend.service.clone(),
+            tenant: field("x-sender"),
+            began_at,
+            is_garbled: body.len() != call.request_bytes || body.iter().any(|byte| *byte != b'u'),
+            is_answered,
+        }));
+        is_answered
+    }
+
+    /// Works on a request and writes its response; whether all of it was written.
+    fn run(&mut self, id: &str, echo: &str, call: &RequestPath) -> bool {
+        let behaviour = &self.backend.behaviour;
+        let is_slow = behaviour.is_slow.load(Ordering::Relaxed);
+        let is_failing = behaviour.is_failing.load(Ordering::Relaxed);
+        std::thread::sleep(if is_slow { SLOW_WORK } else { WORK });
+        if self.life.is_over.load(Ordering::Relaxed) {
+            return false;
+        }
+        let number = self.backend.requests.fetch_add(1, Ordering::Relaxed);
+        let fields = format!("{echo}X-Postmark: {}\r\n", postmark(id));
+        if is_failing && number.is_multiple_of(FAILING_ONE_IN) {
+            return self.respond("500 Internal Server Error", &fields, b"");
+        }
+        let body = response_body(&self.backend.service, id, call.response_bytes);
+        if call.is_streamed {
+            self.stream_response(&fields, &body)
+        } else {
+            self.respond("200 OK", &fields, &body)
+        }
+    }
+
+    fn respond(&mut self, status: &str, fields: &str, body: &[u8]) -> bool {
+        let mut bytes =
+            format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.send(&bytes).is_ok()
+    }
+
+    fn turn_away(&mut self, status: &str, fields: &str) -> bool {
+        self.respond(status, &format!("{fields}X-Not-Delivered: 1\r\n"), b"")
+    }
+
+    fn stream_response(&mut self, fields: &str, body: &[u8]) -> bool {
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
+        if self.stream.send(head.as_bytes()).is_err() {
+            return false;
+        }
+        for piece in body.chunks(body.len().div_ceil(STREAM_PIECES)) {
+            std::thread::sleep(STREAM_PAUSE);
+            let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
+            if self.life.is_over.load(Ordering::Relaxed) || self.stream.send(&chunk).is_err() {
+                return false;
+            }
+        }
+        self.stream.send(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// What a request's path asks of a backend: `/PREFIX/REQUEST-BYTES/RESPONSE-BYTES`, with `/streamed` behind it if so.
+struct RequestPath {
+    request_bytes: usize,
+    response_bytes: usize,
+    is_streamed: bool,
+}
+
+impl RequestPath {
+    fn parse(path: &str) -> RequestPath {
+        let mut parts = path.split('/').skip(2);
+        let mut number = || parts.next().and_then(|part| part.parse().ok()).unwrap_or(0);
+        let (request_bytes, response_bytes) = (number(), number());
+        RequestPath { request_bytes, response_bytes, is_streamed: path.ends_with("/streamed") }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/stand_ins/operator.rs
@@ -0,0 +1,259 @@
+//! The operator: sends changes to any control process, follows redirects, and sends a change without a clear answer again,
+//! unchanged.
+
+use super::clients::{HOST, KEY, LIMITED_KEY, LIMITED_TENANT};
+use super::StopFlag;
+use crate::history::{ChangeRecord, Event, ReadRecord, Recorder};
+use crate::http_stream::{HttpStream, RESPONSE};
+use crate::topology::ZONES;
+use oorandom::Rand64;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Services that the version route leads to, one after the other.
+pub const VERSION_SERVICES: u64 = 8;
+/// Requests that the limited tenant may send a second, and at once beyond that.
+pub const LIMITED_RATE: u32 = 20;
+/// See [`LIMITED_RATE`].
+pub const LIMITED_BURST: u32 = 20;
+/// The name of the route whose versions clients can tell.
+pub const VERSION_ROUTE: &str = "version";
+/// Routes of a large change.
+const MANY_ROUTES: usize = 400;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A call without an answer in this time goes to another control process.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+const MAX_REDIRECTS: usize = 2;
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// A change is given up after so long.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(60);
+/// One in so many answers is lost: the operator hangs up before it comes.
+const LOST_ANSWER_ONE_IN: u64 = 8;
+
+/// A control process that operators call.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    /// Its node id.
+    pub node: String,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+}
+
+/// The operator. Several threads may use it at once.
+pub struct Operator {
+    desks: Vec<Desk>,
+    next_version: AtomicU64,
+    rng: Mutex<Rand64>,
+    recorder: Arc<Recorder>,
+    stop: StopFlag,
+}
+
+/// A call and what it would change.
+struct Call {
+    path: String,
+    body: String,
+    change: ChangeRecord,
+}
+
+/// What a control process answered.
+struct Answer {
+    status: u16,
+    location: Option<SocketAddr>,
+    body: Vec<u8>,
+}
+
+/// The service that the version route of a version leads to.
+fn version_service(version: u64) -> String {
+    format!("version-{}", version % VERSION_SERVICES)
+}
+
+/// The names of all services that routes lead to.
+pub fn services() -> Vec<String> {
+    let versions = (0..VERSION_SERVICES).map(version_service);
+    ["books".to_owned(), "loans".to_owned()].into_iter().chain(versions).collect()
+}
+
+impl Operator {
+    /// An operator who calls these control processes.
+    pub fn new(desks: Vec<Desk>, seed: u64, recorder: Arc<Recorder>, stop: StopFlag) -> Operator {
+        let rng = Mutex::new(Rand64::new(u128::from(seed) ^ 0x0b5e));
+        Operator { desks, next_version: AtomicU64::new(2), rng, recorder, stop }
+    }
+
+    fn below(&self, bound: u64) -> u64 {
+        self.rng.lock().expect("no thread panics in here").rand_range(0..bound)
+    }
+
+    /// Brings the first configuration; whether it was acknowledged.
+    pub fn bring_configuration(&self) -> bool {
+        let route = |name: &str, safety: &str, service: &str| {
+            json!([name, HOST, format!("/{name}/"), safety, 8000, 1000, service, 2, "r1"])
+        };
+        let service = |name: &String| json!([name, "/checkpoint", 200, 0.5, 200.0, "r1"]);
+        let body = json!({"deliver": {
+            "itineraries": {
+                "headings": ["name", "depot", "lane-prefix", "mail-kind", "deadline-ms", "target-ms", "line", "tries", "edition"],
+                "entries": [route("safe", "safe", "books"), route("once", "unsafe", "loans"),
+                    route(VERSION_ROUTE, "safe", &version_service(1))],
+            },
+            "customers": {
+                "headings": ["name", "permits", "rate-per-s", "surge", "edition"],
+                "entries": [["town", [KEY], 0, 0, "r1"],
+                    [LIMITED_TENANT, [LIMITED_KEY], LIMITED_RATE, LIMITED_BURST, "r1"]],
+            },
+            "carrier-lines": {
+                "headings": ["name", "checkpoint", "berth-cap", "cold-s", "cold-rate-s", "edition"],
+                "entries": services().iter().map(service).collect::<Vec<Value>>(),
+            },
+            "weight-limits": {"envelope-bytes": 16384, "body-bytes": 1_048_576, "envelope-ms": 5000, "idle-ms": 15000, "edition": "r1"},
+        }});
+        self.apply(self.call(body, VERSION_ROUTE, 1, Some(version_service(1))))
+    }
+
+    fn call(&self, body: Value, item: &str, version: u64, service: Option<String>) -> Call {
+        let change = ChangeRecord {
+            item: item.to_owned(),
+            version,
+            service,
+            sent_at: self.recorder.now(),
+            acknowledged_at: None,
+            refused: None,
+        };
+        Call { path: "/v1/Timetable.Patch".to_owned(), body: body.to_string(), change }
+    }
+
+    /// Leads the version route to the next service.
+    pub fn change_version(&self) {
+        let version = self.next_version.fetch_add(1, Ordering::Relaxed);
+        let service = version_service(version);
+        let body = json!({"deliver": {"itineraries": {
+            "headings": ["name", "depot", "lane-prefix", "mail-kind", "deadline-ms", "target-ms", "line", "tries", "edition"],
+            "entries": [[VERSION_ROUTE, HOST, "/version/", "safe", 8000, 1000, service, 2, format!("r{version}")]],
+        }}});
+        self.apply(self.call(body, VERSION_ROUTE, version, Some(service)));
+    }
+
+    /// Sets some hundred routes that nobody uses.
+    pub fn change_many_routes(&self) {
+        let version = self.next_version.fetch_add(1, Ordering::Relaxed);
+        let edition = format!("r{version}");
+        let padding = "p".repeat(600);
+        let route = |number: usize| {
+            let prefix = format!("/many-{number}/{padding}/");
+            json!([format!("many-{number}"), HOST, prefix, "safe", 5000, 1000, "books", 2, edition])
+        };
+        let body = json!({"deliver": {"itineraries": {
+            "headings": ["name", "depot", "lane-prefix", "mail-kind", "deadline-ms", "target-ms", "line", "tries", "edition"],
+            "entries": (0..MANY_ROUTES).map(route).collect::<Vec<Value>>(),
+        }}});
+        self.apply(self.call(body, "many-0", version, None));
+    }
+
+    /// Has a zone evacuated, or taken back.
+    pub fn evacuate(&self, zone: usize, is_on: bool) {
+        let (zone, step) = (ZONES[zone], if is_on { "Start" } else { "End" });
+        let mut call = self.call(Value::Null, zone, 0, None);
+        call.path = format!("/v1/Evacuate.{step}/{zone}");
+        call.body = String::new();
+        self.apply(call);
+    }
+
+    /// Sends a change until it is acknowledged or refused; whether it was acknowledged.
+    fn apply(&self, mut call: Call) -> bool {
+        let began = Instant::now();
+        while !self.stop.is_stopped() && began.elapsed() < GIVE_UP_AFTER {
+            let hangs_up = self.below(LOST_ANSWER_ONE_IN) == 0;
+            match self.send(&call, hangs_up) {
+                Some(answer) if answer.status == 200 => {
+                    call.change.acknowledged_at = Some(self.recorder.now());
+                    break;
+                }
+                Some(answer)
+                    if (400..500).contains(&answer.status) && ![408, 429].contains(&answer.status) =>
+                {
+                    call.change.refused = Some(answer.status);
+                    break;
+                }
+                _ => std::thread::sleep(RETRY_PAUSE),
+            }
+        }
+        let is_acknowledged = call.change.acknowledged_at.is_some();
+        self.recorder.record(Event::Change(call.change));
+        is_acknowledged
+    }
+
+    /// Sends a call to a control process that is drawn, and to those that it names.
+    fn send(&self, call: &Call, hangs_up: bool) -> Option<Answer> {
+        let mut address = self.desks[self.below(self.desks.len() as u64) as usize].address;
+        for _ in 0..=MAX_REDIRECTS {
+            let answer = exchange(address, "POST", &call.path, &call.body, hangs_up)?;
+            match answer.location {
+                Some(location) if answer.status == 307 => address = location,
+                _ => return Some(answer),
+            }
+        }
+        None
+    }
+
+    /// Reads the configuration from a control process, and records what it gave.
+    pub fn read(&self, desk: &Desk, is_final: bool) -> bool {
+        let sent_at = self.recorder.now();
+        let answer = exchange(desk.address, "GET", "/v1/Timetable.Get", "", false);
+        let versions =
+            answer.filter(|answer| answer.status == 200).and_then(|answer| route_versions(&answer.body));
+        let is_read = versions.is_some();
+        if is_read || is_final {
+            self.recorder.record(Event::Read(ReadRecord {
+                node: desk.node.clone(),
+                sent_at,
+                versions,
+                is_final,
+            }));
+        }
+        is_read
+    }
+
+    /// The control processes that it calls.
+    pub fn desks(&self) -> &[Desk] {
+        &self.desks
+    }
+}
+
+/// One call over a connection of its own.
+fn exchange(address: SocketAddr, method: &str, path: &str, body: &str, hangs_up: bool) -> Option<Answer> {
+    let mut stream = HttpStream::connect(address, CONNECT_TIMEOUT).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        body.len()
+    );
+    stream.send([head.as_bytes(), body.as_bytes()].concat().as_slice()).ok()?;
+    if hangs_up {
+        return None;
+    }
+    let (head, body) = stream.read_message(RESPONSE, CALL_TIMEOUT).ok()?;
+    let location = head.field("location").and_then(|location| {
+        let location = std::str::from_utf8(location).ok()?.strip_prefix("http://")?;
+        location.split('/').next()?.parse().ok()
+    });
+    Some(Answer { status: head.status(), location, body })
+}
+
+/// The versions of the routes in a configuration.
+fn route_versions(body: &[u8]) -> Option<BTreeMap<String, u64>> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    // The lists may stand under `deliver`, as in a change, or by themselves.
+    let lists = value.get("deliver").unwrap_or(&value);
+    let table = lists.get("itineraries")?;
+    let headings = table.get("headings")?.as_array()?;
+    let column = |wanted: &str| headings.iter().position(|heading| heading == wanted);
+    let (name, edition) = (column("name")?, column("edition")?);
+    let version = |entry: &Value| {
+        let text = entry.get(edition)?.as_str()?.strip_prefix('r')?;
+        Some((entry.get(name)?.as_str()?.to_owned(), text.parse().ok()?))
+    };
+    table.get("entries")?.as_array()?.iter().map(version).collect()
+}
--- /dev/null
+++ b/crates/soak/tests/command.rs
@@ -0,0 +1,104 @@
+//! The program as a process: wrong command lines, and a soak that cannot begin or go on, which leaves no process behind.
+
+use rstest::rstest;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+fn soak(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-soak"));
+    command.args(arguments).output().expect("the program starts")
+}
+
+fn folder(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("soak-test-{name}-{}", std::process::id()))
+}
+
+/// A folder of programs that are none of the system's: both do what this shell script says.
+fn programs(folder: &Path, script: &str) -> PathBuf {
+    use std::os::unix::fs::PermissionsExt;
+    let programs = folder.join("programs");
+    std::fs::create_dir_all(&programs).expect("a folder");
+    for name in ["kitepass-control-plane", "kitepass-data-plane"] {
+        let path = programs.join(name);
+        std::fs::write(&path, format!("#!/bin/sh\n{script}\n")).expect("a file");
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("permissions");
+    }
+    programs
+}
+
+#[rstest]
+#[case::no_command(&[], "run, plan or judge FILE")]
+#[case::too_few_processes(&["run", "--processes", "2"], "not between 6 and 240")]
+#[case::no_number(&["plan", "--seed", "x"], "invalid")]
+#[case::unknown(&["run", "--colour"], "--colour")]
+fn a_wrong_command_line_is_named(#[case] arguments: &[&str], #[case] text: &str) {
+    let output = soak(arguments);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{error}");
+    assert!(error.contains(text), "{error}");
+}
+
+#[test]
+fn a_seed_always_gives_the_same_plan() {
+    let plan = |seed: &str| soak(&["plan", "--seed", seed, "--minutes", "2"]).stdout;
+    assert_eq!(plan("7"), plan("7"));
+    assert_ne!(plan("7"), plan("8"));
+    assert!(plan("7").len() > 1_000);
+}
+
+#[test]
+fn a_program_that_is_not_there_and_a_folder_that_cannot_be_made_are_named() {
+    let folder = folder("absent");
+    let path = folder.to_string_lossy().into_owned();
+    let output = soak(&["run", "--programs", "/nowhere", "--folder", &path]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("cannot start /nowhere/kitepass-control-plane"));
+    let output = soak(&["run", "--folder", "/proc/soak"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("/proc/soak"));
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
+
+#[test]
+fn a_history_that_is_none_is_named_with_its_line() {
+    let path = folder("history.jsonl");
+    std::fs::write(&path, "{\"at\":1,\"event\":\"Calm\"}\nnothing\n").expect("a file");
+    let output = soak(&["judge", &path.to_string_lossy()]);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.code() == Some(3) && error.contains("line 2"), "{error}");
+    std::fs::remove_file(path).expect("a file");
+}
+
+#[test]
+fn a_process_that_ends_by_itself_ends_the_soak() {
+    let folder = folder("ended");
+    let programs = programs(&folder, "exit 3");
+    let arguments = ["run", "--programs", &programs.to_string_lossy(), "--folder", &folder.to_string_lossy()];
+    let output = soak(&arguments);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.code() == Some(3) && error.contains("ended by itself"), "{error}");
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
+
+/// Programs that never listen: the soak waits for them until it is interrupted.
+#[test]
+fn an_interrupted_soak_leaves_no_process_behind() {
+    let folder = folder("interrupted");
+    let marker = folder.join("pids");
+    let script = format!("echo $$ >> {}\nexec sleep 1000", marker.display());
+    let programs = programs(&folder, &script);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-soak"));
+    command.arg("run").arg("--programs").arg(&programs).arg("--folder").arg(&folder);
+    let mut child = command.env("KITEPASS_LOG", "info").stderr(Stdio::piped()).spawn().expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
+    assert!(log.any(|line| line.contains("event=started")), "it logs that all processes are started");
+    let pid = rustix::process::Pid::from_child(&child);
+    rustix::process::kill_process(pid, rustix::process::Signal::INT).expect("it runs");
+    assert!(log.any(|line| line.contains("interrupted")));
+    assert_eq!(child.wait().expect("ended").code(), Some(3));
+    let pids = std::fs::read_to_string(&marker).unwrap_or_default();
+    let orphan = pids.lines().find(|pid| Path::new(&format!("/proc/{pid}")).exists());
+    assert_eq!(orphan, None);
+    std::fs::remove_dir_all(folder).expect("a folder");
+}
