The soak kills everything right after a change, and refuses a folder that holds something

Change: a step sends a change and kills all at once when it is acknowledged; a folder that is not empty ends the soak with an error.

--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -16,6 +16,12 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// The soak's folder holds something: data of an earlier soak would pass for the system's.
+    #[snafu(display("{}: is not empty; name another --folder", folder.display()))]
+    FolderInUse {
+        /// The folder.
+        folder: PathBuf,
+    },
     /// An address that the soak needs is in use.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,6 +27,8 @@
     Continue(usize),
     /// SIGKILL of all these at once.
     KillAll(Vec<usize>),
+    /// A change is sent, and once it is acknowledged these are killed at once.
+    KillAllAfterChange(Vec<usize>),
     /// A backend ends, and comes back with another id and address after so many milliseconds.
     CrashBackend(usize, u64),
     /// A backend takes longer for everything, for so many milliseconds.
@@ -164,6 +166,9 @@
             1 => self.controls.clone(),
             _ => (0..self.topology.nodes.len()).collect(),
         };
+        if self.below(2) == 0 {
+            return self.add(at_ms, Action::KillAllAfterChange(nodes));
+        }
         self.add(at_ms, Action::KillAll(nodes.clone()));
         if self.below(3) == 0 {
             let again = at_ms + 300 + self.below(1_500);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,7 +23,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const LOOP_INTERVAL: Duration = Duration::from_millis(20);
+const LOOP_INTERVAL: Duration = Duration::from_millis(5);
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(2);
 const READ_INTERVAL: Duration = Duration::from_secs(3);
 /// A process that has ended is started again after this and up to [`RESTART_SPREAD_MS`] more.
@@ -99,6 +99,8 @@
     /// `disk-complete` events in all logs at the time of the last lost disk.
     disks_lost: usize,
     repairs: Vec<(Instant, BackendRepair)>,
+    /// What is killed once more changes than this many are acknowledged.
+    kills_after_change: Option<(u64, Vec<usize>)>,
     history_path: PathBuf,
     last_sample: Instant,
     last_read: Instant,
@@ -159,6 +161,7 @@
             loses_disk: vec![false; count],
             disks_lost: 0,
             repairs: Vec::new(),
+            kills_after_change: None,
             history_path,
             last_sample: now,
             last_read: now,
@@ -253,6 +256,7 @@
         }
         std::thread::sleep(LOOP_INTERVAL);
         self.processes.reap();
+        self.kill_after_change()?;
         self.restart_ended()?;
         self.repair_backends()?;
         if self.last_sample.elapsed() >= SAMPLE_INTERVAL {
@@ -270,6 +274,13 @@
         Ok(())
     }
 
+    fn kill_after_change(&mut self) -> Result<(), Error> {
+        let acknowledged = self.operator.acknowledged();
+        let due = self.kills_after_change.take_if(|(before, _)| *before < acknowledged);
+        let nodes = due.map(|(_, nodes)| nodes).unwrap_or_default();
+        nodes.into_iter().try_for_each(|index| self.processes.signal(index, SignalKind::Kill))
+    }
+
     fn restart_ended(&mut self) -> Result<(), Error> {
         let now = Instant::now();
         for index in 0..self.nodes() {
@@ -319,6 +330,10 @@
             Action::KillAll(nodes) => {
                 nodes.into_iter().try_for_each(|index| self.processes.signal(index, SignalKind::Kill))?;
             }
+            Action::KillAllAfterChange(nodes) => {
+                self.kills_after_change = Some((self.operator.acknowledged(), nodes));
+                self.call_operator(Operator::change_version);
+            }
             Action::LoseDisk(index) => self.lose_disk(index)?,
             Action::CrashBackend(index, millis) => {
                 self.backends.crash(index);
--- a/crates/soak/src/stand_ins/operator.rs
+++ b/crates/soak/src/stand_ins/operator.rs
@@ -48,6 +48,7 @@
     desks: Vec<Desk>,
     next_version: AtomicU64,
     rng: Mutex<Rand64>,
+    acknowledged: AtomicU64,
     recorder: Arc<Recorder>,
     stop: StopFlag,
 }
@@ -81,7 +82,14 @@
     /// An operator who calls these control processes.
     pub fn new(desks: Vec<Desk>, seed: u64, recorder: Arc<Recorder>, stop: StopFlag) -> Operator {
         let rng = Mutex::new(Rand64::new(u128::from(seed) ^ 0x0b5e));
-        Operator { desks, next_version: AtomicU64::new(2), rng, recorder, stop }
+        Operator {
+            desks,
+            next_version: AtomicU64::new(2),
+            rng,
+            acknowledged: AtomicU64::new(0),
+            recorder,
+            stop,
+        }
     }
 
     fn below(&self, bound: u64) -> u64 {
@@ -170,6 +178,7 @@
             match self.send(&call, hangs_up) {
                 Some(answer) if answer.status == 200 => {
                     call.change.acknowledged_at = Some(self.recorder.now());
+                    self.acknowledged.fetch_add(1, Ordering::Relaxed);
                     break;
                 }
                 Some(answer)
@@ -217,6 +226,11 @@
         is_read
     }
 
+    /// How many changes were acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::Relaxed)
+    }
+
     /// The control processes that it calls.
     pub fn desks(&self) -> &[Desk] {
         &self.desks
--- a/crates/soak/src/topology.rs
+++ b/crates/soak/src/topology.rs
@@ -1,7 +1,7 @@
 //! The processes of a soak: how many, where they listen, and their settings files.
 
-use crate::error::{Error, FileSnafu};
-use snafu::ResultExt;
+use crate::error::{Error, FileSnafu, FolderInUseSnafu};
+use snafu::{ensure, ResultExt};
 use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -202,9 +202,11 @@
     ///
     /// # Errors
     ///
-    /// They cannot be made.
+    /// They cannot be made, or the folder holds something.
     pub fn make_folders(&self) -> Result<(), Error> {
         make_folder(&self.folder)?;
+        let mut entries = std::fs::read_dir(&self.folder).context(FileSnafu { path: &self.folder })?;
+        ensure!(entries.next().is_none(), FolderInUseSnafu { folder: &self.folder });
         let directories = (0..self.nodes.len()).filter_map(|index| self.data_directory(index));
         directories.into_iter().try_for_each(|directory| make_folder(&directory))
     }
--- a/crates/soak/tests/command.rs
+++ b/crates/soak/tests/command.rs
@@ -17,7 +17,7 @@
 /// A folder of programs that are none of the system's: both do what this shell script says.
 fn programs(folder: &Path, script: &str) -> PathBuf {
     use std::os::unix::fs::PermissionsExt;
-    let programs = folder.join("programs");
+    let programs = folder.with_extension("programs");
     std::fs::create_dir_all(&programs).expect("a folder");
     for name in ["kitepass-control-plane", "kitepass-data-plane"] {
         let path = programs.join(name);
@@ -78,14 +78,19 @@
     let output = soak(&arguments);
     let error = String::from_utf8_lossy(&output.stderr);
     assert!(output.status.code() == Some(3) && error.contains("ended by itself"), "{error}");
+    // What it has left there is not taken for the data of another system.
+    let again = soak(&arguments);
+    let error = String::from_utf8_lossy(&again.stderr);
+    assert!(again.status.code() == Some(3) && error.contains("is not empty"), "{error}");
     std::fs::remove_dir_all(folder).expect("a folder");
+    std::fs::remove_dir_all(programs).expect("a folder");
 }
 
 /// Programs that never listen: the soak waits for them until it is interrupted.
 #[test]
 fn an_interrupted_soak_leaves_no_process_behind() {
     let folder = folder("interrupted");
-    let marker = folder.join("pids");
+    let marker = folder.with_extension("pids");
     let script = format!("echo $$ >> {}\nexec sleep 1000", marker.display());
     let programs = programs(&folder, &script);
     let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-soak"));
@@ -101,4 +106,6 @@
     let orphan = pids.lines().find(|pid| Path::new(&format!("/proc/{pid}")).exists());
     assert_eq!(orphan, None);
     std::fs::remove_dir_all(folder).expect("a folder");
+    std::fs::remove_dir_all(programs).expect("a folder");
+    std::fs::remove_file(marker).expect("a file");
 }
