Simulation: replicas split into halves that gateways and operators reach both

Change: fault split-replicas and plan halves, with races, crashes, replacements and lost disks meanwhile; a disk may be lost in a split, the next only once the split is over. Draws of the other plans and their digests are as before.

--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -25,7 +25,7 @@
   --from K       the first of them (0)
   --jobs J       how many to run at once (one for each core)
   --seed K       the one seed to replay or shorten (0)
-  --plan NAME    calm, cuts, races, losses, away, disks, congestion, or all (the default)
+  --plan NAME    calm, cuts, races, losses, away, disks, congestion, halves, or all (the default)
   --no-rivals    no two changes write one version of an item
   --digests      run: print a line `plan=NAME seed=K digest=HEX` for each seed, in the seeds' order
   --logs         replay: print what the processes log, too; shorten: print the events of the shortened run, too
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -67,6 +67,15 @@
         /// In which way.
         shape: PartitionShape,
     },
+    /// Some replicas are partitioned from the other replicas; gateways and operators reach both sides.
+    SplitReplicas {
+        /// One of the sides.
+        side: Vec<usize>,
+        /// Whether connections outlast it.
+        keeps_connections: bool,
+        /// Microseconds that it lasts.
+        duration: i64,
+    },
     /// The holder of the coordinator's lease is partitioned from all others.
     LeaseHolderPartition {
         /// In which way.
@@ -187,6 +196,7 @@
                 PartitionDirection::Outgoing => "partition-outgoing",
                 PartitionDirection::Incoming => "partition-incoming",
             },
+            Fault::SplitReplicas { .. } => "split-replicas",
             Fault::LeaseHolderPartition { .. } => "lease-holder-partition",
             Fault::ConnectionReset { .. } => "connection-reset",
             Fault::SlowLink { .. } => "slow-link",
--- a/crates/simulation/src/scenario/plan.rs
+++ b/crates/simulation/src/scenario/plan.rs
@@ -24,6 +24,8 @@
     Disks,
     /// Gateways behind congested links, while processes and power are lost.
     Congestion,
+    /// Replicas split into two halves that gateways and operators reach both, and losses meanwhile.
+    Halves,
     /// All faults.
     All,
 }
@@ -50,10 +52,11 @@
     GatewayRestart,
     AnswerLoss,
     GatewayCongestion,
+    SplitReplicas,
 }
 
 impl FaultKind {
-    const ALL: [FaultKind; 19] = [
+    const ALL: [FaultKind; 20] = [
         FaultKind::Crash,
         FaultKind::PowerLoss,
         FaultKind::AllDown,
@@ -73,6 +76,7 @@
         FaultKind::GatewayRestart,
         FaultKind::AnswerLoss,
         FaultKind::GatewayCongestion,
+        FaultKind::SplitReplicas,
     ];
 }
 
@@ -81,7 +85,7 @@
 
 impl Plan {
     /// All plans.
-    pub const ALL: [Plan; 8] = [
+    pub const ALL: [Plan; 9] = [
         Plan::Calm,
         Plan::Cuts,
         Plan::Races,
@@ -89,6 +93,7 @@
         Plan::Away,
         Plan::Disks,
         Plan::Congestion,
+        Plan::Halves,
         Plan::All,
     ];
 
@@ -102,6 +107,7 @@
             Plan::Away => "away",
             Plan::Disks => "disks",
             Plan::Congestion => "congestion",
+            Plan::Halves => "halves",
             Plan::All => "all",
         }
     }
@@ -114,13 +120,14 @@
     fn weights(self) -> Weights {
         match self {
             Plan::Calm => [0; FaultKind::ALL.len()],
-            Plan::Cuts => [1, 0, 0, 0, 1, 12, 6, 3, 2, 0, 0, 0, 1, 0, 1, 0, 1, 1, 0],
-            Plan::Races => [2, 2, 1, 0, 2, 4, 2, 4, 3, 2, 1, 0, 1, 0, 4, 4, 1, 3, 0],
-            Plan::Losses => [1, 2, 1, 9, 1, 1, 1, 1, 0, 1, 0, 0, 3, 8, 2, 2, 1, 1, 0],
-            Plan::Away => [2, 2, 1, 3, 2, 2, 1, 2, 1, 1, 1, 1, 1, 1, 2, 4, 2, 1, 0],
-            Plan::Disks => [4, 4, 2, 2, 1, 0, 0, 1, 0, 8, 4, 4, 1, 0, 3, 4, 0, 1, 0],
-            Plan::Congestion => [2, 2, 3, 0, 1, 1, 1, 2, 0, 1, 0, 0, 1, 0, 2, 1, 1, 1, 12],
-            Plan::All => [3, 3, 2, 3, 2, 4, 2, 3, 2, 3, 2, 2, 2, 2, 3, 4, 2, 2, 0],
+            Plan::Cuts => [1, 0, 0, 0, 1, 12, 6, 3, 2, 0, 0, 0, 1, 0, 1, 0, 1, 1, 0, 0],
+            Plan::Races => [2, 2, 1, 0, 2, 4, 2, 4, 3, 2, 1, 0, 1, 0, 4, 4, 1, 3, 0, 0],
+            Plan::Losses => [1, 2, 1, 9, 1, 1, 1, 1, 0, 1, 0, 0, 3, 8, 2, 2, 1, 1, 0, 0],
+            Plan::Away => [2, 2, 1, 3, 2, 2, 1, 2, 1, 1, 1, 1, 1, 1, 2, 4, 2, 1, 0, 0],
+            Plan::Disks => [4, 4, 2, 2, 1, 0, 0, 1, 0, 8, 4, 4, 1, 0, 3, 4, 0, 1, 0, 0],
+            Plan::Congestion => [2, 2, 3, 0, 1, 1, 1, 2, 0, 1, 0, 0, 1, 0, 2, 1, 1, 1, 12, 0],
+            Plan::Halves => [2, 2, 1, 2, 1, 1, 0, 1, 0, 1, 0, 0, 1, 2, 2, 2, 1, 1, 0, 9],
+            Plan::All => [3, 3, 2, 3, 2, 4, 2, 3, 2, 3, 2, 2, 2, 2, 3, 4, 2, 2, 0, 0],
         }
     }
 
@@ -134,6 +141,7 @@
             Plan::Away => SECOND..8 * SECOND,
             Plan::Disks => 300 * MILLISECOND..4 * SECOND,
             Plan::Congestion => SECOND..6 * SECOND,
+            Plan::Halves => 300 * MILLISECOND..5 * SECOND,
             Plan::All => 200 * MILLISECOND..5 * SECOND,
         }
     }
@@ -142,6 +150,7 @@
         match self {
             Plan::Calm => Workload::light(),
             Plan::Races => Workload::heavy(),
+            Plan::Halves => Workload { race_percent: 12, answer_loss_percent: 4, ..Workload::light() },
             Plan::Away => {
                 Workload { operator_count: 8, max_pause: 150_000, race_percent: 5, ..Workload::light() }
             }
@@ -247,6 +256,12 @@
     drawn
 }
 
+/// Draws half of the replicas, the smaller half of an odd number.
+fn draw_half(replicas: usize, rng: &mut Rng) -> Vec<usize> {
+    let mut rest: Vec<usize> = (0..replicas).collect();
+    (0..replicas / 2).map(|_| rest.remove(rng.below(rest.len()))).collect()
+}
+
 fn draw_fault(plan: Plan, layout: &Layout, weights: &Weights, rng: &mut Rng) -> Fault {
     let replicas = layout.replica_count();
     let kind = draw_fault_kind(weights, rng);
@@ -262,6 +277,10 @@
         FaultKind::DiskLoss => draw_disk_loss(replica, restart_after.min(4 * SECOND), rng),
         FaultKind::Pause => Fault::Pause { replica, duration: duration.min(8 * SECOND) },
         FaultKind::Partition => draw_partition(replicas, &details, rng),
+        FaultKind::SplitReplicas => {
+            let keeps_connections = details.keeps_connections;
+            Fault::SplitReplicas { side: draw_half(replicas, rng), keeps_connections, duration }
+        }
         FaultKind::LeaseHolderPartition => {
             Fault::LeaseHolderPartition { shape: details.partition_shape(false) }
         }
--- a/crates/simulation/src/simulation/faults.rs
+++ b/crates/simulation/src/simulation/faults.rs
@@ -60,6 +60,7 @@
                 let replicas = self.layout.replicas_in(domain, replica);
                 let is_survivable = self.must_survive_loss_of(&replicas);
                 if is_survivable {
+                    self.mark_lost_disks();
                     self.lose_disks(&replicas, with_power_outage, restart_after);
                 }
                 return is_survivable;
@@ -69,6 +70,10 @@
                 let nodes: Vec<usize> = side.iter().map(|replica| self.replicas[*replica]).collect();
                 self.partition(&nodes, shape);
             }
+            Fault::SplitReplicas { ref side, keeps_connections, duration } => {
+                let nodes: Vec<usize> = side.iter().map(|replica| self.replicas[*replica]).collect();
+                self.split_nodes(&nodes, keeps_connections, duration);
+            }
             Fault::LeaseHolderPartition { shape } => return self.partition_lease_holder(shape),
             Fault::ConnectionReset { a, b } => {
                 return self.reset_connections(self.replicas[a], self.replicas[b]);
@@ -85,6 +90,7 @@
             Fault::Replacement { replica, is_graceful, restart_after } => {
                 let is_survivable = self.must_survive_loss_of(&[replica]);
                 if is_survivable {
+                    self.mark_lost_disks();
                     self.replace(replica, is_graceful, restart_after);
                 }
                 return is_survivable;
@@ -139,10 +145,22 @@
     /// down, paused, slow or partitioned, and for a time once it is back: no other may be lost, and of those that are
     /// left there must be a majority, unless it is a single one.
     fn must_survive_loss_of(&self, replicas: &[usize]) -> bool {
-        let are_all_running = self.replicas.iter().all(|node| self.nodes[*node].process.is_some());
-        let is_stable = are_all_running && self.now - self.unstable_until >= STABLE_PERIOD;
         let rest = self.layout.replica_count() - replicas.len();
-        is_stable && (rest >= self.layout.majority() || replicas.len() == 1)
+        self.is_stable() && (rest >= self.layout.majority() || replicas.len() == 1)
+    }
+
+    /// Whether no machine counts as lost.
+    fn is_stable(&self) -> bool {
+        let are_all_running = self.replicas.iter().all(|node| self.nodes[*node].process.is_some());
+        are_all_running && self.now - self.unstable_until >= STABLE_PERIOD
+    }
+
+    /// Disks are lost: while the replicas are split, none of them is replaced.
+    fn mark_lost_disks(&mut self) {
+        if self.split_until > self.now {
+            self.coverage.count("loss-while-split");
+            self.mark_unstable(self.split_until - self.now);
+        }
     }
 
     /// Draws when a machine that crashes together with others comes back.
@@ -256,6 +274,23 @@
         lease_holder.is_some()
     }
 
+    /// Partitions some nodes from all other nodes, both ways; gateways reach both sides.
+    ///
+    /// Nothing is lost by it, so that a disk may be lost meanwhile; but what was lost lately cannot be repaired before it ends.
+    fn split_nodes(&mut self, side: &[usize], keeps_connections: bool, duration: i64) {
+        if !self.is_stable() {
+            self.mark_unstable(duration);
+        }
+        self.split_until = self.split_until.max(self.now + duration);
+        let partition = Partition { until: self.now + duration, keeps_connections };
+        for inner in side {
+            for outer in (0..self.nodes.len()).filter(|node| !side.contains(node)) {
+                self.network.partition(Host::Node(*inner), Host::Node(outer), partition);
+                self.network.partition(Host::Node(outer), Host::Node(*inner), partition);
+            }
+        }
+    }
+
     /// Partitions some nodes from all other machines.
     fn partition(&mut self, side: &[usize], shape: PartitionShape) {
         self.mark_unstable(shape.duration);
--- a/crates/simulation/src/simulation/mod.rs
+++ b/crates/simulation/src/simulation/mod.rs
@@ -77,6 +77,8 @@
     crash_at_confirmation: Option<Crash>,
     /// When the last fault of a node, or between two, is over.
     unstable_until: i64,
+    /// Until when the replicas are split.
+    split_until: i64,
     last_incarnation: u64,
     /// Draws delays, disks and restarts.
     rng: Rng,
@@ -117,6 +119,7 @@
             answer_loss: AnswerLoss::default(),
             crash_at_confirmation: None,
             unstable_until: 0,
+            split_until: 0,
             last_incarnation: rng.next_u64() >> 16 << 8,
             rng,
             operator_rng: Rng::new(scenario.seed, RandomStream::Operators),
--- a/crates/simulation/tests/scenarios.rs
+++ b/crates/simulation/tests/scenarios.rs
@@ -16,6 +16,7 @@
 #[case(Plan::Losses)]
 #[case(Plan::Disks)]
 #[case(Plan::Congestion)]
+#[case(Plan::Halves)]
 #[case(Plan::All)]
 fn without_rivals_no_invariant_is_violated(#[case] plan: Plan) {
     for seed in 0..3 {
@@ -46,6 +47,7 @@
         "fault-partition",
         "fault-partition-outgoing",
         "fault-partition-incoming",
+        "fault-split-replicas",
         "fault-lease-holder-partition",
         "fault-connection-reset",
         "fault-slow-link",
@@ -77,7 +79,7 @@
     let mut coverage = Coverage::default();
     let mut missing: Vec<&str> = expected.into();
     let losses = [10, 22, 0].map(|seed| (Plan::Losses, seed));
-    let others = [Plan::Cuts, Plan::Races, Plan::Disks, Plan::Congestion, Plan::All]
+    let others = [Plan::Cuts, Plan::Races, Plan::Disks, Plan::Congestion, Plan::Halves, Plan::All]
         .map(|plan| [(plan, 0), (plan, 1), (plan, 2)]);
     for (plan, seed) in losses.into_iter().chain(others.into_iter().flatten()) {
         if !missing.is_empty() {
