Soak: the field's terms, and its run in three modules

Change: renames; run/faults.rs does the steps, run/recovery.rs ends a soak. The subcommand judge is check.

--- a/crates/soak/src/checker/configuration.rs
+++ b/crates/soak/src/checker/configuration.rs
@@ -1,6 +1,6 @@
 //! Rules about the configuration: what was acknowledged is in force, stays so, and can be read.
 
-use super::lives::Lives;
+use super::incarnations::Incarnations;
 use super::{Finding, Rule};
 use crate::history::{
     ChangeRecord, Event, Micros, ReadRecord, Record, RequestOutcome, RequestRecord, RouteKind,
@@ -13,9 +13,9 @@
 /// A gateway is in contact where nothing has become of it or of a control process for so long.
 const CONTACT_AFTER: Micros = 15_000_000;
 
-pub(super) fn check(records: &[Record], lives: &Lives) -> Vec<Finding> {
+pub(super) fn check(records: &[Record], incarnations: &Incarnations) -> Vec<Finding> {
     let changes: Vec<&ChangeRecord> = records.iter().filter_map(|record| change(&record.event)).collect();
-    let mut findings = check_observed_versions(records, &changes, lives);
+    let mut findings = check_observed_versions(records, &changes, incarnations);
     findings.extend(check_reads(records, &changes));
     for record in records {
         if let Some(ChangeRecord { item, version, refused: Some(status), .. }) = change(&record.event) {
@@ -40,12 +40,16 @@
     version: u64,
 }
 
-fn check_observed_versions(records: &[Record], changes: &[&ChangeRecord], lives: &Lives) -> Vec<Finding> {
+fn check_observed_versions(
+    records: &[Record],
+    changes: &[&ChangeRecord],
+    incarnations: &Incarnations,
+) -> Vec<Finding> {
     let observations: Vec<Observation> =
         records.iter().filter_map(|record| observation(record, changes)).collect();
     let mut findings: Vec<Finding> =
-        observations.iter().filter_map(|seen| stale(seen, changes, lives)).collect();
-    findings.extend(went_back(&observations, lives));
+        observations.iter().filter_map(|seen| stale(seen, changes, incarnations)).collect();
+    findings.extend(went_back(&observations, incarnations));
     findings
 }
 
@@ -64,7 +68,7 @@
     Some(Observation { request, ended_at: record.at, version })
 }
 
-fn stale(seen: &Observation, changes: &[&ChangeRecord], lives: &Lives) -> Option<Finding> {
+fn stale(seen: &Observation, changes: &[&ChangeRecord], incarnations: &Incarnations) -> Option<Finding> {
     let sent_at = seen.request.sent_at;
     let is_newer_in_force = |change: &&&ChangeRecord| {
         let acknowledged_at = change.acknowledged_at.filter(|at| at + IN_FORCE_WITHIN < sent_at);
@@ -72,14 +76,14 @@
     };
     let newer = changes.iter().find(is_newer_in_force)?;
     let node = &seen.request.node;
-    if !lives.is_calm(node, sent_at.saturating_sub(CONTACT_AFTER), seen.ended_at) {
+    if !incarnations.is_undisturbed(node, sent_at.saturating_sub(CONTACT_AFTER), seen.ended_at) {
         return None;
     }
     let detail = format!("version={} acknowledged={}", seen.version, newer.version);
     Some(Finding::new(Rule::Stale, seen.ended_at, node, detail).of_request(&seen.request.id))
 }
 
-/// The newest version that was seen of one life of a gateway, by when.
+/// The newest version that was seen of one incarnation of a gateway, by when.
 #[derive(Default)]
 struct Progress(Vec<(Micros, u64)>);
 
@@ -95,13 +99,13 @@
     }
 }
 
-fn went_back(observations: &[Observation], lives: &Lives) -> Vec<Finding> {
+fn went_back(observations: &[Observation], incarnations: &Incarnations) -> Vec<Finding> {
     let mut progress: BTreeMap<(&str, usize), Progress> = BTreeMap::new();
     let mut findings = Vec::new();
     for seen in observations {
         let request = seen.request;
-        let Some((life, _)) = lives.at(&request.node, request.connected_at) else { continue };
-        let progress = progress.entry((&request.node, life)).or_default();
+        let Some((incarnation, _)) = incarnations.at(&request.node, request.connected_at) else { continue };
+        let progress = progress.entry((&request.node, incarnation)).or_default();
         let newest = progress.newest_before(request.sent_at);
         if seen.version < newest {
             let detail = format!("version={} seen-before={newest}", seen.version);
--- /dev/null
+++ b/crates/soak/src/checker/incarnations.rs
@@ -0,0 +1,114 @@
+//! The incarnations of the processes: when each began, what signals came, how it ended.
+
+use crate::history::{Event, Micros, ProcessChange, Record, SignalKind};
+use std::collections::BTreeMap;
+
+/// A process from its start to its end.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Incarnation {
+    pub(super) started_at: Micros,
+    pub(super) signals: Vec<(Micros, SignalKind)>,
+    /// A signal came before it had set its handlers.
+    pub(super) was_signalled_too_early: bool,
+    /// When it ended, and its exit code.
+    pub(super) exit: Option<(Micros, Option<i32>)>,
+}
+
+impl Incarnation {
+    /// Whether a signal of this kind came, until then.
+    pub(super) fn had_signal(&self, kind: SignalKind, until: Micros) -> bool {
+        self.signals.iter().any(|(at, signal)| *signal == kind && *at <= until)
+    }
+
+    /// When it was first told to end.
+    pub(super) fn terminate_sent_at(&self) -> Option<Micros> {
+        let mut told = self.signals.iter().filter(|(_, signal)| *signal == SignalKind::Terminate);
+        told.next().map(|(at, _)| *at)
+    }
+
+    /// Whether it ended though nobody told it to.
+    pub(super) fn ended_by_itself(&self) -> bool {
+        if self.was_signalled_too_early {
+            return false;
+        }
+        let ended_at = self.exit.map(|(at, _)| at);
+        ended_at.is_some_and(|at| {
+            !self.had_signal(SignalKind::Kill, at) && !self.had_signal(SignalKind::Terminate, at)
+        })
+    }
+
+    /// Whether something other than an orderly end disturbed it, until then.
+    pub(super) fn is_disturbed(&self, until: Micros) -> bool {
+        self.had_signal(SignalKind::Kill, until)
+            || self.had_signal(SignalKind::Freeze, until)
+            || self.ended_by_itself()
+    }
+}
+
+/// All incarnations by node id.
+#[derive(Debug, Default)]
+pub(super) struct Incarnations {
+    by_node: BTreeMap<String, Vec<Incarnation>>,
+    /// When anything became of a control process.
+    core_events: Vec<Micros>,
+}
+
+impl Incarnations {
+    pub(super) fn of(records: &[Record]) -> Incarnations {
+        let mut incarnations = Incarnations::default();
+        for record in records {
+            let Event::Process { node, change } = &record.event else { continue };
+            if !node.starts_with("gateway") {
+                incarnations.core_events.push(record.at);
+            }
+            let of_node = incarnations.by_node.entry(node.clone()).or_default();
+            match (change, of_node.last_mut()) {
+                (ProcessChange::Started { .. }, _) => {
+                    of_node.push(Incarnation { started_at: record.at, ..Incarnation::default() });
+                }
+                (ProcessChange::Signalled(kind), Some(incarnation)) => {
+                    incarnation.signals.push((record.at, *kind))
+                }
+                (ProcessChange::SignalledTooEarly(_), Some(incarnation)) => {
+                    incarnation.was_signalled_too_early = true
+                }
+                (ProcessChange::Exited(code), Some(incarnation)) => {
+                    incarnation.exit = Some((record.at, *code))
+                }
+                (_, None) => {}
+            }
+        }
+        incarnations
+    }
+
+    pub(super) fn all(&self) -> impl Iterator<Item = (&str, &Incarnation)> {
+        self.by_node.iter().flat_map(|(node, incarnations)| {
+            incarnations.iter().map(move |incarnation| (&**node, incarnation))
+        })
+    }
+
+    /// The incarnation in which a connection was accepted that stood at this time, and its number.
+    pub(super) fn at(&self, node: &str, at: Micros) -> Option<(usize, &Incarnation)> {
+        let incarnations = self.by_node.get(node)?;
+        let number =
+            incarnations.partition_point(|incarnation| incarnation.started_at <= at).checked_sub(1)?;
+        Some((number, &incarnations[number]))
+    }
+
+    /// Whether nothing became of this process or of a control process between these times.
+    pub(super) fn is_undisturbed(&self, node: &str, from: Micros, to: Micros) -> bool {
+        let is_within = |at: Micros| (from..=to).contains(&at);
+        let is_incarnation_undisturbed = |incarnation: &Incarnation| {
+            !is_within(incarnation.started_at)
+                && !incarnation.signals.iter().any(|(at, _)| is_within(*at))
+                && !incarnation.exit.is_some_and(|(at, _)| is_within(at))
+        };
+        let first_core_event = self.core_events.partition_point(|at| *at < from);
+        let is_core_undisturbed = self.core_events.get(first_core_event).is_none_or(|at| *at > to);
+        is_core_undisturbed
+            && self
+                .by_node
+                .get(node)
+                .is_none_or(|incarnations| incarnations.iter().all(is_incarnation_undisturbed))
+    }
+}
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -3,7 +3,7 @@
 //! Bounds in time are wide, so that a busy machine breaks none; what is judged first is order and number.
 
 mod configuration;
-mod lives;
+mod incarnations;
 mod processes;
 mod quota;
 mod requests;
@@ -12,7 +12,7 @@
 mod tests;
 
 use crate::history::{Micros, Record};
-use lives::Lives;
+use incarnations::Incarnations;
 use serde::Serialize;
 
 /// What a finding breaks.
@@ -37,7 +37,7 @@
     Unanswered,
     /// A gateway in contact went by an old configuration for too long after a newer one was acknowledged.
     Stale,
-    /// A gateway went back to an older configuration in the same life.
+    /// A gateway went back to an older configuration in the same incarnation.
     WentBack,
     /// An acknowledged change is gone.
     ChangeLost,
@@ -86,11 +86,11 @@
 
 /// All findings of a history, in the order of their times.
 pub fn check(records: &[Record]) -> Vec<Finding> {
-    let lives = Lives::of(records);
-    let mut findings = requests::check(records, &lives);
-    findings.extend(configuration::check(records, &lives));
+    let incarnations = Incarnations::of(records);
+    let mut findings = requests::check(records, &incarnations);
+    findings.extend(configuration::check(records, &incarnations));
     findings.extend(quota::check(records));
-    findings.extend(processes::check(records, &lives));
+    findings.extend(processes::check(records, &incarnations));
     findings.extend(resources::check(records));
     findings.sort_by_key(|finding| finding.at);
     findings
--- a/crates/soak/src/checker/requests.rs
+++ b/crates/soak/src/checker/requests.rs
@@ -1,6 +1,6 @@
 //! Rules about single requests: what their clients got, and where they ran.
 
-use super::lives::Lives;
+use super::incarnations::Incarnations;
 use super::{Finding, Rule};
 use crate::history::{Event, Micros, Record, RequestOutcome, RequestRecord, RouteKind, RunRecord};
 use std::collections::HashMap;
@@ -8,7 +8,7 @@
 /// Statuses of a gateway's own that say nothing of the request: it may come again.
 const RETRY_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
-pub(super) fn check(records: &[Record], lives: &Lives) -> Vec<Finding> {
+pub(super) fn check(records: &[Record], incarnations: &Incarnations) -> Vec<Finding> {
     let mut runs: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
     let mut requests: HashMap<&str, &RequestRecord> = HashMap::new();
     for record in records {
@@ -23,7 +23,7 @@
         match &record.event {
             Event::Request(request) => {
                 let runs = runs.get(&*request.id).map_or(&[][..], Vec::as_slice);
-                findings.extend(check_request(record.at, request, runs, lives));
+                findings.extend(check_request(record.at, request, runs, incarnations));
             }
             Event::Run(run) => findings.extend(check_run(record.at, run, requests.get(&*run.id).copied())),
             _ => {}
@@ -32,7 +32,12 @@
     findings
 }
 
-fn check_request(at: Micros, request: &RequestRecord, runs: &[&RunRecord], lives: &Lives) -> Vec<Finding> {
+fn check_request(
+    at: Micros,
+    request: &RequestRecord,
+    runs: &[&RunRecord],
+    incarnations: &Incarnations,
+) -> Vec<Finding> {
     let mut findings = Vec::new();
     let mut add = |rule, detail: String| {
         findings.push(Finding::new(rule, at, &request.node, detail).of_request(&request.id));
@@ -42,8 +47,11 @@
     if is_once && runs.len() > 1 {
         add(Rule::Doubled, format!("runs={}", runs.len()));
     }
-    let is_disturbed =
-        || lives.at(&request.node, request.connected_at).is_none_or(|(_, life)| life.is_disturbed(at));
+    let is_disturbed = || {
+        incarnations
+            .at(&request.node, request.connected_at)
+            .is_none_or(|(_, incarnation)| incarnation.is_disturbed(at))
+    };
     match &request.outcome {
         RequestOutcome::Response { status, is_gateways_own: true, .. } => {
             if (300..500).contains(status) && !RETRY_STATUSES.contains(status) {
--- a/crates/soak/src/checker/resources.rs
+++ b/crates/soak/src/checker/resources.rs
@@ -10,32 +10,35 @@
 const MAX_DISK_BYTES: u64 = 96 << 20;
 /// Bytes of log in a second, on average over the soak.
 const MAX_LOG_RATE: u64 = 16 * 1024;
-/// Growth is judged of lives with at least so many samples.
+/// Growth is judged of incarnations with at least so many samples.
 const MIN_SAMPLES: usize = 40;
-/// The least of a life's last quarter may be so much of the most of its second quarter, in percent, and this much more.
+/// The least of an incarnation's last quarter may be so much of the most of its second quarter, in percent, and this much more.
 const MAX_GROWTH_PERCENT: u64 = 150;
 const MEMORY_SLACK_KIB: u64 = 12 * 1024;
 const DESCRIPTOR_SLACK: u64 = 60;
 
-/// The samples of one life of a process.
+/// The samples of one incarnation of a process.
 type Samples<'a> = Vec<(Micros, &'a ResourceSample)>;
 
 pub(super) fn check(records: &[Record]) -> Vec<Finding> {
-    let mut by_life: BTreeMap<(&str, usize), Samples> = BTreeMap::new();
-    let mut lives: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut by_incarnation: BTreeMap<(&str, usize), Samples> = BTreeMap::new();
+    let mut incarnations: BTreeMap<&str, usize> = BTreeMap::new();
     for record in records {
         match &record.event {
             Event::Process { node, change: ProcessChange::Started { .. } } => {
-                *lives.entry(node).or_default() += 1
+                *incarnations.entry(node).or_default() += 1
             }
             Event::Sample(sample) => {
-                let life = lives.get(&*sample.node).copied().unwrap_or_default();
-                by_life.entry((&sample.node, life)).or_default().push((record.at, sample));
+                let incarnation = incarnations.get(&*sample.node).copied().unwrap_or_default();
+                by_incarnation.entry((&sample.node, incarnation)).or_default().push((record.at, sample));
             }
             _ => {}
         }
     }
-    by_life.values().filter_map(|samples| check_bounds(samples).or_else(|| check_growth(samples))).collect()
+    by_incarnation
+        .values()
+        .filter_map(|samples| check_bounds(samples).or_else(|| check_growth(samples)))
+        .collect()
 }
 
 fn check_bounds(samples: &Samples) -> Option<Finding> {
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -12,11 +12,11 @@
 use std::time::Duration;
 
 const HELP: &str = "\
-kitepass-soak: runs both programs for long, under faults by seed, and judges what clients and backends saw
+kitepass-soak: runs both programs for long, under faults by seed, and checks what clients and backends saw
 
   kitepass-soak run [--seed N] [--minutes M] [--processes P] [--programs DIR] [--folder DIR] [--json] [--keep]
   kitepass-soak plan [--seed N] [--minutes M] [--processes P]     prints what run would do
-  kitepass-soak judge FILE [--json]                               judges the history of a run again
+  kitepass-soak check FILE [--json]                               checks the history of a run again
 
 --minutes: how long faults go on (1); starting and recovering come on top. --processes: of the system (6 to 240; 6).
 --programs: the folder of kitepass-control-plane and kitepass-data-plane (target/release). --folder: for settings,
@@ -36,7 +36,7 @@
 enum Command {
     Run(Arguments),
     Plan(Arguments),
-    Judge(PathBuf, Arguments),
+    Check(PathBuf, Arguments),
     Help,
 }
 
@@ -98,8 +98,8 @@
     match words[..] {
         ["run"] => Ok(Command::Run(parsed)),
         ["plan"] => Ok(Command::Plan(parsed)),
-        ["judge", file] => Ok(Command::Judge(file.into(), parsed)),
-        _ => Err("run, plan or judge FILE is needed; --help tells more".into()),
+        ["check", file] => Ok(Command::Check(file.into(), parsed)),
+        _ => Err("run, plan or check FILE is needed; --help tells more".into()),
     }
 }
 
@@ -141,7 +141,7 @@
                 println!("{:>9} ms  {:?}", step.at_ms, step.action);
             }
         }
-        Command::Judge(file, arguments) => {
+        Command::Check(file, arguments) => {
             let records = read_history(&file)?;
             let report =
                 Report::new(arguments.seed, arguments.processes, 0, &records, checker::check(&records));
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -159,7 +159,7 @@
     pub threads: u64,
     /// Processor time since its start, in milliseconds.
     pub processor_ms: u64,
-    /// Bytes of its log, of all of its lives.
+    /// Bytes of its log, of all of its incarnations.
     pub log_bytes: u64,
     /// Bytes in its data directory.
     pub disk_bytes: u64,
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 
-/// Where a process is in its life. [`Processes`] alone changes it.
+/// What a process does. [`Processes`] alone changes it.
 enum State {
     Running(Child),
     Exited,
@@ -20,7 +20,7 @@
     state: State,
     /// It was started before: its next start is no first one.
     has_run: bool,
-    /// It was told to end in this life, or killed.
+    /// It was told to end in this incarnation, or killed.
     is_end_expected: bool,
     settings_revision: u32,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run/mod.rs
@@ -1,10 +1,13 @@
 //! Plays a plan: starts the system and the stand-ins, does what is due, lets everything recover, and judges the history.
 
+mod faults;
+mod recovery;
+
 use crate::checker;
 use crate::error::{EndedAtStartSnafu, Error, FileSnafu, NotUpSnafu, SignalsSnafu};
-use crate::history::{Event, Recorder, SignalKind};
+use crate::history::{Event, Recorder};
 use crate::http_stream::{HttpStream, RESPONSE};
-use crate::plan::{Action, Plan, Step};
+use crate::plan::{Plan, Step};
 use crate::processes::Processes;
 use crate::report::Report;
 use crate::resources;
@@ -12,7 +15,8 @@
 use crate::stand_ins::clients::{self, Purpose, Target};
 use crate::stand_ins::operator::{self, Desk, Operator};
 use crate::stand_ins::{platform, StopFlag};
-use crate::topology::{Role, Topology, GRACE_S, ZONES};
+use crate::topology::{Role, Topology};
+use faults::BackendRepair;
 use kitepass_node::process::Signals;
 use snafu::ResultExt;
 use std::collections::VecDeque;
@@ -74,15 +78,6 @@
     Plan::draw(options.seed, &topology, placements().len(), options.length.as_millis() as u64)
 }
 
-/// What ends a fault of a backend.
-enum BackendRepair {
-    Restart(usize),
-    Speed(usize),
-    Succeed(usize),
-    KeepIdle(usize),
-    EndEvacuation(usize),
-}
-
 /// A soak under way.
 struct Soak {
     processes: Processes,
@@ -274,13 +269,6 @@
         Ok(())
     }
 
-    fn kill_after_change(&mut self) -> Result<(), Error> {
-        let acknowledged = self.operator.acknowledged();
-        let due = self.kills_after_change.take_if(|(before, _)| *before < acknowledged);
-        let nodes = due.map(|(_, nodes)| nodes).unwrap_or_default();
-        nodes.into_iter().try_for_each(|index| self.processes.signal(index, SignalKind::Kill))
-    }
-
     fn restart_ended(&mut self) -> Result<(), Error> {
         let now = Instant::now();
         for index in 0..self.nodes() {
@@ -318,144 +306,6 @@
             calls.fetch_sub(1, Ordering::Relaxed);
         });
     }
-
-    fn act(&mut self, action: Action) -> Result<(), Error> {
-        log::info!("event=step action={action:?}");
-        match action {
-            Action::Terminate(index) => self.processes.signal(index, SignalKind::Terminate)?,
-            Action::Kill(index) => self.processes.signal(index, SignalKind::Kill)?,
-            Action::Reload(index) => self.processes.signal(index, SignalKind::Reload)?,
-            Action::Freeze(index) => self.processes.signal(index, SignalKind::Freeze)?,
-            Action::Continue(index) => self.processes.signal(index, SignalKind::Continue)?,
-            Action::KillAll(nodes) => {
-                nodes.into_iter().try_for_each(|index| self.processes.signal(index, SignalKind::Kill))?;
-            }
-            Action::KillAllAfterChange(nodes) => {
-                self.kills_after_change = Some((self.operator.acknowledged(), nodes));
-                self.call_operator(Operator::change_version);
-            }
-            Action::LoseDisk(index) => self.lose_disk(index)?,
-            Action::CrashBackend(index, millis) => {
-                self.backends.crash(index);
-                self.repair_after(millis, BackendRepair::Restart(index));
-            }
-            Action::SlowBackend(index, millis) => {
-                self.backends.set_slow(index, true);
-                self.repair_after(millis, BackendRepair::Speed(index));
-            }
-            Action::FailBackend(index, millis) => {
-                self.backends.set_failing(index, true);
-                self.repair_after(millis, BackendRepair::Succeed(index));
-            }
-            Action::CloseIdleBackend(index, millis) => {
-                self.backends.set_closes_idle(index, true);
-                self.repair_after(millis, BackendRepair::KeepIdle(index));
-            }
-            Action::ChangeVersion => self.call_operator(Operator::change_version),
-            Action::ChangeVersionTwice => {
-                self.call_operator(Operator::change_version);
-                self.call_operator(Operator::change_version);
-            }
-            Action::ChangeManyRoutes => self.call_operator(Operator::change_many_routes),
-            Action::Evacuate(zone, millis) => {
-                self.call_operator(move |operator| operator.evacuate(zone, true));
-                self.repair_after(millis, BackendRepair::EndEvacuation(zone));
-            }
-        }
-        Ok(())
-    }
-
-    /// A disk is lost only while all others hold everything; otherwise its process is killed alone.
-    fn lose_disk(&mut self, index: usize) -> Result<(), Error> {
-        let controls = self.processes.topology().of_role(Role::ControlPlane);
-        let all_run = controls.iter().all(|control| self.processes.is_running(*control));
-        let completed: usize = controls.iter().map(|control| self.completed_disks(*control)).sum();
-        if all_run && self.processes.is_running(index) && completed >= controls.len() + self.disks_lost {
-            self.disks_lost += 1;
-            self.loses_disk[index] = true;
-        }
-        self.processes.signal(index, SignalKind::Kill)
-    }
-
-    /// How often a control process has told that its disk has become complete.
-    fn completed_disks(&self, index: usize) -> usize {
-        let log = std::fs::read_to_string(self.processes.topology().log_path(index)).unwrap_or_default();
-        log.matches("event=disk-complete").count()
-    }
-
-    fn repair_after(&mut self, millis: u64, repair: BackendRepair) {
-        self.repairs.push((Instant::now() + Duration::from_millis(millis), repair));
-    }
-
-    fn repair_backends(&mut self) -> Result<(), Error> {
-        let now = Instant::now();
-        let due = self.repairs.extract_if(.., |(at, _)| *at <= now).map(|(_, repair)| repair);
-        for repair in due.collect::<Vec<_>>() {
-            match repair {
-                BackendRepair::Restart(index) => self.backends.begin_life(index)?,
-                BackendRepair::Speed(index) => self.backends.set_slow(index, false),
-                BackendRepair::Succeed(index) => self.backends.set_failing(index, false),
-                BackendRepair::KeepIdle(index) => self.backends.set_closes_idle(index, false),
-                BackendRepair::EndEvacuation(zone) => {
-                    self.call_operator(move |operator| operator.evacuate(zone, false));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Ends all faults, waits until everything is well, and asks everybody for the last time.
-    fn recover(&mut self) -> Result<(), Error> {
-        self.recorder.record(Event::Calm);
-        (0..self.nodes()).try_for_each(|index| self.processes.signal(index, SignalKind::Continue))?;
-        (0..ZONES.len()).for_each(|zone| self.repair_after(0, BackendRepair::EndEvacuation(zone)));
-        // Whoever does not recover is found by what is asked below.
-        match self.wait_until("all gateways are ready again", Soak::are_gateways_ready) {
-            Ok(()) | Err(Error::NotUp { .. }) => {}
-            Err(error) => return Err(error),
-        }
-        let (began, calls) = (Instant::now(), self.operator_calls.clone());
-        while began.elapsed() < CALM_TIME || (calls.load(Ordering::Relaxed) > 0 && began.elapsed() < COMES_UP)
-        {
-            self.turn()?;
-        }
-        for desk in self.operator.desks().to_vec() {
-            self.read_finally(&desk)?;
-        }
-        for index in self.processes.topology().of_role(Role::DataPlane) {
-            let node = &self.processes.topology().nodes[index];
-            let (node, is_ready) = (node.name.clone(), is_ready(node.readiness_address()));
-            self.recorder.record(Event::FinalReadiness { node, is_ready });
-        }
-        Ok(())
-    }
-
-    fn read_finally(&mut self, desk: &Desk) -> Result<(), Error> {
-        let began = Instant::now();
-        // A read that fails is recorded only as the last one.
-        while !self.operator.read(desk, false) && began.elapsed() < COMES_UP / 3 {
-            self.turn()?;
-        }
-        self.operator.read(desk, true);
-        Ok(())
-    }
-
-    /// Ends clients, then processes in order, and gives the history.
-    fn end(mut self) -> Result<Vec<crate::history::Record>, Error> {
-        self.stop.stop();
-        self.clients.drain(..).for_each(|client| _ = client.join());
-        (0..self.nodes()).try_for_each(|index| self.processes.signal(index, SignalKind::Terminate))?;
-        let began = Instant::now();
-        let is_any_running = |processes: &Processes| {
-            (0..processes.topology().nodes.len()).any(|index| processes.is_running(index))
-        };
-        while is_any_running(&self.processes) && began.elapsed() < Duration::from_secs(GRACE_S * 4) {
-            std::thread::sleep(LOOP_INTERVAL);
-            self.processes.reap();
-        }
-        self.recorder.flush(&self.history_path)?;
-        Ok(self.recorder.records())
-    }
 }
 
 /// Whether a gateway says that it is ready.
--- a/crates/soak/src/stand_ins/backends.rs
+++ b/crates/soak/src/stand_ins/backends.rs
@@ -39,8 +39,8 @@
     closes_idle: AtomicBool,
 }
 
-/// One life of a backend: from its start to its crash.
-struct Life {
+/// One incarnation of a backend: from its start to its crash.
+struct Incarnation {
     id: String,
     address: SocketAddr,
     is_over: AtomicBool,
@@ -51,9 +51,9 @@
     service: String,
     zone: usize,
     behaviour: Behaviour,
-    life: Mutex<Option<Arc<Life>>>,
-    /// The life that ended last, and when.
-    former: Mutex<Option<(Arc<Life>, Instant)>>,
+    incarnation: Mutex<Option<Arc<Incarnation>>>,
+    /// The incarnation that ended last, and when.
+    former: Mutex<Option<(Arc<Incarnation>, Instant)>>,
     requests: AtomicU64,
     busy_slots: AtomicUsize,
 }
@@ -61,7 +61,7 @@
 /// A backend as the platform lists it.
 #[derive(Clone, Debug)]
 pub struct ListedBackend {
-    /// Its id, another one in each life.
+    /// Its id, another one in each incarnation.
     pub id: String,
     /// Its service.
     pub service: String,
@@ -75,7 +75,7 @@
 pub struct Backends {
     all: Vec<Arc<Backend>>,
     ip: IpAddr,
-    next_life: AtomicU64,
+    next_incarnation: AtomicU64,
     recorder: Arc<Recorder>,
     stop: StopFlag,
 }
@@ -97,15 +97,15 @@
                 service,
                 zone,
                 behaviour: Behaviour::default(),
-                life: Mutex::new(None),
+                incarnation: Mutex::new(None),
                 former: Mutex::new(None),
                 requests: AtomicU64::new(0),
                 busy_slots: AtomicUsize::new(0),
             })
         };
         let all = placements.into_iter().map(backend).collect();
-        let backends = Backends { all, ip, next_life: AtomicU64::new(1), recorder, stop };
-        (0..backends.all.len()).try_for_each(|index| backends.begin_life(index))?;
+        let backends = Backends { all, ip, next_incarnation: AtomicU64::new(1), recorder, stop };
+        (0..backends.all.len()).try_for_each(|index| backends.begin_incarnation(index))?;
         Ok(backends)
     }
 
@@ -128,9 +128,9 @@
     /// # Panics
     ///
     /// If another thread has panicked in here.
-    pub fn begin_life(&self, index: usize) -> Result<(), Error> {
+    pub fn begin_incarnation(&self, index: usize) -> Result<(), Error> {
         let backend = &self.all[index];
-        let mut current = backend.life.lock().expect("no thread panics in here");
+        let mut current = backend.incarnation.lock().expect("no thread panics in here");
         if current.is_some() {
             return Ok(());
         }
@@ -138,16 +138,16 @@
         let listener = TcpListener::bind(wanted).context(ListenSnafu { address: wanted })?;
         listener.set_nonblocking(true).context(ListenSnafu { address: wanted })?;
         let address = listener.local_addr().context(ListenSnafu { address: wanted })?;
-        let number = self.next_life.fetch_add(1, Ordering::Relaxed);
-        let life = Arc::new(Life {
+        let number = self.next_incarnation.fetch_add(1, Ordering::Relaxed);
+        let incarnation = Arc::new(Incarnation {
             id: format!("b{index}-{number}"),
             address,
             is_over: AtomicBool::new(false),
             connections: Mutex::new(Vec::new()),
         });
-        *current = Some(life.clone());
+        *current = Some(incarnation.clone());
         let (backend, recorder, stop) = (backend.clone(), self.recorder.clone(), self.stop.clone());
-        std::thread::spawn(move || accept(&listener, &backend, &life, &recorder, &stop));
+        std::thread::spawn(move || accept(&listener, &backend, &incarnation, &recorder, &stop));
         Ok(())
     }
 
@@ -158,12 +158,14 @@
     /// If another thread has panicked in here.
     pub fn crash(&self, index: usize) {
         let backend = &self.all[index];
-        let Some(life) = backend.life.lock().expect("no thread panics in here").take() else { return };
-        life.is_over.store(true, Ordering::Relaxed);
-        for connection in life.connections.lock().expect("no thread panics in here").drain(..) {
+        let Some(incarnation) = backend.incarnation.lock().expect("no thread panics in here").take() else {
+            return;
+        };
+        incarnation.is_over.store(true, Ordering::Relaxed);
+        for connection in incarnation.connections.lock().expect("no thread panics in here").drain(..) {
             let _ = connection.shutdown(Shutdown::Both); // the other side may have closed it
         }
-        *backend.former.lock().expect("no thread panics in here") = Some((life, Instant::now()));
+        *backend.former.lock().expect("no thread panics in here") = Some((incarnation, Instant::now()));
     }
 
     /// Makes a backend slow, or no longer.
@@ -189,17 +191,17 @@
     pub fn listed(&self) -> Vec<ListedBackend> {
         let mut listed = Vec::new();
         for backend in &self.all {
-            let listed_as = |life: &Life| ListedBackend {
-                id: life.id.clone(),
+            let listed_as = |incarnation: &Incarnation| ListedBackend {
+                id: incarnation.id.clone(),
                 service: backend.service.clone(),
-                address: life.address,
+                address: incarnation.address,
                 zone: backend.zone,
             };
-            let life = backend.life.lock().expect("no thread panics in here");
-            listed.extend(life.as_deref().map(listed_as));
+            let incarnation = backend.incarnation.lock().expect("no thread panics in here");
+            listed.extend(incarnation.as_deref().map(listed_as));
             let former = backend.former.lock().expect("no thread panics in here");
             let lately = former.as_ref().filter(|(_, ended_at)| ended_at.elapsed() < LIST_LAG);
-            listed.extend(lately.map(|(life, _)| listed_as(life)));
+            listed.extend(lately.map(|(incarnation, _)| listed_as(incarnation)));
         }
         listed
     }
@@ -208,23 +210,23 @@
 fn accept(
     listener: &TcpListener,
     backend: &Arc<Backend>,
-    life: &Arc<Life>,
+    incarnation: &Arc<Incarnation>,
     recorder: &Arc<Recorder>,
     stop: &StopFlag,
 ) {
-    while !life.is_over.load(Ordering::Relaxed) && !stop.is_stopped() {
+    while !incarnation.is_over.load(Ordering::Relaxed) && !stop.is_stopped() {
         let Ok((stream, _)) = listener.accept() else {
             std::thread::sleep(POLL_INTERVAL);
             continue;
         };
         let _ = stream.set_nonblocking(false);
-        let mut connections = life.connections.lock().expect("no thread panics in here");
+        let mut connections = incarnation.connections.lock().expect("no thread panics in here");
         connections.retain(|connection| connection.peer_addr().is_ok());
         connections.extend(stream.try_clone());
-        let (backend, life, recorder) = (backend.clone(), life.clone(), recorder.clone());
+        let (backend, incarnation, recorder) = (backend.clone(), incarnation.clone(), recorder.clone());
         std::thread::spawn(move || {
             let mut connection =
-                BackendConnection { stream: HttpStream::new(stream), backend, life, recorder };
+                BackendConnection { stream: HttpStream::new(stream), backend, incarnation, recorder };
             connection.serve();
         });
     }
@@ -234,7 +236,7 @@
 struct BackendConnection {
     stream: HttpStream,
     backend: Arc<Backend>,
-    life: Arc<Life>,
+    incarnation: Arc<Incarnation>,
     recorder: Arc<Recorder>,
 }
 
@@ -258,12 +260,12 @@
         let field = |name| head.field(name).map(|value| String::from_utf8_lossy(value).into_owned());
         let path = String::from_utf8_lossy(head.start_line_part(1)).into_owned();
         if path == "/checkpoint" {
-            let id = format!("X-Delivered-By: {}\r\n", self.life.id);
+            let id = format!("X-Delivered-By: {}\r\n", self.incarnation.id);
             return self.respond("200 OK", &id, b"");
         }
         let Some(id) = field("x-try-id") else { return self.turn_away("400 Bad Request", "") };
         let echo = format!("X-Try-Id: {id}\r\n");
-        if field("x-deliver-to").is_some_and(|wanted| wanted != self.life.id) {
+        if field("x-deliver-to").is_some_and(|wanted| wanted != self.incarnation.id) {
             return self.turn_away("421 Misdirected Request", &echo);
         }
         if self.backend.busy_slots.fetch_add(1, Ordering::Relaxed) >= SLOTS {
@@ -276,7 +278,7 @@
         self.backend.busy_slots.fetch_sub(1, Ordering::Relaxed);
         self.recorder.record(Event::Run(RunRecord {
             id,
-            backend: self.life.id.clone(),
+            backend: self.incarnation.id.clone(),
             service: self.backend.service.clone(),
             tenant: field("x-sender"),
             began_at,
@@ -292,7 +294,7 @@
         let is_slow = behaviour.is_slow.load(Ordering::Relaxed);
         let is_failing = behaviour.is_failing.load(Ordering::Relaxed);
         std::thread::sleep(if is_slow { SLOW_WORK } else { WORK });
-        if self.life.is_over.load(Ordering::Relaxed) {
+        if self.incarnation.is_over.load(Ordering::Relaxed) {
             return false;
         }
         let number = self.backend.requests.fetch_add(1, Ordering::Relaxed);
@@ -327,7 +329,7 @@
         for piece in body.chunks(body.len().div_ceil(STREAM_PIECES)) {
             std::thread::sleep(STREAM_PAUSE);
             let chunk = [format!("{:x}\r\n", piece.len()).as_bytes(), piece, b"\r\n"].concat();
-            if self.life.is_over.load(Ordering::Relaxed) || self.stream.send(&chunk).is_err() {
+            if self.incarnation.is_over.load(Ordering::Relaxed) || self.stream.send(&chunk).is_err() {
                 return false;
             }
         }
--- a/crates/soak/tests/command.rs
+++ b/crates/soak/tests/command.rs
@@ -28,7 +28,7 @@
 }
 
 #[rstest]
-#[case::no_command(&[], "run, plan or judge FILE")]
+#[case::no_command(&[], "run, plan or check FILE")]
 #[case::too_few_processes(&["run", "--processes", "2"], "not between 6 and 240")]
 #[case::no_number(&["plan", "--seed", "x"], "invalid")]
 #[case::unknown(&["run", "--colour"], "--colour")]
@@ -64,7 +64,7 @@
 fn a_history_that_is_none_is_named_with_its_line() {
     let path = folder("history.jsonl");
     std::fs::write(&path, "{\"at\":1,\"event\":\"Calm\"}\nnothing\n").expect("a file");
-    let output = soak(&["judge", &path.to_string_lossy()]);
+    let output = soak(&["check", &path.to_string_lossy()]);
     let error = String::from_utf8_lossy(&output.stderr);
     assert!(output.status.code() == Some(3) && error.contains("line 2"), "{error}");
     std::fs::remove_file(path).expect("a file");
