--- a/crates/soak/src/checker/incarnations.rs
+++ b/crates/soak/src/checker/incarnations.rs
@@ -87,12 +87,15 @@
         })
     }
 
-    /// The incarnation in which a connection was accepted that stood at this time, and its number.
-    pub(super) fn at(&self, node: &str, at: Micros) -> Option<(usize, &Incarnation)> {
+    /// The incarnation that a connection was accepted by, and its number: the first that had not ended.
+    ///
+    /// Invariant: not by its start. A process may accept before its start is recorded; its end is recorded before the next start.
+    pub(super) fn at(&self, node: &str, connected_at: Micros) -> Option<(usize, &Incarnation)> {
         let incarnations = self.by_node.get(node)?;
-        let number =
-            incarnations.partition_point(|incarnation| incarnation.started_at <= at).checked_sub(1)?;
-        Some((number, &incarnations[number]))
+        let had_ended =
+            |incarnation: &Incarnation| incarnation.exit.is_some_and(|(ended_at, _)| ended_at < connected_at);
+        let number = incarnations.partition_point(had_ended);
+        Some((number, incarnations.get(number)?))
     }
 
     /// Whether nothing became of this process or of a control process between these times.
--- a/crates/soak/src/checker/tests.rs
+++ b/crates/soak/src/checker/tests.rs
@@ -246,6 +246,20 @@
     assert!(!broken(records).contains(&Rule::Lost));
 }
 
+/// A process may accept a connection before its start is recorded.
+#[test]
+fn a_connection_belongs_to_the_incarnation_that_had_not_ended() {
+    let restart = [signalled(5, SignalKind::Kill), exited(6, None), started(9, "gateway-1")];
+    let mut early = request(20, "t8", RouteKind::Safe, RequestOutcome::Broken);
+    if let Event::Request(request) = &mut early.event {
+        request.connected_at = 9 * SECOND - 20;
+    }
+    let lost = || with(restart.clone().into_iter().chain([run(20, "t8", "books"), early.clone()]));
+    assert_eq!(broken(lost()), [Rule::Lost]);
+    let killed = lost().into_iter().chain([signalled(19, SignalKind::Kill)]).collect();
+    assert_eq!(broken(killed), []);
+}
+
 #[test]
 fn a_refused_change_and_a_process_that_does_not_recover_are_found() {
     let mut refused = change(40, 3, "version-3");
