Soak: two comments say what stands there

Cause: the count of lost disks and the check for unexpected ends were described as what they once were to be. Change: comments alone. Result: no code.

--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -91,7 +91,7 @@
     /// When each process that has ended is to be started again, and whether with an empty disk.
     restarts: Vec<Option<Instant>>,
     loses_disk: Vec<bool>,
-    /// `disk-complete` events in all logs at the time of the last lost disk.
+    /// How many data directories were lost so far.
     disks_lost: usize,
     repairs: Vec<(Instant, BackendRepair)>,
     /// What is killed once more changes than this many are acknowledged.
@@ -239,7 +239,7 @@
         Ok(true)
     }
 
-    /// Whether the checker will find that a process ended by itself. It looks at processes' ends only, which are few.
+    /// Whether a process has ended though nobody told it to.
     fn has_unexpected_end(&self) -> bool {
         self.processes.unexpected_ends() > 0
     }
