--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -88,8 +88,9 @@
     signals: Signals,
     stop: StopFlag,
     clients: Vec<JoinHandle<()>>,
-    /// When each process that has ended is to be started again, and whether with an empty disk.
+    /// When each process that has ended is to be started again.
     restarts: Vec<Option<Instant>>,
+    /// Whether its next start is with an empty data directory.
     loses_disk: Vec<bool>,
     /// How many data directories were lost so far.
     disks_lost: usize,
