Soak: an early signal excuses only an end by a signal

Cause: a signal before the handlers were set excused every later end of that process, also one with an exit code: a hole in EndedByItself and UncleanEnd. Change: the excuse holds only where the process was ended by a signal.

--- a/crates/soak/src/checker/incarnations.rs
+++ b/crates/soak/src/checker/incarnations.rs
@@ -9,7 +9,7 @@
     pub(super) started_at: Micros,
     pub(super) signals: Vec<(Micros, SignalKind)>,
     /// A signal came before it had set its handlers.
-    pub(super) was_signalled_too_early: bool,
+    was_signalled_too_early: bool,
     /// When it ended, and its exit code.
     pub(super) exit: Option<(Micros, Option<i32>)>,
 }
@@ -26,9 +26,14 @@
         told.next().map(|(at, _)| *at)
     }
 
+    /// Whether a signal ended it that came before it had set its handlers. One that ends with an exit code was not ended by that.
+    pub(super) fn was_ended_by_early_signal(&self) -> bool {
+        self.was_signalled_too_early && matches!(self.exit, Some((_, None)))
+    }
+
     /// Whether it ended though nobody told it to.
     pub(super) fn ended_by_itself(&self) -> bool {
-        if self.was_signalled_too_early {
+        if self.was_ended_by_early_signal() {
             return false;
         }
         let ended_at = self.exit.map(|(at, _)| at);
--- a/crates/soak/src/checker/processes.rs
+++ b/crates/soak/src/checker/processes.rs
@@ -35,6 +35,6 @@
         let seconds = (ended_at - told_at) / 1_000_000;
         return Some(Finding::new(Rule::LateEnd, ended_at, node, format!("seconds={seconds}")));
     }
-    let is_clean = code == Some(0) || incarnation.was_signalled_too_early || incarnation.exit.is_none();
+    let is_clean = code == Some(0) || incarnation.was_ended_by_early_signal() || incarnation.exit.is_none();
     (!is_clean).then(|| Finding::new(Rule::UncleanEnd, ended_at, node, format!("code={code:?}")))
 }
--- a/crates/soak/src/checker/tests.rs
+++ b/crates/soak/src/checker/tests.rs
@@ -193,7 +193,8 @@
 #[test]
 fn a_signal_before_the_handlers_are_set_may_end_a_process() {
     let early = process(72, "gateway-1", ProcessChange::SignalledTooEarly(SignalKind::Reload));
-    assert_eq!(broken(without_end([early, exited(72, None)])), []);
+    assert_eq!(broken(without_end([early.clone(), exited(72, None)])), []);
+    assert_eq!(broken(without_end([early, exited(72, Some(1))])), [Rule::EndedByItself]);
     let caught = signalled(72, SignalKind::Reload);
     assert_eq!(broken(without_end([caught, exited(72, None)])), [Rule::EndedByItself]);
 }
