--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -210,6 +210,7 @@
         self.at = Addresses()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kitepass-review-"))
         self.controls, self.gateways, self.backends = controls, gateways, []
+        self.zones = {}  # of control processes that are added later
 
     def __enter__(self):
         return self
@@ -257,7 +258,8 @@
         is_control = name.startswith("control")
         n = int(name.rsplit("-", 1)[1])
         ip = self.at.control(n) if is_control else self.at.gateway(n)
-        path = self.settings(name, ip, ZONES[n % len(ZONES)], is_control, maiden)
+        zone = self.zones.get(n, ZONES[n % len(ZONES)]) if is_control else ZONES[n % len(ZONES)]
+        path = self.settings(name, ip, zone, is_control, maiden)
         program = PROGRAMS / ("kitepass-control-plane" if is_control else "kitepass-data-plane")
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["KITEPASS_NODE_FILE"] = str(path)
@@ -266,6 +268,12 @@
                                                     stdout=log, stderr=log, start_new_session=True)
         self.record(f"start   {name} pid={self.processes[name].pid}")
 
+    def lose(self, n):
+        """Ends a control process without notice; its disk is lost."""
+        self.processes[f"control-{n}"].kill()
+        self.processes[f"control-{n}"].wait()
+        shutil.rmtree(self.folder / f"control-{n}")
+
     def add_backend(self, service, zone, **options):
         backend = Backend(self.at.server(len(self.backends)), self.at.backend, service, zone, self.record, **options)
         self.backends.append(backend)
