Decide changes that are invalid together one after the other

Cause: consensus decided keys of (kind, name, version) alone. Two proposals on different items touch no common key, so no acceptor reported one to the proposer of the other, and nothing validates the whole once a proposal is chosen. The same held for two routes in one place, for a route and the withdrawal of its service, and for a proposal that one replica had accepted before its proposer died and that others completed after a change that excludes it.

Change: a change claims, in the same proposal, the next version of a register for each resource that its validity depends on (config/src/reservation.rs): a tenant's keys, a route's host and prefix, a shard of each service of a route, all shards of a service that is withdrawn. Registers are items of a new kind that gateways never see. Prepare requests name the registers, and acceptors report accepted proposals that claim any version of them; they are resolved first. If a register has moved on, the change claims the next version and is validated again (event reservations-outdated). A rejection names the change, so that it covers the change under all versions of its registers.

A revision of the whole configuration was weighed: it makes rivals of all changes.

The wire's golden file has one line more; the kind number 8 is known now, so the test of unknown kinds uses 9.

--- a/crates/config/src/item.rs
+++ b/crates/config/src/item.rs
@@ -25,11 +25,14 @@
     Backend = 6,
     /// The current and the joining replicas of the control plane.
     ReplicaSet = 7,
+    /// A register that orders changes whose validity depends on each other
+    /// ([`Reservations`](crate::Reservations)). Known to control planes only.
+    Reservation = 8,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Kind; 7] = [
+    pub const ALL: [Kind; 8] = [
         Kind::Route,
         Kind::Tenant,
         Kind::Service,
@@ -37,6 +40,7 @@
         Kind::Evacuation,
         Kind::Backend,
         Kind::ReplicaSet,
+        Kind::Reservation,
     ];
 
     /// Returns the kind with this number, if there is one.
@@ -50,6 +54,11 @@
     pub fn is_durable(self) -> bool {
         self != Kind::Backend
     }
+
+    /// Whether items of this kind are sent to gateways, and compared with theirs.
+    pub fn is_sent_to_gateways(self) -> bool {
+        self != Kind::Reservation
+    }
 }
 
 /// One version of a configuration item, which either sets or removes it.
--- a/crates/config/src/item_store/chunks.rs
+++ b/crates/config/src/item_store/chunks.rs
@@ -56,10 +56,14 @@
     /// buckets of at most `max_bytes` in total, but at least one differing bucket if there is any. Buckets missing from
     /// `peer_hashes` are treated as different.
     pub fn chunk(&self, peer_hashes: &[u64], from_bucket: usize, max_bytes: usize) -> Chunk<&Item> {
-        self.chunk_by(&self.bucket_hashes, peer_hashes, from_bucket, max_bytes, |stored| &stored.item)
+        let mut chunk =
+            self.chunk_by(&self.bucket_hashes, peer_hashes, from_bucket, max_bytes, |stored| &stored.item);
+        chunk.items.retain(|item| item.kind.is_sent_to_gateways());
+        chunk
     }
 
-    /// Like [`ItemStore::chunk`], but includes older versions and compares [`ItemStore::history_bucket_hashes`].
+    /// Like [`ItemStore::chunk`], but for control planes: includes older versions and the items that gateways do not
+    /// need, and compares [`ItemStore::history_bucket_hashes`].
     pub fn history_chunk(
         &self,
         peer_hashes: &[u64],
--- a/crates/config/src/item_store/stored_item.rs
+++ b/crates/config/src/item_store/stored_item.rs
@@ -10,7 +10,7 @@
 pub(super) struct StoredItem {
     pub(super) item: Item,
     pub(super) older_versions: Vec<VersionDigest>,
-    /// The hash of the newest version.
+    /// The hash of the newest version as compared with gateways; 0 if the item is not sent to them.
     pub(super) hash: u64,
     /// The hash of the newest and the older versions.
     pub(super) history_hash: u64,
@@ -19,10 +19,10 @@
 
 impl StoredItem {
     pub(super) fn new(item: Item, older_versions: &[VersionDigest]) -> StoredItem {
-        let (hash, bucket) = (item_hash(&item), bucket_of(&item));
-        let mut stored = StoredItem { item, older_versions: Vec::new(), hash, history_hash: hash, bucket };
+        let bucket = bucket_of(&item);
+        let mut stored = StoredItem { item, older_versions: Vec::new(), hash: 0, history_hash: 0, bucket };
         stored.add_older_versions(older_versions);
-        stored.history_hash = history_hash(hash, &stored.older_versions);
+        stored.update_hashes();
         stored
     }
 
@@ -42,8 +42,7 @@
         if !is_newest && !has_new_versions && !is_older_new {
             return MergeOutcome::Unchanged;
         }
-        self.hash = item_hash(&self.item);
-        self.history_hash = history_hash(self.hash, &self.older_versions);
+        self.update_hashes();
         if is_newest {
             MergeOutcome::NewestChanged
         } else {
@@ -51,8 +50,14 @@
         }
     }
 
+    fn update_hashes(&mut self) {
+        let newest_hash = item_hash(&self.item);
+        self.hash = if self.item.kind.is_sent_to_gateways() { newest_hash } else { 0 };
+        self.history_hash = history_hash(newest_hash, &self.older_versions);
+    }
+
     /// Adds older versions if the item's kind is durable. Returns whether any of them was new. The caller must update
-    /// `history_hash`.
+    /// the hashes.
     fn add_older_versions(&mut self, versions: &[VersionDigest]) -> bool {
         self.item.kind.is_durable()
             && merge_older_versions(&mut self.older_versions, self.item.version, versions)
--- a/crates/config/tests/golden.rs
+++ b/crates/config/tests/golden.rs
@@ -100,13 +100,14 @@
         Kind::Evacuation,
         Kind::Backend,
         Kind::ReplicaSet,
+        Kind::Reservation,
     ];
     assert!(kinds == Kind::ALL);
     for (kind, number) in kinds.into_iter().zip(1..) {
         assert_eq!(kind as u8, number);
         assert!(Kind::from_u8(number) == Some(kind));
     }
-    assert!(Kind::from_u8(0).is_none() && Kind::from_u8(8).is_none());
+    assert!(Kind::from_u8(0).is_none() && Kind::from_u8(9).is_none());
 }
 
 fn item(kind: Kind, name: &str, version: u64, value: Option<&'static str>) -> Item {
--- a/crates/control-plane/src/state_machine/handlers/accept.rs
+++ b/crates/control-plane/src/state_machine/handlers/accept.rs
@@ -41,8 +41,8 @@
     ) {
         info!("event=proposal-rejected why={reason:?}");
         let request = AcceptRequest {
-            rejected_proposal_id: Bytes::copy_from_slice(&proposal.proposal_id().0),
-            keys: proposal.keys().to_vec(),
+            rejected_proposal_id: Bytes::copy_from_slice(&proposal.change_id().0),
+            keys: proposal.change_keys(),
             ..AcceptRequest::default()
         };
         let phase = Phase::Rejecting(BTreeSet::new(), Response::Invalid(reason));
--- a/crates/control-plane/src/state_machine/handlers/prepare.rs
+++ b/crates/control-plane/src/state_machine/handlers/prepare.rs
@@ -43,6 +43,7 @@
             pending.proposal =
                 Some(Proposal::new(vec![self.configuration.evacuation_item(zone, *evacuated)]));
         }
+        pending.renew_reservations(self.configuration.item_store());
         pending.start_attempt(attempt_id, ballot);
         let is_read_only = pending.proposal.is_none();
         Some(PrepareRequest {
@@ -53,6 +54,7 @@
             ballot: (!is_read_only).then_some(ballot),
             wants_all_undecided: is_read_only,
             keys: pending.keys(),
+            watched_names: pending.reserved_names(),
             first_bucket: 0,
         })
     }
@@ -202,6 +204,10 @@
         let resolved_id = proposal_id.filter(|_| matches!(pending.request, Request::ResolveProposal(_)));
         match decision {
             Decision::Retry => self.start_attempt(now, id),
+            Decision::ReserveAgain => {
+                info!("event=reservations-outdated request={}", pending.request.name());
+                self.start_attempt(now, id);
+            }
             Decision::ReadComplete => self.finish_read(now, id),
             Decision::BlockedBy(ids) => self.proposals.pending.set_phase(id, Phase::Blocked(ids)),
             Decision::Committed => self.finish_change(now, id),
--- a/crates/control-plane/src/state_machine/handlers/requests.rs
+++ b/crates/control-plane/src/state_machine/handlers/requests.rs
@@ -10,7 +10,7 @@
 use log::{info, warn};
 
 /// Returns the proposal of a request, if it is known before the first attempt. The proposal of an evacuation is
-/// created in each attempt.
+/// created in each attempt, and the reservations of a change are added in each attempt.
 fn initial_proposal(request: &Request) -> Option<Proposal> {
     match request {
         Request::Patch(items) => Some(Proposal::new(items.clone())),
@@ -34,6 +34,7 @@
         Kind::Evacuation => "evacuation",
         Kind::Backend => "backend",
         Kind::ReplicaSet => "cast",
+        Kind::Reservation => "reservation",
     };
     format!("{list} {:?}: version r{} is taken by another content", item.name, item.version)
 }
--- a/crates/control-plane/src/state_machine/proposals/acceptor.rs
+++ b/crates/control-plane/src/state_machine/proposals/acceptor.rs
@@ -7,6 +7,7 @@
     AcceptError, AcceptReason, Acceptance, Ballot, BallotReservation, Proposal, ProposalId, ProposalMessage,
 };
 use kitepass_coordination::protocol::{AcceptRequest, PrepareRequest, PrepareResponse, RejectedProposal};
+use std::collections::BTreeSet;
 
 /// Maximum size of the accepted proposals in one prepare response. The first proposal is reported whatever its size.
 const MAX_ACCEPTED_BYTES: usize = 4 * 1024 * 1024;
@@ -27,7 +28,10 @@
         } else if let Some(ballot) = request.ballot {
             self.observe_ballot(ballot);
             match self.acceptor.prepare(ballot, &request.keys) {
-                Ok(promise) => (accepted, reservation) = (promise.accepted, promise.reservation),
+                Ok(promise) => {
+                    accepted = self.with_watched_names(promise.accepted, &request.watched_names);
+                    reservation = promise.reservation;
+                }
                 Err(higher) => (response.is_rejected, response.ballot) = (true, Some(higher)),
             }
             let rejections = self.acceptor.rejections(&request.keys);
@@ -44,6 +48,19 @@
         reservation
     }
 
+    /// Adds the accepted proposals that contain items with these name keys to `accepted`.
+    fn with_watched_names(
+        &self,
+        mut accepted: Vec<(Ballot, Proposal)>,
+        name_keys: &[u64],
+    ) -> Vec<(Ballot, Proposal)> {
+        let known: BTreeSet<ProposalId> =
+            accepted.iter().map(|(_, proposal)| proposal.proposal_id()).collect();
+        let watched = self.acceptor.overlapping_names(name_keys);
+        accepted.extend(watched.into_iter().filter(|(_, proposal)| !known.contains(&proposal.proposal_id())));
+        accepted
+    }
+
     /// Accepts a proposal or, if `proposal` is `None`, the rejection of one. Returns `None` if the request is of a
     /// kind that this version does not know.
     pub(in crate::state_machine) fn accept(
--- a/crates/control-plane/src/state_machine/proposals/decision.rs
+++ b/crates/control-plane/src/state_machine/proposals/decision.rs
@@ -5,9 +5,9 @@
 use super::watch::{is_resolved, WatchList};
 use crate::request::Request;
 use crate::state_machine::configuration::Configuration;
-use kitepass_config::Item;
+use kitepass_config::{has_forgotten_reservation, reservations_are_current, Item, ItemStore, VersionStatus};
 use kitepass_coordination::consensus::{
-    possibly_chosen, proposal_status, ObservedProposals, Proposal, ProposalId, ProposalStatus,
+    name_key, possibly_chosen, proposal_status, ObservedProposals, Proposal, ProposalId, ProposalStatus,
 };
 use std::collections::BTreeSet;
 
@@ -15,6 +15,8 @@
 pub(in crate::state_machine) enum Decision {
     /// Start another attempt, because the configuration has changed since this one began.
     Retry,
+    /// Start another attempt, because another change has claimed a register of this one.
+    ReserveAgain,
     /// The request is a read, and it is complete.
     ReadComplete,
     /// These proposals have to be resolved first.
@@ -42,6 +44,11 @@
     }
     let observed = possibly_chosen(&pending.observed, watch_list.rejections());
     let Some(proposal) = &pending.proposal else { return decide_read(pending, &observed, configuration) };
+    if let Request::Patch(_) = &pending.request {
+        if let Some(decision) = decide_change(proposal, &observed, configuration.item_store()) {
+            return decision;
+        }
+    }
     if let Request::Evacuate { zone, evacuated } = &pending.request {
         if proposal.items()[0].version != configuration.evacuation_item(zone, *evacuated).version {
             return Decision::Retry;
@@ -55,11 +62,62 @@
         }
         ProposalStatus::Conflicting(item) => Decision::Conflict(item),
         ProposalStatus::BlockedBy(proposal_id) => Decision::BlockedBy([proposal_id].into()),
-        ProposalStatus::AlreadyAccepted => Decision::Propose(proposal.clone()),
+        ProposalStatus::AlreadyAccepted => decide_accepted(proposal, configuration.item_store()),
         ProposalStatus::New => decide_new(&pending.request, proposal, configuration, watch_list),
     }
 }
 
+/// Decides on an operator's change as far as its own items and its reservations determine the decision. Returns `None`
+/// if it can be validated or proposed.
+///
+/// Invariant: a change is validated only against a configuration that includes every change that was chosen for an
+/// earlier version of any of its registers. A read quorum has reported such a change as committed, or as accepted; in
+/// the latter case it is resolved first.
+fn decide_change(
+    proposal: &Proposal,
+    observed: &ObservedProposals,
+    item_store: &ItemStore,
+) -> Option<Decision> {
+    let statuses = || proposal.change().map(|item| (item, item_store.version_status(item)));
+    if let Some((item, _)) = statuses().find(|(_, status)| *status == VersionStatus::DifferentContent) {
+        return Some(Decision::Conflict(item.clone()));
+    }
+    if statuses().all(|(_, status)| matches!(status, VersionStatus::SameContent | VersionStatus::Pruned)) {
+        return Some(Decision::Committed);
+    }
+    let is_current = reservations_are_current(item_store, proposal.items());
+    if is_current && observed.contains_key(&proposal.proposal_id()) {
+        return None;
+    }
+    let registers: BTreeSet<u64> = proposal.reservations().map(name_key).collect();
+    let claims_same_register =
+        |other: &Proposal| other.reservations().any(|item| registers.contains(&name_key(item)));
+    let unresolved = observed
+        .values()
+        .map(|(_, other)| other)
+        .filter(|other| *other != proposal && claims_same_register(other) && !is_resolved(other, item_store));
+    let unresolved: BTreeSet<ProposalId> = unresolved.map(Proposal::proposal_id).collect();
+    if !unresolved.is_empty() {
+        Some(Decision::BlockedBy(unresolved))
+    } else if is_current {
+        None
+    } else {
+        Some(Decision::ReserveAgain)
+    }
+}
+
+/// Decides on a proposal that a replica has accepted. It was validated before, so it is proposed without being validated
+/// again, unless its reservations are so old that the registers no longer tell whether they still hold.
+fn decide_accepted(proposal: &Proposal, item_store: &ItemStore) -> Decision {
+    if has_forgotten_reservation(item_store, proposal.items()) {
+        let change: Vec<Item> = proposal.change().cloned().collect();
+        if let Err(error) = kitepass_config::validate(item_store, &change) {
+            return Decision::Reject { proposal: proposal.clone(), reason: error.to_string() };
+        }
+    }
+    Decision::Propose(proposal.clone())
+}
+
 /// Decides on a read, which is complete once all proposals that it observed are resolved.
 ///
 /// There are two exceptions for the read that precedes the activation of a replica set. It does not wait for the
@@ -111,7 +169,7 @@
         // Invariant: a known rejection is proposed to all replicas. A replica that has accepted the proposal but does
         // not know the rejection would keep reporting it for as long as the rejection is remembered, and the proposal
         // could take effect after that.
-        Request::ResolveProposal(_) if watch_list.is_rejected(proposal.proposal_id()) => {
+        Request::ResolveProposal(_) if watch_list.is_rejected(proposal.change_id()) => {
             Decision::Reject { proposal: proposal.clone(), reason: "already rejected".into() }
         }
         // The proposal is not chosen. Its own client can submit it again.
--- a/crates/control-plane/src/state_machine/proposals/pending.rs
+++ b/crates/control-plane/src/state_machine/proposals/pending.rs
@@ -1,8 +1,9 @@
 //! Pending requests and their progress.
 
 use crate::request::{Request, Response};
-use kitepass_config::Kind;
-use kitepass_coordination::consensus::{Ballot, ObservedProposals, Proposal, ProposalId};
+use bytes::Bytes;
+use kitepass_config::{reservations_are_current, ItemStore, Kind, Reservations};
+use kitepass_coordination::consensus::{name_key, Ballot, ObservedProposals, Proposal, ProposalId};
 use kitepass_coordination::membership::{ReplicaSet, CURRENT};
 use kitepass_time::{Duration, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +53,8 @@
     pub(in crate::state_machine) request: Request,
     /// The proposal, or `None` for a read and for an evacuation before its first attempt.
     pub(in crate::state_machine) proposal: Option<Proposal>,
+    /// The registers that an operator's change claims.
+    pub(in crate::state_machine) reservations: Reservations,
     /// The ballot of the current attempt.
     pub(in crate::state_machine) ballot: Ballot,
     /// The request id of the current attempt, which its responses repeat.
@@ -75,10 +78,15 @@
         proposal: Option<Proposal>,
         observed: ObservedProposals,
     ) -> PendingRequest {
+        let reservations = match &request {
+            Request::Patch(items) => Reservations::of(items),
+            _ => Reservations::default(),
+        };
         PendingRequest {
             caller,
             request,
             proposal,
+            reservations,
             ballot: Ballot::default(),
             attempt_id: 0,
             observed,
@@ -95,6 +103,23 @@
         (self.phase, self.activated_version) = (Phase::Preparing(BTreeSet::new()), 0);
     }
 
+    /// Replaces the reservations of an operator's change by those of the registers' next versions.
+    pub(in crate::state_machine) fn renew_reservations(&mut self, item_store: &ItemStore) {
+        let (Request::Patch(change), Some(proposal)) = (&self.request, &self.proposal) else { return };
+        if proposal.reservations().next().is_some() && reservations_are_current(item_store, proposal.items())
+        {
+            return;
+        }
+        let digest = Bytes::copy_from_slice(&proposal.change_id().0);
+        let reservations = self.reservations.items(item_store, &digest);
+        self.proposal = Some(Proposal::new(change.iter().cloned().chain(reservations).collect()));
+    }
+
+    /// Returns the name keys of the registers that the proposal claims.
+    pub(in crate::state_machine) fn reserved_names(&self) -> Vec<u64> {
+        self.proposal.iter().flat_map(Proposal::reservations).map(name_key).collect()
+    }
+
     /// Handles a rejected attempt: the next one starts at `time`.
     pub(in crate::state_machine) fn back_off_until(&mut self, time: Timestamp) {
         self.rejections += 1;
--- a/crates/control-plane/src/state_machine/proposals/watch.rs
+++ b/crates/control-plane/src/state_machine/proposals/watch.rs
@@ -30,7 +30,7 @@
 #[derive(Default)]
 pub(in crate::state_machine) struct WatchList {
     watched: BTreeMap<ProposalId, Watched>,
-    /// Rejected proposals, with the ballot of each rejection.
+    /// Rejected changes by their ids, with the ballot of each rejection.
     rejected: BTreeMap<ProposalId, Ballot>,
 }
 
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Records that a proposal was rejected under a ballot.
+    /// Records that the change with this id was rejected under a ballot.
     pub(in crate::state_machine) fn add_rejection(&mut self, id: ProposalId, ballot: Ballot) {
         let known = self.rejected.entry(id).or_insert(ballot);
         *known = ballot.max(*known);
--- a/crates/control-plane/src/state_machine/tests/decision.rs
+++ b/crates/control-plane/src/state_machine/tests/decision.rs
@@ -2,7 +2,7 @@
 use crate::request::Request;
 use crate::state_machine::configuration::Configuration;
 use crate::state_machine::proposals::{decide, Decision, PendingRequest, WatchList};
-use kitepass_config::{Item, ItemStore, Kind};
+use kitepass_config::{Item, ItemStore, Kind, MAX_OLDER_VERSIONS};
 use kitepass_coordination::consensus::{observe, Ballot, ObservedProposals, Proposal};
 use kitepass_coordination::membership::{ReplicaSet, CURRENT, INCOMING};
 use std::slice::from_ref;
@@ -84,6 +84,73 @@
     assert!(matches!(accepted, Decision::Propose(proposal) if proposal == own_proposal));
 }
 
+fn tenant(name: &str, version: u64) -> Item {
+    item(Kind::Tenant, name, version, Some(r#"{"permits":["key"]}"#))
+}
+
+/// A proposal of a change, with reservations made on this configuration.
+fn reserved(configuration: &Configuration, change: &Item) -> Proposal {
+    let request = Request::Patch(vec![change.clone()]);
+    let proposal = Proposal::new(vec![change.clone()]);
+    let mut pending = prepared(configuration, request, Some(proposal), &[]);
+    pending.renew_reservations(configuration.item_store());
+    pending.proposal.expect("a change has a proposal")
+}
+
+/// Decides on a change whose reservations were made on `before`.
+fn decide_reserved(
+    before: &Configuration,
+    now: &Configuration,
+    change: &Item,
+    accepted: &[Proposal],
+) -> Decision {
+    let request = Request::Patch(vec![change.clone()]);
+    let pending = prepared(now, request, Some(reserved(before, change)), accepted);
+    decide(&pending, now, &WatchList::default())
+}
+
+#[test]
+fn change_waits_for_an_accepted_one_that_claims_the_same_register() {
+    let before = configuration([]);
+    let other = reserved(&before, &tenant("b", 1));
+    let blocked = decide_reserved(&before, &before, &tenant("a", 1), from_ref(&other));
+    assert!(matches!(blocked, Decision::BlockedBy(ids) if ids == [other.proposal_id()].into()));
+    let own = reserved(&before, &tenant("a", 1));
+    let accepted = decide_reserved(&before, &before, &tenant("a", 1), from_ref(&own));
+    assert!(matches!(accepted, Decision::Propose(proposal) if proposal == own));
+}
+
+#[test]
+fn change_reserves_again_once_another_one_has_claimed_a_register() {
+    let before = configuration([]);
+    let other = reserved(&before, &tenant("b", 1));
+    let now = configuration(other.items().iter().cloned());
+    assert!(matches!(decide_reserved(&before, &now, &tenant("a", 1), &[]), Decision::ReserveAgain));
+    let again = decide_reserved(&now, &now, &tenant("a", 1), &[]);
+    assert!(matches!(again, Decision::Reject { reason, .. } if reason.contains("\"b\"")));
+}
+
+/// A replica may bring back a proposal that it accepted before its register was claimed more often than is remembered.
+#[test]
+fn accepted_change_with_forgotten_reservations_is_validated_again() {
+    let mut item_store = ItemStore::new();
+    item_store.apply(replica_set(1).to_item(CURRENT));
+    let old = reserved(&Configuration::new(item_store.clone()), &tenant("a", 1));
+    for version in 1..=MAX_OLDER_VERSIONS as u64 + 2 {
+        let next = reserved(&Configuration::new(item_store.clone()), &tenant("b", version));
+        next.items().iter().for_each(|item| _ = item_store.merge(item.clone()));
+    }
+    let resolve = |item_store: ItemStore| {
+        let now = Configuration::new(item_store);
+        let request = Request::ResolveProposal(old.clone());
+        let pending = prepared(&now, request, Some(old.clone()), from_ref(&old));
+        decide(&pending, &now, &WatchList::default())
+    };
+    assert!(matches!(resolve(item_store.clone()), Decision::Reject { .. }));
+    item_store.merge(item(Kind::Tenant, "b", 100, None));
+    assert!(matches!(resolve(item_store), Decision::Propose(_)), "it is valid again");
+}
+
 #[test]
 fn request_of_earlier_epoch_is_retried() {
     let proposal = Proposal::new(vec![service(1, Some(SERVICE))]);
--- a/crates/control-plane/tests/golden_store.rs
+++ b/crates/control-plane/tests/golden_store.rs
@@ -397,6 +397,7 @@
         Kind::Evacuation => "evacuation",
         Kind::Backend => "backend",
         Kind::ReplicaSet => "members",
+        Kind::Reservation => "reservation",
     }
 }
 
--- a/crates/coordination/src/consensus/accepted.rs
+++ b/crates/coordination/src/consensus/accepted.rs
@@ -47,6 +47,12 @@
         ids.iter().map(|proposal_id| self.by_id[proposal_id].clone()).collect()
     }
 
+    /// The proposals that contain any version of an item with any of these name keys, ordered by ID.
+    pub(super) fn overlapping_names(&self, name_keys: &[u64]) -> Vec<(Ballot, Proposal)> {
+        let ids = indexed(&self.by_name, name_keys);
+        ids.iter().map(|proposal_id| self.by_id[proposal_id].clone()).collect()
+    }
+
     /// The IDs of the proposals that contain any version of any of the items.
     pub(super) fn with_any_version_of<'a>(
         &self,
@@ -69,6 +75,12 @@
         }
     }
 
+    /// The IDs of the proposals of the change with this ID and these keys.
+    pub(super) fn of_change(&self, change_id: ProposalId, keys: &[u64]) -> Vec<ProposalId> {
+        let is_of_change = |id: &ProposalId| self.by_id[id].1.change_id() == change_id;
+        indexed(&self.by_key, keys).into_iter().filter(is_of_change).collect()
+    }
+
     /// Removes a proposal and returns whether it was present.
     pub(super) fn remove(&mut self, proposal_id: ProposalId) -> bool {
         let Some((_, proposal)) = self.by_id.remove(&proposal_id) else { return false };
--- a/crates/coordination/src/consensus/acceptor.rs
+++ b/crates/coordination/src/consensus/acceptor.rs
@@ -8,7 +8,7 @@
 use super::records::{
     accepted_deletion, accepted_record, AcceptorRecord, BallotReservation, Record, RestoreOutcome,
 };
-use super::rejected::RejectedProposals;
+use super::rejected::RejectedChanges;
 use super::safeguard::Safeguard;
 use crate::protocol::Ballot;
 use kitepass_config::{Item, ItemStore};
@@ -59,7 +59,7 @@
 pub struct Acceptor {
     pub(super) promises: PromiseTable,
     pub(super) accepted: AcceptedProposals,
-    pub(super) rejected: RejectedProposals,
+    pub(super) rejected: RejectedChanges,
     /// The safeguard that a test has disabled.
     pub(super) disabled: Option<Safeguard>,
 }
@@ -163,7 +163,7 @@
         let mut acceptance = self.promise_and_reserve(ballot, proposal.keys());
         if !is_committed {
             acceptance.records.push(accepted_record(ballot, &proposal));
-            acceptance.records.extend(self.rejected.remove(proposal.proposal_id()));
+            acceptance.records.extend(self.rejected.remove(proposal.change_id()));
             self.accepted.insert(ballot, proposal);
         }
         Ok(acceptance)
@@ -207,8 +207,8 @@
         Acceptance { records, reservation }
     }
 
-    /// Rejects a proposal because of its content: acceptances of it below this ballot can no longer lead to it being
-    /// chosen.
+    /// Rejects a change because of its content: acceptances of any proposal of it below this ballot can no longer lead to
+    /// it being chosen. `keys` are those of the change's items.
     ///
     /// Invariant: a rejection is reported to the operator only after a write quorum has it on disk. Otherwise, a
     /// replica that did not respond might have accepted the proposal in an earlier attempt. If another proposer then
@@ -219,7 +219,7 @@
     pub fn reject(
         &mut self,
         ballot: Ballot,
-        proposal_id: ProposalId,
+        change_id: ProposalId,
         keys: &[u64],
     ) -> Result<Acceptance, AcceptError> {
         if let Some(to) = self.promise_above(ballot, keys) {
@@ -229,14 +229,15 @@
         if !self.is_enabled(Safeguard::Rejection) {
             return Ok(rejection);
         }
-        if self.accepted.remove(proposal_id) {
+        for proposal_id in self.accepted.of_change(change_id, keys) {
+            self.accepted.remove(proposal_id);
             rejection.records.push(accepted_deletion(proposal_id));
         }
-        rejection.records.extend(self.rejected.add(ballot, proposal_id, keys));
+        rejection.records.extend(self.rejected.add(ballot, change_id, keys));
         Ok(rejection)
     }
 
-    /// The IDs of the rejected proposals that contain any of the keys, with the ballots of their rejections.
+    /// The IDs of the rejected changes that contain any of the keys, with the ballots of their rejections.
     pub fn rejections(&self, keys: &[u64]) -> impl Iterator<Item = (ProposalId, Ballot)> + '_ {
         self.rejected.overlapping(keys)
     }
@@ -254,6 +255,12 @@
         self.accepted.overlapping(keys)
     }
 
+    /// The accepted, uncommitted proposals that contain any version of an item with any of these
+    /// [`name_key`](super::name_key)s, ordered by ID.
+    pub fn overlapping_names(&self, name_keys: &[u64]) -> Vec<(Ballot, Proposal)> {
+        self.accepted.overlapping_names(name_keys)
+    }
+
     /// All accepted, uncommitted proposals.
     pub fn pending(&self) -> impl Iterator<Item = (Ballot, &Proposal)> {
         self.accepted.iter()
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -45,7 +45,7 @@
 pub use crate::protocol::{Ballot, ProposalMessage};
 pub use acceptor::{AcceptReason, Acceptance, Acceptor, Promise};
 pub use error::AcceptError;
-pub use proposal::{key, Proposal, ProposalId};
+pub use proposal::{key, name_key, Proposal, ProposalId};
 pub use proposer::{
     conflicting_item, is_committed, observe, possibly_chosen, proposal_status, ObservedProposals,
     ProposalStatus,
--- a/crates/coordination/src/consensus/proposal.rs
+++ b/crates/coordination/src/consensus/proposal.rs
@@ -28,6 +28,7 @@
 pub struct Proposal {
     items: Arc<[Item]>,
     proposal_id: ProposalId,
+    change_id: ProposalId,
     keys: Arc<[u64]>,
     bytes: usize,
 }
@@ -53,7 +54,8 @@
         items.sort_by(compare_versions);
         items.dedup_by(|later, earlier| compare_versions(later, earlier).is_eq());
         Proposal {
-            proposal_id: hash_items(&items),
+            proposal_id: hash_items(items.iter()),
+            change_id: hash_items(items.iter().filter(|item| is_of_change(item))),
             keys: items.iter().map(key).collect(),
             bytes: items.iter().map(memory_bytes).sum(),
             items: items.into(),
@@ -75,6 +77,27 @@
         &self.keys
     }
 
+    /// The items of the operator's change, without the reservations that the proposer has added.
+    pub fn change(&self) -> impl Iterator<Item = &Item> {
+        self.items.iter().filter(|item| is_of_change(item))
+    }
+
+    /// The hash of the items of the operator's change. It is the same for all proposals of the change, whatever versions
+    /// of the registers they claim.
+    pub fn change_id(&self) -> ProposalId {
+        self.change_id
+    }
+
+    /// The keys of the items of the operator's change.
+    pub fn change_keys(&self) -> Vec<u64> {
+        self.change().map(key).collect()
+    }
+
+    /// The items that claim registers; see [`kitepass_config::Reservations`].
+    pub fn reservations(&self) -> impl Iterator<Item = &Item> {
+        self.items.iter().filter(|item| item.kind == Kind::Reservation)
+    }
+
     /// The approximate memory size of the proposal.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -105,13 +128,18 @@
     }
 }
 
+/// Whether an item is part of the operator's change, rather than a reservation that the proposer has added.
+fn is_of_change(item: &Item) -> bool {
+    item.kind != Kind::Reservation
+}
+
 /// The key of an item's version, which identifies a consensus instance. A collision of two keys only causes a retry.
 pub fn key(item: &Item) -> u64 {
     hash_name(item.kind, &item.name, Some(item.version))
 }
 
 /// A hash of an item's kind and name, the same for all its versions.
-pub(super) fn name_key(item: &Item) -> u64 {
+pub fn name_key(item: &Item) -> u64 {
     hash_name(item.kind, &item.name, None)
 }
 
@@ -130,7 +158,7 @@
 }
 
 /// Lengths precede names and values, so that different lists of items never produce the same hash input.
-fn hash_items(items: &[Item]) -> ProposalId {
+fn hash_items<'a>(items: impl Iterator<Item = &'a Item>) -> ProposalId {
     let mut hasher = Xxh3Builder::new().build();
     for item in items {
         let value = item.value.as_deref().unwrap_or_default();
--- a/crates/coordination/src/consensus/proposer.rs
+++ b/crates/coordination/src/consensus/proposer.rs
@@ -20,16 +20,16 @@
     }
 }
 
-/// The observed proposals that may have been chosen. A rejection reported by any replica means that the proposal was
-/// not chosen below the rejection's ballot, and never will be.
+/// The observed proposals that may have been chosen. A rejection reported by any replica means that no proposal of the
+/// change with this ID was chosen below the rejection's ballot, and none ever will be.
 pub fn possibly_chosen(
     observed: &ObservedProposals,
     rejected: &BTreeMap<ProposalId, Ballot>,
 ) -> ObservedProposals {
-    let is_rejected = |proposal_id: &ProposalId, ballot: Ballot| {
-        rejected.get(proposal_id).is_some_and(|rejection| *rejection >= ballot)
+    let is_rejected = |proposal: &Proposal, ballot: Ballot| {
+        rejected.get(&proposal.change_id()).is_some_and(|rejection| *rejection >= ballot)
     };
-    let possible = observed.iter().filter(|(proposal_id, (ballot, _))| !is_rejected(proposal_id, *ballot));
+    let possible = observed.iter().filter(|(_, (ballot, proposal))| !is_rejected(proposal, *ballot));
     possible.map(|(proposal_id, accepted)| (*proposal_id, accepted.clone())).collect()
 }
 
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -52,6 +52,41 @@
     assert_eq!((received_ballot, received.proposal_id()), (ballot(2, 3), first.proposal_id()));
 }
 
+/// A proposal of one change that claims this version of a register.
+fn reserved(version: u64) -> Proposal {
+    let register = Item { kind: Kind::Reservation, name: "001".into(), version, value: Some("x".into()) };
+    Proposal::new(vec![item("a", 5, "x"), register])
+}
+
+#[test]
+fn accepted_proposals_are_found_by_any_version_of_an_item() {
+    let (store, mut acceptor) = (ItemStore::new(), Acceptor::new());
+    for (round, version) in [(1, 1), (2, 3)] {
+        acceptor.accept(ballot(1, round), reserved(version), AcceptReason::New, &store).unwrap();
+    }
+    let register = reserved(7).reservations().map(name_key).collect::<Vec<u64>>();
+    let found = acceptor.overlapping_names(&register);
+    assert_eq!(found.len(), 2);
+    assert!(found.contains(&(ballot(1, 1), reserved(1))) && found.contains(&(ballot(1, 2), reserved(3))));
+    assert!(acceptor.overlapping_names(&[name_key(&item("b", 5, "x"))]).is_empty());
+}
+
+/// A change that was told to be invalid stays out whatever versions of its registers a replica has accepted it with.
+#[test]
+fn a_rejection_covers_all_proposals_of_the_change() {
+    let (store, mut acceptor) = (ItemStore::new(), Acceptor::new());
+    let (first, second) = (reserved(1), reserved(2));
+    assert_eq!((first.change_id(), first.change_keys()), (second.change_id(), second.change_keys()));
+    assert_ne!(first.proposal_id(), second.proposal_id());
+    acceptor.accept(ballot(1, 1), first.clone(), AcceptReason::New, &store).unwrap();
+    acceptor.reject(ballot(1, 2), second.change_id(), &second.change_keys()).unwrap();
+    assert_eq!(acceptor.pending().count(), 0);
+    let mut observed = ObservedProposals::new();
+    observe(&mut observed, [(ballot(1, 1), first), (ballot(1, 3), second.clone())]);
+    let rejected = acceptor.rejections(&second.change_keys()).collect();
+    assert_eq!(possibly_chosen(&observed, &rejected).keys().collect::<Vec<_>>(), [&second.proposal_id()]);
+}
+
 /// A promise is sent only after a floor above it is on disk, and after a restart no ballot at or below that floor is
 /// accepted.
 #[test]
--- a/crates/coordination/src/protocol/messages/consensus.rs
+++ b/crates/coordination/src/protocol/messages/consensus.rs
@@ -63,6 +63,10 @@
     /// Requests all accepted, uncommitted proposals, regardless of their keys.
     #[prost(bool, tag = "7")]
     pub wants_all_undecided: bool,
+    /// Requests the accepted, uncommitted proposals that contain any version of an item with one of these
+    /// [`name_key`](crate::consensus::name_key)s, in addition to those that contain one of `keys`.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub watched_names: Vec<u64>,
     /// The first bucket of the requested chunk; initially 0.
     #[prost(uint32, tag = "10")]
     pub first_bucket: u32,
@@ -108,7 +112,7 @@
     /// Proposals that the replica has accepted and that are not committed.
     #[prost(message, repeated, tag = "8")]
     pub accepted: Vec<ProposalMessage>,
-    /// Proposals that the replica has rejected.
+    /// Changes that the replica has rejected.
     #[prost(message, repeated, tag = "9")]
     pub rejected: Vec<RejectedProposal>,
     /// The highest version of a replica set whose activation the replica has accepted and does not know to be
@@ -118,13 +122,13 @@
     pub activated_version: u64,
 }
 
-/// A proposal that was rejected because of its content.
+/// A change that was rejected because of its content.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RejectedProposal {
     /// The ballot under which it was rejected.
     #[prost(message, required, tag = "1")]
     pub ballot: Ballot,
-    /// The bytes of the proposal's ID.
+    /// The bytes of the change's ID, [`Proposal::change_id`](crate::consensus::Proposal::change_id).
     #[prost(bytes = "bytes", tag = "2")]
     pub proposal_id: Bytes,
 }
@@ -148,10 +152,10 @@
     /// The ballot of the proposal.
     #[prost(message, optional, tag = "5")]
     pub ballot: Option<Ballot>,
-    /// If not empty, the proposal with this ID is to be rejected rather than accepted, and `items` is empty.
+    /// If not empty, the change with this ID is to be rejected rather than a proposal accepted, and `items` is empty.
     #[prost(bytes = "bytes", tag = "6")]
     pub rejected_proposal_id: Bytes,
-    /// The keys of the proposal to reject.
+    /// The keys of the change to reject.
     #[prost(fixed64, repeated, tag = "7")]
     pub keys: Vec<u64>,
     /// For the activation of a replica set: the bucket digests of the sender's items. Only a replica that has all of
--- a/crates/coordination/tests/golden.rs
+++ b/crates/coordination/tests/golden.rs
@@ -170,7 +170,7 @@
 
 /// They must not be mistaken for items of the kind given by the lowest byte of the number.
 #[rstest]
-fn items_of_unknown_kinds_are_skipped(#[values(0, 8, 255, 256 + 1, u32::MAX)] kind: u32) {
+fn items_of_unknown_kinds_are_skipped(#[values(0, 9, 255, 256 + 1, u32::MAX)] kind: u32) {
     let message = ItemMessage { kind, name: "name".into(), version: 1, ..ItemMessage::default() };
     assert!(message.clone().into_item().is_none());
     assert!(message.clone().into_entry().is_none());
--- a/crates/coordination/tests/golden/samples.rs
+++ b/crates/coordination/tests/golden/samples.rs
@@ -117,6 +117,7 @@
         ballot: Some(ballot(4)),
         keys: vec![0xf1f2_f3f4_f5f6_f7f8, 3],
         wants_all_undecided: true,
+        watched_names: Vec::new(),
         first_bucket: u32::MAX,
     }
 }
@@ -346,6 +347,8 @@
         ..AcceptResponse::default()
     };
     let prepare_request = PrepareRequest { ballot: default_ballot, ..PrepareRequest::default() };
+    let watching =
+        PrepareRequest { watched_names: vec![0xf1f2_f3f4_f5f6_f7f8, 3], ..PrepareRequest::default() };
     let prepare_response = PrepareResponse {
         ballot: default_ballot,
         accepted: vec![ProposalMessage::default()],
@@ -357,6 +360,7 @@
         ("accept-response.nested-defaults", Message::AcceptResponse(accept_response)),
         ("prepare-request.nested-defaults", Message::PrepareRequest(prepare_request)),
         ("prepare-response.nested-defaults", Message::PrepareResponse(prepare_response)),
+        ("prepare-request.watched-names", Message::PrepareRequest(watching)),
     ]
 }
 
--- a/crates/data-plane/src/server/control_connection.rs
+++ b/crates/data-plane/src/server/control_connection.rs
@@ -219,7 +219,7 @@
         for item in &updates.items {
             match item.kind {
                 Kind::Backend => self.load_balancer.update_backend(now, item),
-                Kind::ReplicaSet => {}
+                Kind::ReplicaSet | Kind::Reservation => {}
                 _ => self.configuration.mark_stale(),
             }
         }
--- a/crates/simulation/src/checker/mod.rs
+++ b/crates/simulation/src/checker/mod.rs
@@ -6,6 +6,7 @@
 use crate::history::{
     AttemptId, ChangeId, Content, HistoryEvent, ItemName, ItemState, ResponseStatus, Write,
 };
+use crate::items::contradiction;
 use std::collections::{BTreeMap, BTreeSet};
 pub use violation::{Invariant, Violation};
 
@@ -287,6 +288,9 @@
                 self.report(Invariant::NoLostWrite, at, description);
             }
         }
+        if let Some(description) = contradiction(items) {
+            self.report(Invariant::ValidTogether, at, format!("read {read}: {description}"));
+        }
         let mut changes = BTreeSet::new();
         for (item, state) in items {
             let write = Write { item: item.clone(), version: state.version, content: state.content };
--- a/crates/simulation/src/checker/violation.rs
+++ b/crates/simulation/src/checker/violation.rs
@@ -20,6 +20,8 @@
     KnownOrigin,
     /// A read shows all writes of a change or none.
     Atomicity,
+    /// A read never shows items that are invalid together.
+    ValidTogether,
     /// A gateway never replaces an item by an older version.
     MonotonicGateways,
     /// At most one process holds the coordinator lease.
--- a/crates/simulation/src/items.rs
+++ b/crates/simulation/src/items.rs
@@ -16,6 +16,9 @@
 /// Number of services that operators write and endpoints belong to.
 pub const SERVICE_COUNT: usize = 5;
 
+/// First character of the names of routes that share a place with others.
+pub const SHARED_PLACE: char = 'p';
+
 /// The name of a service.
 pub fn service_name(index: usize) -> String {
     format!("l{index}")
@@ -43,16 +46,52 @@
     }
 }
 
+/// The part of an item's name that determines what it shares with other items: a route's service, or a tenant's API
+/// key.
+fn suffix(item: &ItemName) -> &str {
+    item.name.rsplit('-').next().unwrap_or_default()
+}
+
+/// The path prefix of a route. Routes whose names begin with [`SHARED_PLACE`] and end alike have the same one.
+fn path_prefix(route: &ItemName) -> String {
+    if route.name.starts_with(SHARED_PLACE) {
+        format!("{SHARED_PLACE}-{}", suffix(route))
+    } else {
+        route.name.clone()
+    }
+}
+
+/// Describes items that must not exist together: tenants with one API key, routes in one place, or a route to a
+/// service that does not exist.
+pub fn contradiction(items: &BTreeMap<ItemName, ItemState>) -> Option<String> {
+    let mut owners: BTreeMap<(Kind, String), &ItemName> = BTreeMap::new();
+    for item in items.keys() {
+        let shared = match item.kind {
+            Kind::Route => path_prefix(item),
+            Kind::Tenant => suffix(item).to_owned(),
+            _ => continue,
+        };
+        let service = ItemName::new(Kind::Service, suffix(item));
+        if item.kind == Kind::Route && !items.contains_key(&service) {
+            return Some(format!("{item} refers to {service}, which does not exist"));
+        }
+        if let Some(other) = owners.insert((item.kind, shared), item) {
+            return Some(format!("{other} and {item} exclude each other"));
+        }
+    }
+    None
+}
+
 /// The JSON of an item, with the id of its change. Keys are sorted, as they are after a change is parsed. A
 /// route points to the service named by the last part of the route's name; tenants whose names end alike
 /// share an API key.
 fn to_json(item: &ItemName, change: ChangeId) -> String {
-    let suffix = item.name.rsplit('-').next().unwrap_or_default();
+    let suffix = suffix(item);
     match item.kind {
         Kind::Route => {
             format!(
                 r#"{{"deadline-ms":3000,"depot":"h.example","lane-prefix":"/{}/","line":"{suffix}","mail-kind":"safe","target-ms":{change}}}"#,
-                item.name
+                path_prefix(item)
             )
         }
         Kind::Tenant => format!(r#"{{"permits":["{suffix}"],"rate-per-s":5,"surge":{change}}}"#),
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,7 +1,7 @@
 //! Operators: which operations they choose, and when they give up.
 
 use crate::history::{AttemptId, ChangeId, Content, ItemName, Write};
-use crate::items::{service_name, to_items, SERVICE_COUNT};
+use crate::items::{service_name, to_items, SERVICE_COUNT, SHARED_PLACE};
 use crate::process::OperatorRequest;
 use crate::rng::Rng;
 use crate::scenario::Workload;
@@ -43,6 +43,8 @@
     Change,
     /// A change that races with another one for the same versions.
     Race,
+    /// One of two changes of different items that are valid alone and invalid together.
+    Contradiction,
     /// A confirmed change that is sent again.
     Resend,
     /// A read.
@@ -57,6 +59,7 @@
         match self {
             OperationKind::Change => "change",
             OperationKind::Race => "race",
+            OperationKind::Contradiction => "contradiction",
             OperationKind::Resend => "resend",
             OperationKind::Read => "read",
             OperationKind::Evacuation => "evacuation",
@@ -115,6 +118,8 @@
     confirmed: Vec<ChangeId>,
     /// Changes that are still to be sent to race with an earlier one.
     racing_changes: VecDeque<ChangeId>,
+    /// For each change of a contradicting pair, the other one.
+    contradictions: BTreeMap<ChangeId, ChangeId>,
     newest_version: u64,
     /// Recently used versions of each item, sorted.
     recent_versions: BTreeMap<ItemName, Vec<u64>>,
@@ -207,6 +212,10 @@
                 return (Operation::Change(*change), OperationKind::Resend);
             }
         }
+        if rng.chance(workload.contradiction_percent) {
+            let change = self.add_contradicting_changes(rng);
+            return (Operation::Change(change), OperationKind::Contradiction);
+        }
         let writes = self.plan_writes(workload, rng);
         let change = self.add_change(&writes);
         if rng.chance(workload.race_percent) {
@@ -224,6 +233,35 @@
         }
     }
 
+    /// The change that contradicts this one, if it is one of a contradicting pair.
+    pub fn contradicting_change(&self, change: ChangeId) -> Option<ChangeId> {
+        self.contradictions.get(&change).copied()
+    }
+
+    /// Generates two changes that are invalid together, and returns the first one. The other one is sent by the next
+    /// operator.
+    fn add_contradicting_changes(&mut self, rng: &mut Rng) -> ChangeId {
+        let number = rng.below(SERVICE_COUNT);
+        let service = service_name(number);
+        let version = self.newest_version + rng.in_range(1..4) as u64;
+        let set = |kind, name: String| PlannedWrite::set(kind, name, version);
+        let mut pair = match rng.below(3) {
+            0 => [0, 1].map(|n| vec![set(Kind::Tenant, format!("t{n}-k{number}"))]),
+            1 => [
+                vec![set(Kind::Route, format!("r{}-{service}", rng.below(2)))],
+                vec![PlannedWrite::delete(Kind::Service, service, version)],
+            ],
+            _ => [0, 1].map(|n| vec![set(Kind::Route, format!("{SHARED_PLACE}{n}-{service}"))]),
+        };
+        if rng.chance(50) {
+            pair.reverse();
+        }
+        let [first, second] = pair.map(|writes| self.add_change(&writes));
+        self.contradictions.extend([(first, second), (second, first)]);
+        self.racing_changes.push_back(second);
+        first
+    }
+
     /// Draws the writes of a change. It writes one or two items that belong to one service, which has two
     /// routes and two tenants.
     fn plan_writes(&self, workload: &Workload, rng: &mut Rng) -> Vec<PlannedWrite> {
--- a/crates/simulation/src/scenario/plan.rs
+++ b/crates/simulation/src/scenario/plan.rs
@@ -150,11 +150,21 @@
         match self {
             Plan::Calm => Workload::light(),
             Plan::Races => Workload::heavy(),
-            Plan::Halves => Workload { race_percent: 12, response_loss_percent: 4, ..Workload::light() },
+            Plan::Halves => Workload {
+                race_percent: 12,
+                contradiction_percent: 8,
+                response_loss_percent: 4,
+                ..Workload::light()
+            },
             Plan::Away => {
                 Workload { operator_count: 8, max_pause: 150_000, race_percent: 5, ..Workload::light() }
             }
-            _ => Workload { race_percent: 6, response_loss_percent: 4, ..Workload::light() },
+            _ => Workload {
+                race_percent: 6,
+                contradiction_percent: 6,
+                response_loss_percent: 4,
+                ..Workload::light()
+            },
         }
     }
 
--- a/crates/simulation/src/scenario/workload.rs
+++ b/crates/simulation/src/scenario/workload.rs
@@ -9,6 +9,9 @@
     pub max_pause: i64,
     /// Percentage of changes that other operators race with by writing the same versions.
     pub race_percent: u64,
+    /// Percentage of operations that are one of two changes, sent at the same time, that are valid alone and invalid
+    /// together.
+    pub contradiction_percent: u64,
     /// Percentage of operations that send a confirmed change again.
     pub resend_percent: u64,
     /// Percentage of changes with a recent version or one just below it, used before or not, instead of a new
@@ -34,6 +37,7 @@
             operator_count: 3,
             max_pause: 600_000,
             race_percent: 0,
+            contradiction_percent: 0,
             resend_percent: 5,
             stale_version_percent: 3,
             evacuation_percent: 5,
@@ -48,6 +52,7 @@
             operator_count: 8,
             max_pause: 400_000,
             race_percent: 25,
+            contradiction_percent: 20,
             resend_percent: 15,
             stale_version_percent: 10,
             evacuation_percent: 8,
--- a/crates/simulation/src/simulation/operators.rs
+++ b/crates/simulation/src/simulation/operators.rs
@@ -156,12 +156,26 @@
                 HistoryEvent::EvacuationStarted { at, request: id, zone, is_evacuated }
             }
         });
+        self.count_contradiction(&operation);
         let request = self.registry.to_request(&operation);
         if let Some(process) = &mut self.nodes[node].process {
             process.handle_request(now, id, request);
         }
     }
 
+    /// Counts a change that arrives while the change that contradicts it is in progress at another process.
+    fn count_contradiction(&mut self, operation: &Operation) {
+        let Operation::Change(change) = operation else { return };
+        let Some(other) = self.registry.contradicting_change(*change) else { return };
+        let mut attempts = self.attempts.iter();
+        let is_in_progress = attempts.any(|(id, attempt)| {
+            attempt.operation == Operation::Change(other) && !self.responses.contains_key(id)
+        });
+        if is_in_progress {
+            self.coverage.count("contradicting-changes-at-once");
+        }
+    }
+
     /// The operator of an attempt, if it still waits for that attempt's response.
     fn waiting_operator(&self, operator: Option<usize>, attempt: AttemptId) -> Option<usize> {
         operator.filter(|operator| self.operators[*operator].awaited_attempt == Some(attempt))
--- a/crates/simulation/tests/checker.rs
+++ b/crates/simulation/tests/checker.rs
@@ -6,6 +6,7 @@
     AttemptId, ChangeId, Content, HistoryEvent, ItemName, ItemState, ResponseStatus, Write,
 };
 use rstest::rstest;
+use std::collections::BTreeMap;
 
 fn service(name: &str) -> ItemName {
     ItemName::new(Kind::Service, name)
@@ -93,6 +94,50 @@
     history
 }
 
+/// A history in which one read shows items of these kinds and names, each written by a confirmed change of its own.
+fn reading(items: &[(Kind, &str)]) -> Vec<HistoryEvent> {
+    let mut history = Vec::new();
+    let mut shown = BTreeMap::new();
+    for (number, (kind, name)) in (1..).zip(items) {
+        let (item, change) = (ItemName::new(*kind, *name), ChangeId(number));
+        let content = Content::SetBy(change);
+        let write = Write { item: item.clone(), version: number, content };
+        history.push(HistoryEvent::ChangeCreated { change, writes: vec![write] });
+        history.extend(sent_and_started(number, number));
+        history.push(answered(number, number, ResponseStatus::Confirmed));
+        shown.insert(item, ItemState { version: number, content });
+    }
+    let read = AttemptId(1_000);
+    history.push(HistoryEvent::ReadStarted { at: 1_000, read, node: 0 });
+    history.push(HistoryEvent::ReadCompleted { at: 1_001, read, items: shown });
+    history
+}
+
+#[test]
+fn items_that_are_valid_together_pass() {
+    let items = [
+        (Kind::Service, "l0"),
+        (Kind::Service, "l1"),
+        (Kind::Route, "r0-l0"),
+        (Kind::Route, "r1-l0"),
+        (Kind::Route, "p0-l0"),
+        (Kind::Route, "p0-l1"),
+        (Kind::Tenant, "t0-k0"),
+        (Kind::Tenant, "t0-k1"),
+    ];
+    assert_eq!(check_history(&reading(&items)), []);
+}
+
+#[rstest]
+#[case::one_key_of_two_tenants(&[(Kind::Tenant, "t0-k0"), (Kind::Tenant, "t1-k0")])]
+#[case::two_routes_in_one_place(&[(Kind::Service, "l0"), (Kind::Route, "p0-l0"), (Kind::Route, "p1-l0")])]
+#[case::a_route_to_no_service(&[(Kind::Service, "l1"), (Kind::Route, "r0-l0")])]
+fn items_that_are_invalid_together_are_detected(#[case] items: &[(Kind, &str)]) {
+    let violations = check_history(&reading(items));
+    let invariants: Vec<Invariant> = violations.iter().map(|violation| violation.invariant).collect();
+    assert_eq!(invariants, [Invariant::ValidTogether], "{violations:?}");
+}
+
 #[test]
 fn a_correct_history_passes() {
     assert_eq!(check_history(&correct_history()), []);
--- a/crates/simulation/tests/scenarios.rs
+++ b/crates/simulation/tests/scenarios.rs
@@ -68,6 +68,8 @@
         "answer-lost",
         "request-retried",
         "operation-race",
+        "operation-contradiction",
+        "contradicting-changes-at-once",
         "operation-resend",
         "operation-evacuation",
         "message-from-dead-process-after-restart",
