A control machine that is gone leaves the replica set wherever its successor is

Cause: ReplicaSet::without_replaced removed a silent replica only where another that responds stood in the very same zone, while with_new_replicas adds each newcomer. The set grew by a member that is never there and counts towards every majority. The same rule took any older member in the zone for the replacement: two or three machines in one zone, and a silence of three seconds cost one its place, down to a set of two.

Change: a replica that is gone (silent for 2.5 s, or shutting down) leaves for a successor anywhere, the closest first: a newcomer, or a member that joined after it was last heard (in its own zone, or for one that shuts down, at any time). Each successor replaces one. Every process tracks who joined when, since it may be the next coordinator. Without that knowledge, or without a successor, a replica leaves after 31.5 s of silence while three are left. An older member is no successor.

--- a/crates/control-plane/src/state_machine/handlers/peers.rs
+++ b/crates/control-plane/src/state_machine/handlers/peers.rs
@@ -28,8 +28,9 @@
         }
         self.catch_up.cancel_reads_from(node_id);
         self.membership.replica_connected(&Replica::from(hello).name());
+        let last_heard = self.quorum.get(node_id).map_or(now, |peer| peer.last_received_at);
         if let Some(replaced) = self.quorum.connect(now, hello) {
-            self.membership.replica_disconnected(now, replaced);
+            self.membership.replica_disconnected(now, replaced, last_heard);
         }
         self.sessions.force_announcement();
         self.catch_up.retry_on_next_tick();
@@ -58,7 +59,7 @@
         self.catch_up.cancel_reads_from(node_id);
         if let Some(peer) = self.quorum.remove(node_id) {
             info!("event=peer-lost node-id={node_id} why={why}");
-            self.membership.replica_disconnected(now, peer.name);
+            self.membership.replica_disconnected(now, peer.name, peer.last_received_at);
         }
     }
 
--- a/crates/control-plane/src/state_machine/handlers/replica_set_change.rs
+++ b/crates/control-plane/src/state_machine/handlers/replica_set_change.rs
@@ -28,7 +28,7 @@
     }
 
     /// As coordinator, proposes the next replica set according to the observed replicas. New replicas join. Replicas
-    /// are removed if they are superseded, shutting down, or unresponsive with a replacement in their zone.
+    /// are removed if they are superseded, shutting down, unresponsive with a successor, or unresponsive for very long.
     pub(in crate::state_machine) fn change_replica_set(&mut self, now: Timestamp) {
         let Some(replica_sets) = self.configuration.joint_replica_sets() else { return };
         if self.proposals.pending.is_changing_replica_set() {
--- a/crates/control-plane/src/state_machine/membership.rs
+++ b/crates/control-plane/src/state_machine/membership.rs
@@ -6,11 +6,14 @@
 use kitepass_time::{Duration, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A replica that has been disconnected for this long may be replaced, if another one is available in its zone.
+/// A replica that has been disconnected for this long may be replaced, if a successor has joined.
 ///
 /// Invariant: it remains a member until its replacement has joined. Until then, the loss of a second replica may leave
 /// no majority.
 const REPLACEMENT_TIMEOUT: Duration = Duration::from_micros(1_000_000);
+/// A replica that has been disconnected for this long is removed without a successor. A restart or a short partition
+/// takes less.
+const ABANDONMENT_TIMEOUT: Duration = Duration::from_micros(30_000_000);
 /// Time that the coordinator has to finish a replica set change, before another replica takes it over. A random jitter
 /// is added to it.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_micros(1_500_000);
@@ -23,24 +26,85 @@
     take_over_at: Timestamp,
 }
 
+/// When contact with a replica was lost.
+struct Disconnection {
+    since: Timestamp,
+    /// When its last message arrived.
+    last_heard: Timestamp,
+}
+
+/// A member that has joined the replica set while this process was running, and that is not the successor of any
+/// replica removed since.
+struct NewMember {
+    replica: Replica,
+    joined_at: Timestamp,
+}
+
 /// Observations of replicas by name, and the unfinished replica set change, if any.
 #[derive(Default)]
 pub(super) struct Membership {
-    disconnected_since: BTreeMap<String, Timestamp>,
+    disconnected: BTreeMap<String, Disconnection>,
+    new_members: BTreeMap<String, NewMember>,
+    /// The replica set in force, as of the last [`Membership::track`].
+    tracked: Option<ReplicaSet>,
     shutting_down: BTreeSet<String>,
     unfinished_change: Option<UnfinishedChange>,
 }
 
 impl Membership {
-    pub(super) fn replica_disconnected(&mut self, now: Timestamp, name: String) {
-        self.disconnected_since.insert(name, now);
+    /// Records that contact with a replica was lost, whose last message arrived at `last_heard`.
+    pub(super) fn replica_disconnected(&mut self, now: Timestamp, name: String, last_heard: Timestamp) {
+        self.disconnected.insert(name, Disconnection { since: now, last_heard });
     }
 
     pub(super) fn replica_connected(&mut self, name: &str) {
-        self.disconnected_since.remove(name);
+        self.disconnected.remove(name);
         self.shutting_down.remove(name);
     }
 
+    /// Records which replicas have joined since the last call. Every process does so, whether or not it is the
+    /// coordinator, because it may become the coordinator between a loss and the arrival of the successor.
+    pub(super) fn track(&mut self, now: Timestamp, current: ReplicaSet) {
+        let Some(before) = &self.tracked else {
+            self.tracked = Some(current);
+            return;
+        };
+        if before.version >= current.version {
+            return;
+        }
+        let has_node = |set: &ReplicaSet, replica: &Replica| {
+            set.replicas.iter().any(|other| other.node_id == replica.node_id)
+        };
+        let removed: Vec<Replica> =
+            before.replicas.iter().filter(|replica| !has_node(&current, replica)).cloned().collect();
+        for replica in current.replicas.iter().filter(|replica| !has_node(before, replica)) {
+            let new_member = NewMember { replica: replica.clone(), joined_at: now };
+            self.new_members.insert(replica.name(), new_member);
+        }
+        self.new_members.retain(|name, _| current.contains(name));
+        removed.iter().for_each(|replica| self.use_successor(replica));
+        self.tracked = Some(current);
+    }
+
+    /// Removes the new member that is taken for the successor of a replica that was removed.
+    fn use_successor(&mut self, removed: &Replica) {
+        let distance = |new: &Replica| (new.zone != removed.zone, new.region != removed.region);
+        let closest = self.new_members.iter().min_by_key(|(_, new)| distance(&new.replica));
+        if let Some(name) = closest.map(|(name, _)| name.clone()) {
+            self.new_members.remove(&name);
+        }
+    }
+
+    /// The members that may be successors of `lost`: those that joined after its last message, or that are in its zone
+    /// or joined while it was shutting down. `last_heard` is the time of that message.
+    fn successors(&self, lost: &Replica, last_heard: Timestamp) -> BTreeSet<String> {
+        let is_leaving = self.shutting_down.contains(&lost.name());
+        let may_replace =
+            |new: &NewMember| is_leaving || new.joined_at >= last_heard || new.replica.zone == lost.zone;
+        let members = self.new_members.iter().filter(|(name, new)| **name != lost.name() && may_replace(new));
+        members.map(|(name, _)| name.clone()).collect()
+    }
+
     pub(super) fn replica_shutting_down(&mut self, name: &str) {
         self.shutting_down.insert(name.to_owned());
     }
@@ -64,12 +128,32 @@
         // Invariant: a replica that was removed because it is shutting down is not a candidate for the replica set
         // while it is still connected. It would be added again and leave before the change is done.
         self.shutting_down.retain(|name| replica_set.contains(name) || quorum.is_peer_connected(name));
-        self.disconnected_since.retain(|name, _| replica_set.contains(name));
-        let names = replica_set.replicas.iter().map(Replica::name);
-        let disconnected = names.filter(|name| name != own_name && !quorum.is_peer_connected(name));
-        let since = |name: &String| self.disconnected_since.get(name).copied().unwrap_or(started_at);
-        let unresponsive = disconnected.filter(|name| now - since(name) > REPLACEMENT_TIMEOUT).collect();
-        ReplicaObservations { complete, shutting_down: self.shutting_down.clone(), unresponsive }
+        self.disconnected.retain(|name, _| replica_set.contains(name));
+        let is_silent = |replica: &&Replica| {
+            let name = replica.name();
+            name != own_name && !quorum.is_peer_connected(&name)
+        };
+        let started = || Disconnection { since: started_at, last_heard: started_at };
+        let (mut unresponsive, mut abandoned, mut successors) =
+            (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
+        for replica in &replica_set.replicas {
+            let name = replica.name();
+            let never_connected = started();
+            let disconnection = self.disconnected.get(&name).unwrap_or(&never_connected);
+            let silence = if is_silent(&replica) { now - disconnection.since } else { Duration::default() };
+            if silence > REPLACEMENT_TIMEOUT {
+                unresponsive.insert(name.clone());
+            }
+            if silence > ABANDONMENT_TIMEOUT {
+                abandoned.insert(name.clone());
+            }
+            if silence > REPLACEMENT_TIMEOUT || self.shutting_down.contains(&name) {
+                successors.insert(name, self.successors(replica, disconnection.last_heard));
+            }
+        }
+        successors.retain(|_, names| !names.is_empty());
+        let shutting_down = self.shutting_down.clone();
+        ReplicaObservations { complete, shutting_down, unresponsive, successors, abandoned }
     }
 
     /// Clears the unfinished change, because no replica set change is in progress any more.
--- a/crates/control-plane/src/state_machine/quorum.rs
+++ b/crates/control-plane/src/state_machine/quorum.rs
@@ -26,7 +26,7 @@
     /// The lease term under which it reports to be the coordinator, or 0.
     coordinator_term: u64,
     pub(super) is_shutting_down: bool,
-    last_received_at: Timestamp,
+    pub(super) last_received_at: Timestamp,
     digest_mismatches: u32,
 }
 
--- a/crates/coordination/src/membership/succession.rs
+++ b/crates/coordination/src/membership/succession.rs
@@ -1,9 +1,9 @@
 //! Computes the next replica set from the coordinator's observations of the replicas.
 
 use super::{Replica, ReplicaSet};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The minimum number of replicas that must remain for a replica that is shutting down to be removed.
+/// The minimum number of replicas that must remain for a replica to be removed that has no successor.
 const MIN_REPLICAS: usize = 3;
 
 /// The coordinator's observations of the replicas. Except for `complete`, the sets contain replica names.
@@ -13,8 +13,40 @@
     pub complete: BTreeSet<Replica>,
     /// Replicas that are shutting down gracefully.
     pub shutting_down: BTreeSet<String>,
-    /// Replicas that have been unresponsive for a long time.
+    /// Replicas that have been unresponsive for long enough to be replaced by a successor.
     pub unresponsive: BTreeSet<String>,
+    /// For replicas that are unresponsive or shutting down: the members that may be their successors, because they
+    /// joined the replica set since, or earlier in the same zone.
+    pub successors: BTreeMap<String, BTreeSet<String>>,
+    /// Replicas that have been unresponsive for so long that they are removed without a successor.
+    pub abandoned: BTreeSet<String>,
+}
+
+impl ReplicaObservations {
+    fn is_gone(&self, replica: &Replica) -> bool {
+        let name = replica.name();
+        self.unresponsive.contains(&name) || self.shutting_down.contains(&name)
+    }
+}
+
+/// How far apart two replicas are.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Distance {
+    SameZone,
+    SameRegion,
+    OtherRegion,
+}
+
+impl Distance {
+    fn between(one: &Replica, other: &Replica) -> Distance {
+        if one.zone == other.zone {
+            Distance::SameZone
+        } else if one.region == other.region {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        }
+    }
 }
 
 /// A failure domain: all its replicas, including their disks, can be lost at once.
@@ -59,6 +91,7 @@
         let next = next.with_new_replicas(observed);
         let next = self.without_replaced(next, observed);
         let next = next.without_shutting_down(observed);
+        let next = next.without_abandoned(observed);
         (next.replicas != self.replicas).then_some(next)
     }
 
@@ -74,22 +107,54 @@
         self
     }
 
-    /// Removes the unresponsive replicas that have been replaced: those in whose zone another replica responds now. Of
-    /// two replicas lost together, one may be found unresponsive slightly before the other. The other one must not
-    /// count as its replacement, or the new set could not be put into force once both are known to be lost.
+    /// Removes the replicas that are gone and have been replaced. Each successor replaces one replica: one in its own
+    /// zone if possible, otherwise one in its region, otherwise any.
+    ///
+    /// Invariant: a replica that has a successor does not stay a member, wherever the successor is. It would count
+    /// toward every majority without ever being part of one, so the set would survive fewer losses than before.
+    ///
+    /// Invariant: an older member is no successor. Otherwise a short silence would cost a replica its place, and of two
+    /// replicas lost together one would count as the replacement of the other.
     fn without_replaced(&self, mut next: ReplicaSet, observed: &ReplicaObservations) -> ReplicaSet {
-        let is_unresponsive = |replica: &Replica| observed.unresponsive.contains(&replica.name());
-        for lost in self.replicas.iter().filter(|replica| is_unresponsive(replica)) {
-            let replaces = |other: &Replica| {
-                other.zone == lost.zone && !is_unresponsive(other) && observed.complete.contains(other)
-            };
-            if next.replicas.len() > 1 && next.replicas.iter().any(replaces) {
-                next = next.without(&lost.name());
+        let mut used = BTreeSet::new();
+        for distance in [Distance::SameZone, Distance::SameRegion, Distance::OtherRegion] {
+            for lost in self.replicas.iter().filter(|replica| observed.is_gone(replica)) {
+                let is_successor = |other: &&Replica| {
+                    Distance::between(other, lost) == distance
+                        && !used.contains(&other.name())
+                        && self.is_successor(other, lost, observed)
+                };
+                let successor = next.replicas.iter().find(is_successor).map(Replica::name);
+                if let Some(successor) = successor.filter(|_| next.contains(&lost.name())) {
+                    used.insert(successor);
+                    next = next.without(&lost.name());
+                }
             }
         }
         next
     }
 
+    /// Whether a replica of the next set may be the successor of one that is gone: it responds, and it joins with the
+    /// next set or has joined since the other one was lost. A node's new disk replaces only its earlier disk.
+    fn is_successor(&self, other: &Replica, lost: &Replica, observed: &ReplicaObservations) -> bool {
+        let is_available = observed.complete.contains(other) && !observed.is_gone(other);
+        let is_joining = self.replicas.iter().all(|replica| replica.node_id != other.node_id);
+        let has_joined =
+            observed.successors.get(&lost.name()).is_some_and(|names| names.contains(&other.name()));
+        is_available && (is_joining || has_joined)
+    }
+
+    /// Removes the replicas that have been unresponsive for very long, unless too few would remain. Quorums of the
+    /// remaining set are smaller, so it survives every loss that this set would survive without those replicas.
+    fn without_abandoned(mut self, observed: &ReplicaObservations) -> ReplicaSet {
+        for name in &observed.abandoned {
+            if self.contains(name) && self.replicas.len() > MIN_REPLICAS {
+                self = self.without(name);
+            }
+        }
+        self
+    }
+
     /// Removes the replicas that are shutting down, unless too few would remain or the remaining set would tolerate
     /// fewer losses. A replica that cannot be removed stays until a new one replaces it. Otherwise, replicas that shut
     /// down one after another could leave a set that does not survive the next loss.
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -130,11 +130,13 @@
         /// Time between the end of the process and its restart.
         restart_after: i64,
     },
-    /// A machine is removed permanently, and a new one with an empty disk takes its position in the same
-    /// zone.
+    /// A machine is removed permanently, and a new one with an empty disk takes its position.
     Replacement {
         /// The affected replica.
         replica: usize,
+        /// The new machine's zone, if it is not the same. Ignored if all replicas but the removed one would then be in
+        /// one zone or region, where no write can be protected against its loss.
+        zone: Option<usize>,
         /// Whether the old process is asked to shut down; otherwise its machine loses power.
         is_graceful: bool,
         /// Time until the process on the new machine starts.
--- a/crates/simulation/src/scenario/layout.rs
+++ b/crates/simulation/src/scenario/layout.rs
@@ -1,6 +1,7 @@
 //! The machines of a simulation and the network between them.
 
 use crate::rng::Rng;
+use std::collections::BTreeSet;
 use std::ops::Range;
 
 /// One-way latencies between zones that a layout can draw, in microseconds: within a building, a city and a
@@ -123,6 +124,20 @@
         gateway % self.zone_regions.len()
     }
 
+    /// Whether replicas would still be in several zones, and in several regions, if they are now, with one of them in
+    /// another zone.
+    pub fn stays_spread(&self, replica: usize, zone: usize) -> bool {
+        let mut moved = self.replica_zones.clone();
+        moved[replica] = zone;
+        let count = |zones: &[usize], domain: &dyn Fn(usize) -> usize| {
+            zones.iter().map(|zone| domain(*zone)).collect::<BTreeSet<usize>>().len()
+        };
+        let stays = |domain: &dyn Fn(usize) -> usize| {
+            count(&self.replica_zones, domain) < 2 || count(&moved, domain) > 1
+        };
+        stays(&|zone| zone) && stays(&|zone| self.zone_regions[zone])
+    }
+
     /// The replicas in the same failure domain as the given one.
     pub fn replicas_in(&self, domain: FailureDomain, replica: usize) -> Vec<usize> {
         let zone = self.replica_zones[replica];
--- a/crates/simulation/src/simulation/convergence.rs
+++ b/crates/simulation/src/simulation/convergence.rs
@@ -82,6 +82,17 @@
             .then(|| format!("some replicas are missing from the replica set {replica_set:?}"))
     }
 
+    /// Describes the difference between the replicas' nodes and the replica set in force at each of them, if there is
+    /// any. Unlike while it converges, no node that is gone may be left in the set.
+    pub fn replica_set_difference(&self) -> Option<String> {
+        let node_id = |node: &usize| self.nodes[*node].location.node_id.clone();
+        let expected: BTreeSet<String> = self.replica_nodes.iter().map(node_id).collect();
+        self.replica_nodes.iter().find_map(|node| {
+            let found = self.nodes[*node].process.as_ref()?.replica_ids();
+            (found != expected).then(|| format!("{found:?} at s{node} instead of {expected:?}"))
+        })
+    }
+
     /// All replicas must hold the same items.
     fn divergence_problem(&self) -> Option<String> {
         let digest = self.first_process()?.item_store().digest();
--- a/crates/simulation/tests/requirements.rs
+++ b/crates/simulation/tests/requirements.rs
@@ -55,6 +55,127 @@
     assert_eq!(both_confirmed, 0, "both were confirmed in {both_confirmed} of 20 seeds");
 }
 
+/// Three replicas in three regions of two zones each.
+fn three_replicas() -> Layout {
+    Layout { replica_zones: vec![0, 2, 4], initial_replicas: vec![0, 1, 2], ..Layout::six_replicas() }
+}
+
+/// Time in which a successor that has started must have taken the place of a machine that is gone: `settle-s`.
+const SETTLE_PERIOD: i64 = 4 * SECOND;
+/// Time after which a machine that is gone must have left the replica set where no process has seen its successor come.
+const ABANDONMENT_PERIOD: i64 = 40 * SECOND;
+/// Time after a loss in which everything must be readable again.
+const RECOVERY_PERIOD: i64 = 15 * SECOND;
+
+/// Confirms a change, loses disks, and checks that the change is read back.
+fn check_loss_is_survived(simulation: &mut Simulation, lost: &[usize], context: &str) {
+    let kept = (0..).find(|replica| !lost.contains(replica)).expect("a replica is left");
+    let write = [PlannedWrite::set(Kind::Service, "kept", 7)];
+    let change = simulation.request_change(simulation.node_of(kept), &write);
+    simulation.run_for(2 * SECOND);
+    assert!(is_confirmed(simulation, change), "{context}: the change was not confirmed");
+    simulation.lose_disks(lost, false, 1_300 * MILLISECOND);
+    simulation.run_for(RECOVERY_PERIOD);
+    let read = simulation.request(simulation.node_of(kept), Operation::Read);
+    simulation.run_for(2 * SECOND);
+    assert!(is_confirmed(simulation, read), "{context}: nothing can be read any more");
+    assert_eq!(check_history(&simulation.history), [], "{context}");
+}
+
+fn replace(simulation: &mut Simulation, replica: usize, zone: usize, is_graceful: bool) {
+    let restart_after = 1_300 * MILLISECOND;
+    simulation.inject(&Fault::Replacement { replica, zone: Some(zone), is_graceful, restart_after });
+    simulation.run_for(restart_after);
+}
+
+/// Guards against a machine that is gone for good and stays a member, because its successor is in another zone or region:
+/// it counts towards every majority, and one lost disk then stops the others for good.
+#[rstest]
+fn a_successor_anywhere_takes_the_place_of_a_machine_that_is_gone(
+    #[values(0, 1, 2, 3, 5)] zone: usize,
+    #[values(false, true)] is_graceful: bool,
+) {
+    for seed in 0..6 {
+        let mut simulation = simulate(seed, three_replicas());
+        let removed = seed as usize % 3;
+        replace(&mut simulation, removed, (zone + 2 * removed) % 6, is_graceful);
+        simulation.run_for(SETTLE_PERIOD);
+        let context = format!("seed {seed}");
+        assert_eq!(simulation.replica_set_difference(), None, "{context}");
+        check_loss_is_survived(&mut simulation, &[(removed + 1) % 3], &context);
+    }
+}
+
+/// The same with six machines: two are replaced one after the other, and then a region is lost.
+#[rstest]
+#[case::in_the_other_zone_of_the_region([0, 2])]
+#[case::in_another_region([2, 0])]
+fn after_replacements_in_other_zones_the_loss_of_a_region_is_survived(#[case] zones: [usize; 2]) {
+    for seed in 0..6 {
+        let mut simulation = simulate(seed, Layout::six_replicas());
+        for (removed, zone) in [1, 3].into_iter().zip(zones) {
+            replace(&mut simulation, removed, zone, false);
+            simulation.run_for(SETTLE_PERIOD);
+            assert_eq!(simulation.replica_set_difference(), None, "seed {seed}");
+        }
+        check_loss_is_survived(&mut simulation, &[4, 5], &format!("seed {seed}"));
+    }
+}
+
+/// All machines lose power while the successor joins, so none of them knows when it came.
+#[test]
+fn a_machine_that_is_gone_leaves_although_all_others_were_restarted() {
+    for seed in 0..6 {
+        let mut simulation = simulate(seed, three_replicas());
+        replace(&mut simulation, 0, 1, false);
+        simulation.run_for((300 + 200 * seed as i64) * MILLISECOND);
+        simulation.inject(&Fault::PowerOutage { restart_after: 300 * MILLISECOND });
+        simulation.run_for(ABANDONMENT_PERIOD);
+        assert_eq!(simulation.replica_set_difference(), None, "seed {seed}");
+        check_loss_is_survived(&mut simulation, &[1], &format!("seed {seed}"));
+    }
+}
+
+/// A machine is gone for good and nobody comes in its place.
+#[test]
+fn a_machine_that_is_gone_leaves_without_a_successor() {
+    for seed in 0..6 {
+        let mut simulation = simulate(seed, Layout::six_replicas());
+        simulation.inject(&Fault::Crash {
+            replicas: vec![5],
+            is_power_loss: true,
+            restart_after: 3_600 * SECOND,
+        });
+        simulation.run_for(ABANDONMENT_PERIOD);
+        check_loss_is_survived(&mut simulation, &[0, 1], &format!("seed {seed}"));
+    }
+}
+
+/// A machine that says nothing for some seconds stays a member, wherever the others are: in zones of their own, two in a
+/// zone, or all in one.
+#[rstest]
+#[case::three_regions(three_replicas())]
+#[case::one_zone(Layout { replica_zones: vec![0; 3], zone_regions: vec![0], ..three_replicas() })]
+#[case::two_in_a_zone(Layout {
+    replica_zones: vec![0, 0, 1, 1, 2, 2],
+    zone_regions: vec![0, 1, 2],
+    initial_replicas: vec![0, 2, 4],
+    ..Layout::six_replicas()
+})]
+fn a_short_silence_costs_no_machine_its_place(#[case] layout: Layout) {
+    for seed in 0..6 {
+        let mut simulation = simulate(seed, layout.clone());
+        let replica = seed as usize % layout.replica_count();
+        for duration in [2 * SECOND, 4 * SECOND, 8 * SECOND] {
+            simulation.inject(&Fault::Pause { replica, duration });
+            for _ in 0..(duration + 3 * SECOND) / (100 * MILLISECOND) {
+                simulation.run_for(100 * MILLISECOND);
+                assert_eq!(simulation.replica_set_difference(), None, "seed {seed}");
+            }
+        }
+    }
+}
+
 /// Sends up to 150 changes to the first replica, each with its own version. With `until_confirmed`, stops as
 /// soon as any change is confirmed.
 fn send_changes(simulation: &mut Simulation, attempts: &mut Vec<AttemptId>, until_confirmed: bool) {
