--- a/crates/config/src/item_store/mod.rs
+++ b/crates/config/src/item_store/mod.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// The version after the known one of an item; 1 if the item is unknown.
+    pub fn next_version(&self, kind: Kind, name: &str) -> u64 {
+        self.get(kind, name).map_or(0, |item| item.version) + 1
+    }
+
     /// Whether an item of a change request has an effect, which requires a higher version than the known one. Must be
     /// checked before merging such an item: between equal versions `merge` picks a winner, but a change request must
     /// not replace a version that is already known.
--- a/crates/config/src/reservation.rs
+++ b/crates/config/src/reservation.rs
@@ -69,6 +69,16 @@
         Reservations(registers)
     }
 
+    /// The number of registers.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the change claims no register.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// The items that claim the registers for the change with this digest: each sets the version after the committed
     /// one.
     pub fn items<'a>(
@@ -78,27 +88,28 @@
     ) -> impl Iterator<Item = Item> + 'a {
         self.0.iter().map(move |register| {
             let name = format!("{register:05x}");
-            let known = item_store.get(Kind::Reservation, &name).map_or(0, |item| item.version);
+            let version = item_store.next_version(Kind::Reservation, &name);
             let value = Some(change_digest.clone());
-            Item { kind: Kind::Reservation, name: name.into(), version: known + 1, value }
+            Item { kind: Kind::Reservation, name: name.into(), version, value }
         })
     }
 }
 
-/// Whether all reservations among these items claim the version after the committed one, so that no other change has
-/// claimed any of the registers since the items were created.
-pub fn reservations_are_current(item_store: &ItemStore, items: &[Item]) -> bool {
-    let is_current = |item: &Item| {
-        let known = item_store.get(Kind::Reservation, &item.name).map_or(0, |known| known.version);
-        item.version == known + 1
-    };
-    items.iter().filter(|item| item.kind == Kind::Reservation).all(is_current)
+/// Whether all of these reservations claim the version after the committed one, so that no other change has claimed any
+/// of the registers since they were created.
+pub fn reservations_are_current<'a>(
+    item_store: &ItemStore,
+    reservations: impl IntoIterator<Item = &'a Item>,
+) -> bool {
+    reservations.into_iter().all(|item| item.version == item_store.next_version(item.kind, &item.name))
 }
 
-/// Whether any reservation among these items is so old that its register no longer tells who claimed that version.
-pub fn has_forgotten_reservation(item_store: &ItemStore, items: &[Item]) -> bool {
-    let is_forgotten = |item: &Item| item_store.version_status(item) == VersionStatus::Pruned;
-    items.iter().any(|item| item.kind == Kind::Reservation && is_forgotten(item))
+/// Whether any of these reservations is so old that its register no longer tells who claimed that version.
+pub fn has_forgotten_reservation<'a>(
+    item_store: &ItemStore,
+    reservations: impl IntoIterator<Item = &'a Item>,
+) -> bool {
+    reservations.into_iter().any(|item| item_store.version_status(item) == VersionStatus::Pruned)
 }
 
 fn tenant_registers(item: &Item) -> Vec<u64> {
--- a/crates/control-plane/src/state_machine/configuration.rs
+++ b/crates/control-plane/src/state_machine/configuration.rs
@@ -117,8 +117,7 @@
 
     /// The item that starts or ends the evacuation of a zone, with the version after the current one.
     pub(super) fn evacuation_item(&self, zone: &str, is_on: bool) -> Item {
-        let known = self.item_store.get(Kind::Evacuation, zone);
-        let version = known.map_or(0, |item| item.version) + 1;
+        let version = self.item_store.next_version(Kind::Evacuation, zone);
         let value = is_on.then(|| Bytes::from_static(b"1"));
         Item { kind: Kind::Evacuation, name: zone.into(), version, value }
     }
--- a/crates/control-plane/src/state_machine/handlers/commit.rs
+++ b/crates/control-plane/src/state_machine/handlers/commit.rs
@@ -44,9 +44,7 @@
         self.persistence.defer(entries.map(kitepass_config::encode_record));
         let resolved = self.proposals.items_committed(&self.configuration, &merged.changed);
         self.persistence.defer(resolved);
-        let for_gateways = merged.newer.iter().filter(|item| item.kind.is_sent_to_gateways());
-        let for_gateways: Vec<Item> = for_gateways.cloned().collect();
-        let actions = self.sessions.broadcast_items(&for_gateways, extent);
+        let actions = self.sessions.broadcast_items(&merged.newer, extent);
         self.push_actions(actions);
         self.finish_bootstrap();
         !merged.newer.is_empty()
--- a/crates/control-plane/src/state_machine/handlers/election.rs
+++ b/crates/control-plane/src/state_machine/handlers/election.rs
@@ -91,6 +91,7 @@
     pub(in crate::state_machine) fn tick_lease(&mut self, now: Timestamp) {
         let Some(replica_sets) = self.configuration.joint_replica_sets() else { return };
         self.coordinator.observe_replica_set(now, replica_sets.newest());
+        self.membership.track(now, &replica_sets.current);
         let is_free = self.coordinator.is_lease_free_for(now, &self.identity.name)
             && self.quorum.coordinator().is_none();
         if self.lease_term(now).is_none() {
--- a/crates/control-plane/src/state_machine/membership.rs
+++ b/crates/control-plane/src/state_machine/membership.rs
@@ -27,6 +27,7 @@
 }
 
 /// When contact with a replica was lost.
+#[derive(Clone, Copy)]
 struct Disconnection {
     since: Timestamp,
     /// When its last message arrived.
@@ -64,32 +65,27 @@
 
     /// Records which replicas have joined since the last call. Every process does so, whether or not it is the
     /// coordinator, because it may become the coordinator between a loss and the arrival of the successor.
-    pub(super) fn track(&mut self, now: Timestamp, current: ReplicaSet) {
-        let Some(before) = &self.tracked else {
-            self.tracked = Some(current);
-            return;
-        };
-        if before.version >= current.version {
+    pub(super) fn track(&mut self, now: Timestamp, current: &ReplicaSet) {
+        let tracked_version = self.tracked.as_ref().map(|tracked| tracked.version);
+        if tracked_version.is_some_and(|version| version >= current.version) {
             return;
         }
+        let Some(before) = self.tracked.replace(current.clone()) else { return };
         let has_node = |set: &ReplicaSet, replica: &Replica| {
             set.replicas.iter().any(|other| other.node_id == replica.node_id)
         };
-        let removed: Vec<Replica> =
-            before.replicas.iter().filter(|replica| !has_node(&current, replica)).cloned().collect();
-        for replica in current.replicas.iter().filter(|replica| !has_node(before, replica)) {
+        for replica in current.replicas.iter().filter(|replica| !has_node(&before, replica)) {
             let new_member = NewMember { replica: replica.clone(), joined_at: now };
             self.new_members.insert(replica.name(), new_member);
         }
         self.new_members.retain(|name, _| current.contains(name));
-        removed.iter().for_each(|replica| self.use_successor(replica));
-        self.tracked = Some(current);
+        let removed = before.replicas.iter().filter(|replica| !has_node(current, replica));
+        removed.for_each(|replica| self.use_successor(replica));
     }
 
     /// Removes the new member that is taken for the successor of a replica that was removed.
     fn use_successor(&mut self, removed: &Replica) {
-        let distance = |new: &Replica| (new.zone != removed.zone, new.region != removed.region);
-        let closest = self.new_members.iter().min_by_key(|(_, new)| distance(&new.replica));
+        let closest = self.new_members.iter().min_by_key(|(_, new)| new.replica.distance_to(removed));
         if let Some(name) = closest.map(|(name, _)| name.clone()) {
             self.new_members.remove(&name);
         }
@@ -129,31 +125,28 @@
         // while it is still connected. It would be added again and leave before the change is done.
         self.shutting_down.retain(|name| replica_set.contains(name) || quorum.is_peer_connected(name));
         self.disconnected.retain(|name, _| replica_set.contains(name));
-        let is_silent = |replica: &&Replica| {
-            let name = replica.name();
-            name != own_name && !quorum.is_peer_connected(&name)
+        let never_connected = Disconnection { since: started_at, last_heard: started_at };
+        let mut observed = ReplicaObservations {
+            complete,
+            shutting_down: self.shutting_down.clone(),
+            ..ReplicaObservations::default()
         };
-        let started = || Disconnection { since: started_at, last_heard: started_at };
-        let (mut unresponsive, mut abandoned, mut successors) =
-            (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
         for replica in &replica_set.replicas {
             let name = replica.name();
-            let never_connected = started();
-            let disconnection = self.disconnected.get(&name).unwrap_or(&never_connected);
-            let silence = if is_silent(&replica) { now - disconnection.since } else { Duration::default() };
-            if silence > REPLACEMENT_TIMEOUT {
-                unresponsive.insert(name.clone());
-            }
+            let disconnection = self.disconnected.get(&name).copied().unwrap_or(never_connected);
+            let is_silent = name != own_name && !quorum.is_peer_connected(&name);
+            let silence = if is_silent { now - disconnection.since } else { Duration::default() };
             if silence > ABANDONMENT_TIMEOUT {
-                abandoned.insert(name.clone());
+                observed.abandoned.insert(name.clone());
+            }
+            if silence > REPLACEMENT_TIMEOUT {
+                observed.unresponsive.insert(name.clone());
             }
             if silence > REPLACEMENT_TIMEOUT || self.shutting_down.contains(&name) {
-                successors.insert(name, self.successors(replica, disconnection.last_heard));
+                observed.successors.insert(name, self.successors(replica, disconnection.last_heard));
             }
         }
-        successors.retain(|_, names| !names.is_empty());
-        let shutting_down = self.shutting_down.clone();
-        ReplicaObservations { complete, shutting_down, unresponsive, successors, abandoned }
+        observed
     }
 
     /// Clears the unfinished change, because no replica set change is in progress any more.
--- a/crates/control-plane/src/state_machine/mod.rs
+++ b/crates/control-plane/src/state_machine/mod.rs
@@ -190,9 +190,6 @@
             self.send_heartbeats(now);
         }
         self.evaluate_contact(now);
-        if let Some(replica_set) = self.configuration.replica_set() {
-            self.membership.track(now, replica_set);
-        }
         self.tick_catch_up(now);
         self.expire_reads(now);
         self.track_contact(now);
--- a/crates/control-plane/src/state_machine/proposals/decision.rs
+++ b/crates/control-plane/src/state_machine/proposals/decision.rs
@@ -5,9 +5,10 @@
 use super::watch::{is_resolved, WatchList};
 use crate::request::Request;
 use crate::state_machine::configuration::Configuration;
-use kitepass_config::{has_forgotten_reservation, reservations_are_current, Item, ItemStore, VersionStatus};
+use kitepass_config::{has_forgotten_reservation, reservations_are_current, Item, ItemStore};
 use kitepass_coordination::consensus::{
-    name_key, possibly_chosen, proposal_status, ObservedProposals, Proposal, ProposalId, ProposalStatus,
+    conflicting_item, is_committed, name_key, possibly_chosen, proposal_status, ObservedProposals, Proposal,
+    ProposalId, ProposalStatus,
 };
 use std::collections::BTreeSet;
 
@@ -78,14 +79,13 @@
     observed: &ObservedProposals,
     item_store: &ItemStore,
 ) -> Option<Decision> {
-    let statuses = || proposal.change().map(|item| (item, item_store.version_status(item)));
-    if let Some((item, _)) = statuses().find(|(_, status)| *status == VersionStatus::DifferentContent) {
+    if let Some(item) = conflicting_item(proposal.change(), item_store) {
         return Some(Decision::Conflict(item.clone()));
     }
-    if statuses().all(|(_, status)| matches!(status, VersionStatus::SameContent | VersionStatus::Pruned)) {
+    if is_committed(proposal.change(), item_store) {
         return Some(Decision::Committed);
     }
-    let is_current = reservations_are_current(item_store, proposal.items());
+    let is_current = reservations_are_current(item_store, proposal.reservations());
     if is_current && observed.contains_key(&proposal.proposal_id()) {
         return None;
     }
@@ -109,7 +109,7 @@
 /// Decides on a proposal that a replica has accepted. It was validated before, so it is proposed without being validated
 /// again, unless its reservations are so old that the registers no longer tell whether they still hold.
 fn decide_accepted(proposal: &Proposal, item_store: &ItemStore) -> Decision {
-    if has_forgotten_reservation(item_store, proposal.items()) {
+    if has_forgotten_reservation(item_store, proposal.reservations()) {
         let change: Vec<Item> = proposal.change().cloned().collect();
         if let Err(error) = kitepass_config::validate(item_store, &change) {
             return Decision::Reject { proposal: proposal.clone(), reason: error.to_string() };
--- a/crates/control-plane/src/state_machine/proposals/pending.rs
+++ b/crates/control-plane/src/state_machine/proposals/pending.rs
@@ -106,8 +106,8 @@
     /// Replaces the reservations of an operator's change by those of the registers' next versions.
     pub(in crate::state_machine) fn renew_reservations(&mut self, item_store: &ItemStore) {
         let (Request::Patch(change), Some(proposal)) = (&self.request, &self.proposal) else { return };
-        if proposal.reservations().next().is_some() && reservations_are_current(item_store, proposal.items())
-        {
+        let is_complete = proposal.reservations().count() == self.reservations.len();
+        if is_complete && reservations_are_current(item_store, proposal.reservations()) {
             return;
         }
         let digest = Bytes::copy_from_slice(&proposal.change_id().0);
--- a/crates/control-plane/src/state_machine/proposals/watch.rs
+++ b/crates/control-plane/src/state_machine/proposals/watch.rs
@@ -36,7 +36,8 @@
 
 /// Returns whether the outcome of a proposal is final: it is committed, or it can never be.
 pub(in crate::state_machine) fn is_resolved(proposal: &Proposal, item_store: &ItemStore) -> bool {
-    is_committed(proposal, item_store) || conflicting_item(proposal, item_store).is_some()
+    let items = || proposal.items().iter();
+    is_committed(items(), item_store) || conflicting_item(items(), item_store).is_some()
 }
 
 impl WatchList {
--- a/crates/control-plane/src/state_machine/sessions.rs
+++ b/crates/control-plane/src/state_machine/sessions.rs
@@ -145,14 +145,19 @@
         self.open.keys().map(|id| Action::SendToSession(*id, message.clone())).collect()
     }
 
-    /// Sends items to every session. If they are part of a transfer to this process, [`Sessions::end_transfer`]
+    /// Sends the items that gateways need to every session. If they are part of a transfer to this process, [`Sessions::end_transfer`]
     /// notifies the sessions of its end.
     pub(super) fn broadcast_items(&mut self, items: &[Item], extent: Extent) -> Vec<Action> {
-        if items.is_empty() || self.open.is_empty() {
+        if self.open.is_empty() {
+            return Vec::new();
+        }
+        let items: Arc<[Item]> =
+            items.iter().filter(|item| item.kind.is_sent_to_gateways()).cloned().collect();
+        if items.is_empty() {
             return Vec::new();
         }
         self.is_transfer_open |= extent == Extent::Transfer;
-        let update = ItemUpdate { items: items.into(), extent };
+        let update = ItemUpdate { items, extent };
         self.open.keys().map(|id| Action::SendItems(*id, update.clone())).collect()
     }
 
--- a/crates/control-plane/src/state_machine/tests/membership.rs
+++ b/crates/control-plane/src/state_machine/tests/membership.rs
@@ -93,12 +93,12 @@
 #[test]
 fn member_that_joined_since_a_loss_may_be_the_successor() {
     let mut membership = Membership::default();
-    membership.track(at(0), members(4, &[0, 1, 2]));
-    membership.track(at(4_800), members(5, &[0, 1, 2, 4]));
+    membership.track(at(0), &members(4, &[0, 1, 2]));
+    membership.track(at(4_800), &members(5, &[0, 1, 2, 4]));
     membership.replica_disconnected(at(6_000), replica(2).name(), at(4_900));
     // s4 joined before, in another zone.
     assert_eq!(successors_of_lost(&mut membership, &members(5, &[0, 1, 2, 4]), 7_100), names(&[]));
-    membership.track(at(5_000), members(6, &[0, 1, 2, 3, 4]));
+    membership.track(at(5_000), &members(6, &[0, 1, 2, 3, 4]));
     let current = members(6, &[0, 1, 2, 3, 4]);
     assert_eq!(successors_of_lost(&mut membership, &current, 6_900), names(&[]), "it may come back");
     assert_eq!(successors_of_lost(&mut membership, &current, 7_100), names(&[3]));
@@ -111,10 +111,10 @@
 #[test]
 fn successor_replaces_one_member_only() {
     let mut membership = Membership::default();
-    membership.track(at(0), members(4, &[0, 1, 2, 5]));
+    membership.track(at(0), &members(4, &[0, 1, 2, 5]));
     membership.replica_disconnected(at(5_000), replica(2).name(), at(4_900));
-    membership.track(at(5_100), members(5, &[0, 1, 2, 3, 5]));
-    membership.track(at(5_200), members(6, &[0, 1, 2, 3]));
+    membership.track(at(5_100), &members(5, &[0, 1, 2, 3, 5]));
+    membership.track(at(5_200), &members(6, &[0, 1, 2, 3]));
     assert_eq!(successors_of_lost(&mut membership, &members(6, &[0, 1, 2, 3]), 7_100), names(&[]));
 }
 
--- a/crates/coordination/src/consensus/acceptor.rs
+++ b/crates/coordination/src/consensus/acceptor.rs
@@ -156,7 +156,7 @@
         item_store: &ItemStore,
     ) -> Result<Acceptance, AcceptError> {
         self.check_acceptable(ballot, &proposal, item_store)?;
-        let is_committed = is_committed(&proposal, item_store);
+        let is_committed = is_committed(proposal.items().iter(), item_store);
         if !is_committed && !self.has_capacity(&proposal, reason) {
             return CapacityExceededSnafu.fail();
         }
@@ -183,7 +183,7 @@
             }
         }
         if self.is_enabled(Safeguard::CommittedContent) {
-            if let Some(item) = conflicting_item(proposal, item_store) {
+            if let Some(item) = conflicting_item(proposal.items().iter(), item_store) {
                 let (kind, name, version) = (item.kind, item.name.clone(), item.version);
                 return ConflictingSnafu { kind, name, version }.fail();
             }
@@ -306,8 +306,8 @@
     /// Whether a proposal is committed or can no longer be chosen.
     fn is_resolved(&self, proposal: &Proposal, item_store: &ItemStore) -> bool {
         let drops_conflicting = self.is_enabled(Safeguard::IgnoreConflicting);
-        is_committed(proposal, item_store)
-            || drops_conflicting && conflicting_item(proposal, item_store).is_some()
+        is_committed(proposal.items().iter(), item_store)
+            || drops_conflicting && conflicting_item(proposal.items().iter(), item_store).is_some()
     }
 
     fn remove_accepted(&mut self, ids: BTreeSet<ProposalId>) -> Vec<Record> {
--- a/crates/coordination/src/consensus/proposal.rs
+++ b/crates/coordination/src/consensus/proposal.rs
@@ -53,9 +53,13 @@
     pub fn new(mut items: Vec<Item>) -> Proposal {
         items.sort_by(compare_versions);
         items.dedup_by(|later, earlier| compare_versions(later, earlier).is_eq());
+        let proposal_id = hash_items(items.iter());
+        let has_reservations = !items.iter().all(is_of_change);
+        let change = items.iter().filter(|item| is_of_change(item));
+        let change_id = if has_reservations { hash_items(change) } else { proposal_id };
         Proposal {
-            proposal_id: hash_items(items.iter()),
-            change_id: hash_items(items.iter().filter(|item| is_of_change(item))),
+            proposal_id,
+            change_id,
             keys: items.iter().map(key).collect(),
             bytes: items.iter().map(memory_bytes).sum(),
             items: items.into(),
--- a/crates/coordination/src/consensus/proposer.rs
+++ b/crates/coordination/src/consensus/proposer.rs
@@ -35,14 +35,17 @@
 
 /// The first item of a proposal that is already committed with different content. If there is one, the proposal can
 /// never be chosen.
-pub fn conflicting_item<'a>(proposal: &'a Proposal, item_store: &ItemStore) -> Option<&'a Item> {
+pub fn conflicting_item<'a>(
+    items: impl IntoIterator<Item = &'a Item>,
+    item_store: &ItemStore,
+) -> Option<&'a Item> {
     let is_conflicting = |item: &&Item| item_store.version_status(item) == VersionStatus::DifferentContent;
-    proposal.items().iter().find(is_conflicting)
+    items.into_iter().find(is_conflicting)
 }
 
 /// Whether all items of a proposal are committed, or have versions too old to have any effect.
-pub fn is_committed(proposal: &Proposal, item_store: &ItemStore) -> bool {
-    proposal.items().iter().all(|item| {
+pub fn is_committed<'a>(items: impl IntoIterator<Item = &'a Item>, item_store: &ItemStore) -> bool {
+    items.into_iter().all(|item| {
         matches!(item_store.version_status(item), VersionStatus::SameContent | VersionStatus::Pruned)
     })
 }
@@ -83,10 +86,10 @@
     item_store: &ItemStore,
     disabled: Option<Safeguard>,
 ) -> ProposalStatus {
-    if let Some(item) = conflicting_item(proposal, item_store) {
+    if let Some(item) = conflicting_item(proposal.items().iter(), item_store) {
         return ProposalStatus::Conflicting(item.clone());
     }
-    if is_committed(proposal, item_store) {
+    if is_committed(proposal.items().iter(), item_store) {
         return ProposalStatus::Committed;
     }
     if disabled != Some(Safeguard::ResolveFirst) {
@@ -138,7 +141,8 @@
 ) -> BTreeMap<u64, Candidate> {
     // A proposal that can never be chosen would block the others forever.
     let can_be_chosen = |proposal: &Proposal| {
-        disabled == Some(Safeguard::IgnoreConflicting) || conflicting_item(proposal, item_store).is_none()
+        disabled == Some(Safeguard::IgnoreConflicting)
+            || conflicting_item(proposal.items().iter(), item_store).is_none()
     };
     let mut candidates = BTreeMap::new();
     for (ballot, proposal) in observed.values().filter(|(_, proposal)| can_be_chosen(proposal)) {
--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -17,7 +17,7 @@
 mod tests;
 
 pub use joint::JointReplicaSets;
-pub use replica::Replica;
+pub use replica::{Distance, Replica};
 pub use replica_set::ReplicaSet;
 pub use succession::ReplicaObservations;
 
--- a/crates/coordination/src/membership/replica.rs
+++ b/crates/coordination/src/membership/replica.rs
@@ -2,6 +2,17 @@
 
 use crate::protocol::Hello;
 
+/// How far apart two replicas are, the closest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// Both are in one zone.
+    SameZone,
+    /// They are in different zones of one region.
+    SameRegion,
+    /// They are in different regions.
+    OtherRegion,
+}
+
 /// One disk of one node, with the node's location. It is sent and stored as part of a
 /// [`ReplicaSet`](super::ReplicaSet).
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
@@ -35,6 +46,17 @@
             replica_id => format!("{}#{replica_id:x}", self.node_id),
         }
     }
+
+    /// How far away another replica is.
+    pub fn distance_to(&self, other: &Replica) -> Distance {
+        if self.zone == other.zone {
+            Distance::SameZone
+        } else if self.region == other.region {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        }
+    }
 }
 
 impl From<&Hello> for Replica {
--- a/crates/coordination/src/membership/succession.rs
+++ b/crates/coordination/src/membership/succession.rs
@@ -1,6 +1,6 @@
 //! Computes the next replica set from the coordinator's observations of the replicas.
 
-use super::{Replica, ReplicaSet};
+use super::{Distance, Replica, ReplicaSet};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The minimum number of replicas that must remain for a replica to be removed that has no successor.
@@ -29,26 +29,6 @@
     }
 }
 
-/// How far apart two replicas are.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Distance {
-    SameZone,
-    SameRegion,
-    OtherRegion,
-}
-
-impl Distance {
-    fn between(one: &Replica, other: &Replica) -> Distance {
-        if one.zone == other.zone {
-            Distance::SameZone
-        } else if one.region == other.region {
-            Distance::SameRegion
-        } else {
-            Distance::OtherRegion
-        }
-    }
-}
-
 /// A failure domain: all its replicas, including their disks, can be lost at once.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum FailureDomain {
@@ -120,7 +100,7 @@
         for distance in [Distance::SameZone, Distance::SameRegion, Distance::OtherRegion] {
             for lost in self.replicas.iter().filter(|replica| observed.is_gone(replica)) {
                 let is_successor = |other: &&Replica| {
-                    Distance::between(other, lost) == distance
+                    other.distance_to(lost) == distance
                         && !used.contains(&other.name())
                         && self.is_successor(other, lost, observed)
                 };
--- a/crates/coordination/tests/consensus_model/proposing.rs
+++ b/crates/coordination/tests/consensus_model/proposing.rs
@@ -53,8 +53,8 @@
             let proposal = &self.proposals[n];
             n != target
                 && possibly_chosen.contains_key(&proposal.proposal_id())
-                && !is_committed(proposal, item_store)
-                && conflicting_item(proposal, item_store).is_none()
+                && !is_committed(proposal.items().iter(), item_store)
+                && conflicting_item(proposal.items().iter(), item_store).is_none()
         };
         let status = (self.evaluation)(&self.proposals[target], &possibly_chosen, item_store);
         if matches!(status, ProposalStatus::Committed | ProposalStatus::Conflicting(_)) {
