--- a/crates/control-plane/src/server/connections.rs
+++ b/crates/control-plane/src/server/connections.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Returns whether this is an API client whose request has been read and whose response has not been sent
+    /// completely.
+    pub(super) fn is_client_waiting(&self) -> bool {
+        self.api_client().is_some_and(|client| client.awaits_response || self.unsent_bytes() > 0)
+    }
+
     /// Returns the number of bytes that are still to be sent.
     pub(super) fn unsent_bytes(&self) -> usize {
         self.transport.unsent_bytes() + self.send_queue.queued_bytes()
@@ -183,6 +189,11 @@
         self.connections.get_mut(&id)
     }
 
+    /// Returns the number of API clients whose request has been read and whose response has not been sent completely.
+    pub(super) fn waiting_clients(&self) -> usize {
+        self.connections.values().filter(|connection| connection.is_client_waiting()).count()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (ConnectionId, &ServerConnection)> {
         self.connections.iter().map(|(id, connection)| (*id, connection))
     }
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -253,7 +253,7 @@
             self.perform_actions();
             self.turn_monitor.turn_ended(self.clock.now());
             if self.has_shut_down(now, &times) {
-                info!("event=end");
+                info!("event=end clients={}", self.connections.waiting_clients());
                 return Ok(());
             }
         }
--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -1,5 +1,6 @@
 //! Client connections: reads requests and flushes responses.
 
+use super::outcome_log::Outcome;
 use super::{Server, MAX_UNSENT_BYTES, READINESS_LISTENER};
 use crate::ids::{ClientId, RequestId};
 use crate::load_balancer::AttemptOutcome;
@@ -7,7 +8,7 @@
 use kitepass_net::http::body::{Body, HeadReader};
 use kitepass_net::http::MessageKind;
 use kitepass_net::poller::{self, ReadyEvent};
-use kitepass_net::OwnedFd;
+use kitepass_net::{Errno, OwnedFd};
 use kitepass_time::{Duration, Timestamp};
 use log::{debug, warn};
 
@@ -43,6 +44,45 @@
     pub(super) has_reached_eof: bool,
 }
 
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// The request was aborted: its response broke off, or the gateway shuts down.
+    Aborted,
+    /// The last response was sent.
+    Completed,
+    /// The client closed its sending side.
+    Gone,
+    /// The client was idle for too long.
+    Idle,
+    /// The request body was malformed.
+    Malformed,
+    /// The gateway shuts down.
+    ShutDown,
+    /// The socket failed.
+    Socket(Errno),
+}
+
+impl CloseReason {
+    /// The reason's name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            CloseReason::Aborted => "aborted",
+            CloseReason::Completed => "completed",
+            CloseReason::Gone => "gone",
+            CloseReason::Idle => "idle",
+            CloseReason::Malformed => "malformed",
+            CloseReason::ShutDown => "shutdown",
+            CloseReason::Socket(error) => error_label(error),
+        }
+    }
+
+    /// Whether the connection could have been kept.
+    fn is_decided_by_gateway(self) -> bool {
+        matches!(self, CloseReason::Aborted | CloseReason::Idle | CloseReason::ShutDown)
+    }
+}
+
 /// Why a client has timed out.
 #[derive(Clone, Copy)]
 enum ClientTimeout {
@@ -134,19 +174,19 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         if let Some(event) = event {
             if let Err(error) = client.connection.handle_event(event) {
-                return self.close_client(id, error_label(error));
+                return self.close_client(id, CloseReason::Socket(error));
             }
         }
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
             match client.connection.read_available(&mut self.read_buffer, MAX_UNSENT_BYTES) {
                 Ok(has_reached_eof) => client.has_reached_eof |= has_reached_eof,
-                Err(error) => return self.close_client(id, error_label(error)),
+                Err(error) => return self.close_client(id, CloseReason::Socket(error)),
             }
             if client.is_draining {
                 client.connection.input.clear();
                 if client.has_reached_eof {
-                    return self.close_client(id, "done");
+                    return self.close_client(id, CloseReason::Completed);
                 }
                 if client.connection.is_readable() {
                     continue;
@@ -155,7 +195,7 @@
             }
             if client.has_reached_eof && client.request.is_some() {
                 // The client no longer waits for the response.
-                return self.close_client(id, "gone");
+                return self.close_client(id, CloseReason::Gone);
             }
             self.read_client(now, id);
             // The poller reports no further event for data that a read left in the socket.
@@ -165,7 +205,7 @@
         }
         self.flush_client(id);
         if self.clients.get(&id).is_some_and(|client| client.has_reached_eof && client.request.is_none()) {
-            self.close_client(id, "gone");
+            self.close_client(id, CloseReason::Gone);
         }
     }
 
@@ -178,7 +218,7 @@
             Ok(true) if client.is_closing && client.body_reader.is_some() && !client.has_reached_eof => {
                 self.start_draining(id);
             }
-            Ok(true) if client.is_closing => self.close_client(id, "done"),
+            Ok(true) if client.is_closing => self.close_client(id, CloseReason::Completed),
             Ok(_) => {
                 // A streamed response can continue, as the output buffer has capacity again.
                 let request = client.request.and_then(|request| self.requests.get(&request));
@@ -187,7 +227,7 @@
                     self.process_upstream(upstream, None);
                 }
             }
-            Err(error) => self.close_client(id, error_label(error)),
+            Err(error) => self.close_client(id, CloseReason::Socket(error)),
         }
     }
 
@@ -198,15 +238,20 @@
         client.is_draining = true;
         client.last_active = now;
         if client.connection.shutdown_write().is_err() {
-            return self.close_client(id, "done");
+            return self.close_client(id, CloseReason::Completed);
         }
         self.process_client(id, None); // the poller reports no event for data already in the socket
     }
 
     /// Closes a client connection and abandons its request.
-    pub(super) fn close_client(&mut self, id: ClientId, why: &'static str) {
+    pub(super) fn close_client(&mut self, id: ClientId, reason: CloseReason) {
         let Some(client) = self.clients.remove(&id) else { return };
-        debug!("event=client-closed why={why}");
+        debug!("event=client-closed why={}", reason.name());
+        let is_response_due = client.request.is_some() || client.connection.unsent_bytes() > 0;
+        if is_response_due && reason.is_decided_by_gateway() {
+            let is_shutting_down = self.shutdown_started_at.is_some();
+            self.outcome_log.record(Outcome::Cut { reason: reason.name(), is_shutting_down });
+        }
         if let Some(request) = client.request {
             self.remove_request(request, AttemptOutcome::Abandoned);
         }
@@ -224,7 +269,7 @@
             .collect();
         for (id, timeout) in timed_out {
             match timeout {
-                ClientTimeout::Idle => self.close_client(id, "idle"),
+                ClientTimeout::Idle => self.close_client(id, CloseReason::Idle),
                 ClientTimeout::SlowHead => {
                     self.clients.get_mut(&id).expect("listed above").close_after_response = true;
                     self.write_local_response(id, 408, None);
@@ -261,7 +306,7 @@
                 true
             }
             Err(_) => {
-                self.close_client(id, "malformed");
+                self.close_client(id, CloseReason::Malformed);
                 false
             }
         }
--- a/crates/data-plane/src/server/forwarding.rs
+++ b/crates/data-plane/src/server/forwarding.rs
@@ -1,5 +1,7 @@
 //! Attempts to forward a request: backend selection, retries, and local responses when no backend response is delivered.
 
+use super::downstream::CloseReason;
+use super::outcome_log::Outcome;
 use super::request_head::QUOTA_RETRY_MS;
 use super::Server;
 use crate::attempt::NextStep;
@@ -86,7 +88,7 @@
         let client = request.info.client;
         let status = match next {
             NextStep::Reject(status) => status,
-            NextStep::Abort => return self.close_client(client, "aborted"),
+            NextStep::Abort => return self.close_client(client, CloseReason::Aborted),
             _ => return,
         };
         let retry_after_ms = match status {
@@ -144,6 +146,7 @@
         // Invariant: an attempt in flight is abandoned only if another backend can replace it.
         let Some(backend) = self.select_backend(now, id) else { return };
         if self.requests.get_mut(&id).is_some_and(|r| r.lifecycle.abandon_overdue_attempt()) {
+            self.outcome_log.record(Outcome::AttemptOverdue);
             self.fail_attempt(now, upstream_id, AttemptOutcome::Broken, "overdue");
             self.start_attempt(now, id, Some(backend));
         } else {
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -9,7 +9,7 @@
 //! | control process connection is readable or writable | `control_connection` |
 //! | request deadline, overdue attempt or connect timeout | `forwarding`, `upstream` |
 //! | periodic tick: control session, quota, idle connections | `Server::tick` |
-//! | end of a reporting period | `usage_reports`, `rejection_log` |
+//! | end of a reporting period | `usage_reports`, `outcome_log` |
 //! | SIGHUP or a changed settings file | `Server::reload_settings` |
 //! | SIGTERM | `shutdown` |
 
@@ -19,8 +19,8 @@
 mod forwarding;
 mod idle_connections;
 mod local_response;
+mod outcome_log;
 mod readiness;
-mod rejection_log;
 mod request_body;
 mod request_head;
 mod response;
@@ -48,7 +48,7 @@
 use kitepass_node::{Settings, SettingsWatcher};
 use kitepass_time::{Duration, Timestamp};
 use log::{error, info};
-use rejection_log::RejectionLog;
+use outcome_log::OutcomeLog;
 use schedule::Schedule;
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeMap;
@@ -150,7 +150,7 @@
     /// A connection that is being opened to another control process.
     candidate_connection: Option<ControlConnection>,
     configuration: Configuration,
-    rejection_log: RejectionLog,
+    outcome_log: OutcomeLog,
     quota: Quota,
     load_balancer: LoadBalancer,
     retry_budget: RetryBudget,
@@ -251,7 +251,7 @@
             idle_connections: IdleConnections::default(),
             readable_upstreams: Vec::new(),
             configuration: Configuration::new(),
-            rejection_log: RejectionLog::default(),
+            outcome_log: OutcomeLog::default(),
             control_session,
             control_connection: None,
             candidate_connection: None,
@@ -293,7 +293,7 @@
             }
             if schedule.start_period_if_due(now) {
                 self.report_usage(now);
-                self.rejection_log.log_period();
+                self.outcome_log.log_period();
             }
             if self.signals.take_reload_request() || schedule.is_settings_check_due(now) {
                 schedule.record_settings_check(now);
--- a/crates/data-plane/src/server/request_body.rs
+++ b/crates/data-plane/src/server/request_body.rs
@@ -1,5 +1,6 @@
 //! Request bodies: reading from the client, buffering or streaming, and forwarding to a backend.
 
+use super::downstream::CloseReason;
 use super::response::write_chunk;
 use super::upstream::Attempt;
 use super::{Server, MAX_UNSENT_BYTES};
@@ -25,7 +26,7 @@
         let unread_before = client.connection.input.len();
         let Ok(is_complete) = body_reader.read(&mut client.connection.input, &mut request.body, capacity)
         else {
-            self.close_client(id, "malformed");
+            self.close_client(id, CloseReason::Malformed);
             return false;
         };
         client.last_active = now;
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown, after SIGTERM.
 
+use super::downstream::CloseReason;
 use super::Server;
 use crate::attempt::NextStep;
 use crate::ids::{ClientId, RequestId};
@@ -54,7 +55,7 @@
         let unused: Vec<ClientId> =
             self.clients.iter().filter(|(_, client)| has_no_request(client)).map(|(id, _)| *id).collect();
         for client in unused {
-            self.close_client(client, "shutdown");
+            self.close_client(client, CloseReason::ShutDown);
         }
     }
 
