Failing tests: requests that gateways give up while their backend answers

Overdue attempts: 502 in place of the backend's response, with and without SIGTERM. An unread response ends after 3,949,568 of 4,096,000 bytes when idle connections are closed. A long error response: no further attempt in 10 s.

--- a/crates/data-plane/tests/sockets/harness.rs
+++ b/crates/data-plane/tests/sockets/harness.rs
@@ -160,6 +160,11 @@
         Peer::new(self.stream.try_clone().expect("socket can be duplicated"), self.backend_index)
     }
 
+    /// Limits how much data the system receives ahead of the test.
+    pub(crate) fn limit_receive_buffer(&self, bytes: usize) {
+        net::sockopt::set_socket_recv_buffer_size(&self.stream, bytes).expect("socket option is set");
+    }
+
     /// Closes the connection.
     ///
     /// Invariant: the socket is shut down explicitly. A child process that another test is starting holds a copy of the
--- /dev/null
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -0,0 +1,118 @@
+//! Requests that a backend executes while the gateway gives up their attempts or closes their connections.
+
+use crate::harness::{get, ok, response, start_ready_gateway, Gateway, Peer, TestBackends};
+use rstest::rstest;
+use rustix::process::Signal;
+
+const KIB: usize = 1024;
+const MIB: usize = 1024 * KIB;
+/// Long responses differ by this much in length, which is less than what the gateway buffers of a response.
+const LENGTH_STEP: usize = 200 * KIB;
+/// The longest response.
+const MAX_LENGTH: usize = 7 * MIB;
+
+/// How a backend ends the attempt that follows an overdue one.
+#[derive(Clone, Copy, Debug)]
+enum SecondAttempt {
+    Rejected,
+    Failed,
+    Closed,
+}
+
+fn end_second_attempt(mut backend: Peer, how: SecondAttempt) {
+    assert_eq!(backend.receive().field("X-Try-Id"), Some("t1"));
+    match how {
+        SecondAttempt::Rejected => {
+            backend.send(response("503 Service Unavailable", "t1", "X-Not-Delivered: full\r\n", ""));
+        }
+        SecondAttempt::Failed => {
+            backend.send(response("200 OK", "t1", "", "without a postmark"));
+        }
+        SecondAttempt::Closed => {}
+    }
+    backend.close();
+}
+
+/// Guards against 502 for a request whose overdue attempt was given up for one that no backend took.
+#[rstest]
+#[case::rejected(SecondAttempt::Rejected, false)]
+#[case::failed(SecondAttempt::Failed, false)]
+#[case::closed(SecondAttempt::Closed, false)]
+#[case::rejected_after_sigterm(SecondAttempt::Rejected, true)]
+#[case::failed_after_sigterm(SecondAttempt::Failed, true)]
+#[case::closed_after_sigterm(SecondAttempt::Closed, true)]
+fn an_overdue_attempt_is_kept_until_another_one_has_a_response(
+    #[case] second: SecondAttempt,
+    #[case] is_shutting_down: bool,
+) {
+    let (gateway, _control, backends) = start_ready_gateway(2);
+    let mut client = gateway.connect();
+    client.send(get("/safe/", "t1"));
+    let mut overdue = backends.accept();
+    overdue.receive();
+    if is_shutting_down {
+        gateway.signal(Signal::TERM);
+    }
+    end_second_attempt(backends.accept(), second);
+    // The gateway has handled the end of the second attempt once this request, which it reads later, has been rejected.
+    assert_eq!(gateway.connect().send(get("/void/", "t2")).receive().status(), 503);
+    overdue.try_send(ok("t1", "late"));
+    let response = client.receive();
+    assert_eq!((response.status(), response.body), (200, b"late".to_vec()));
+    assert!(backends.has_no_pending_connection());
+}
+
+/// Guards against an error response that exceeds the buffer and leaves its request without an attempt until the deadline.
+#[rstest]
+#[case::server_error("500 Internal Server Error", "X-Postmark: p\r\n")]
+#[case::no_postmark("200 OK", "")]
+fn a_long_response_that_is_not_for_the_client_is_followed_by_another_attempt(
+    #[case] status: &str,
+    #[case] fields: &str,
+) {
+    let (gateway, _control, backends) = start_ready_gateway(2);
+    let mut client = gateway.connect();
+    client.send(get("/safe/", "t1"));
+    let mut first = backends.accept();
+    first.receive();
+    first.try_send(response(status, "t1", fields, &"x".repeat(MIB)));
+    let mut second = backends.accept();
+    assert_eq!(second.receive().field("X-Try-Id"), Some("t1"));
+    second.send(ok("t1", "fine"));
+    assert_eq!(client.receive().body, b"fine");
+    assert!(backends.has_no_pending_connection());
+}
+
+/// Sends a request and the whole response to it, of which the client reads nothing yet.
+fn start_unread_response(gateway: &Gateway, backends: &TestBackends, length: usize) -> Peer {
+    let id = format!("t{length}");
+    let mut client = gateway.connect();
+    client.limit_receive_buffer(64 * KIB);
+    client.send(get("/once/", &id));
+    let mut backend = backends.accept();
+    backend.receive();
+    std::thread::spawn(move || backend.try_send(ok(&id, &"y".repeat(length))));
+    client
+}
+
+/// Guards against a response that is cut off in the gateway's buffer when idle connections are closed.
+///
+/// What the sockets' own buffers hold is not known, so the responses have all lengths around it.
+#[test]
+fn a_response_that_is_not_read_yet_outlives_the_closing_of_idle_connections() {
+    let (mut gateway, _control, backends) = start_ready_gateway(1);
+    let lengths: Vec<usize> =
+        (1..).map(|n| n * LENGTH_STEP).take_while(|length| *length < MAX_LENGTH).collect();
+    let clients: Vec<Peer> =
+        lengths.iter().map(|length| start_unread_response(&gateway, &backends, *length)).collect();
+    let mut idle_client = gateway.connect();
+    idle_client.send(get("/void/", "t0"));
+    assert_eq!(idle_client.receive().status(), 503);
+    gateway.signal(Signal::TERM);
+    assert!(idle_client.closes_without_data());
+    for (mut client, length) in clients.into_iter().zip(lengths) {
+        let received = client.receive_or_end().map(|response| response.body.len());
+        assert_eq!(received, Some(length), "{} bytes arrived", client.unparsed_input().len());
+    }
+    assert_eq!(gateway.wait_for_exit(), Some(0));
+}
--- a/crates/data-plane/tests/sockets/main.rs
+++ b/crates/data-plane/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod bodies;
 mod faults;
 mod harness;
+mod lost_requests;
 mod reconfiguration;
 mod start;
 
