An overdue attempt is kept until another one has a response

What callers saw: 502 for an idempotent request that a backend was running or had answered. Cause: when an attempt was overdue the gateway closed its connection first and made another attempt then. If that one was turned away or failed, none was left. With one attempt at a time the state machine could not hold both. Change: the overdue attempt stays in flight beside the current one. The first response that decides the request is delivered and ends the other attempt; a response that decides nothing ends its own attempt; the request is rejected once none is left. That the backend is slow is recorded at once, as before. The test an_overdue_attempt_is_abandoned_only_where_another_can_be_made required the early close, which is the fault; it now requires that the connection stays open until the other attempt has its response, and is closed then. Why it works: a backend at work is given up only for a response that the client gets, by the deadline, or at the end of the grace period. The model of all orders of events has overdue attempts, and the property that no request is rejected while one is in flight.

--- a/crates/data-plane/src/attempt/lifecycle.rs
+++ b/crates/data-plane/src/attempt/lifecycle.rs
@@ -46,7 +46,21 @@
     Abort,
 }
 
-/// A request across all of its attempts, of which at most one is in flight at a time.
+/// What happens to an attempt that is overdue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OverdueAttempt {
+    /// No further attempt may be made: the request waits for this one.
+    Awaited,
+    /// Nothing of the request was sent: the connection is closed, and another attempt is made.
+    Abandoned,
+    /// It stays in flight, and another attempt is made beside it.
+    Kept,
+}
+
+/// A request across all of its attempts.
+///
+/// At most one attempt is current; [`RequestState`] describes it. Overdue attempts stay in flight beside it: a backend that
+/// is at work on a request is given up only for a response of another one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestLifecycle {
     state: RequestState,
@@ -54,6 +68,8 @@
     max_attempts: u32,
     /// Attempts whose connection was established.
     attempts_sent: u32,
+    /// Attempts that are overdue and still in flight.
+    overdue_attempts: u32,
     /// Whether an attempt has ended after which the backend may have executed the request.
     had_ambiguous_attempt: bool,
     /// Whether every byte of the body that has arrived is still buffered.
@@ -69,6 +85,7 @@
             is_idempotent,
             max_attempts,
             attempts_sent: 0,
+            overdue_attempts: 0,
             had_ambiguous_attempt: false,
             is_body_buffered: true,
         }
@@ -98,17 +115,19 @@
         self.attempts_sent
     }
 
-    /// Returns whether an attempt is in flight and no part of its response has been sent to the client.
+    /// Returns whether a current attempt is in flight and no part of its response has been sent to the client.
     pub fn is_in_flight(&self) -> bool {
         matches!(self.state, RequestState::Connecting | RequestState::Connected | RequestState::Sent)
     }
 
     /// Returns whether a backend has executed the request, is executing it, or may still execute it from what was sent.
     pub fn may_have_executed(&self) -> bool {
-        self.had_ambiguous_attempt || matches!(self.state, RequestState::Sent | RequestState::Responding)
+        self.had_ambiguous_attempt
+            || self.overdue_attempts > 0
+            || matches!(self.state, RequestState::Sent | RequestState::Responding)
     }
 
-    /// Returns whether another attempt may be made, once any attempt in flight has ended.
+    /// Returns whether another attempt may be made, once the current one has ended or is overdue.
     ///
     /// Invariant: a non-idempotent request that may have been executed is never sent again, because it could be
     /// executed twice. Neither is a request whose body is no longer fully buffered, because the backend would take the
@@ -233,14 +252,59 @@
         may_deliver
     }
 
-    /// Records that the attempt in flight is overdue. Returns whether it is abandoned in favour of another attempt, for
-    /// which the caller has already found a backend.
-    pub fn abandon_overdue_attempt(&mut self) -> bool {
-        let may_abandon = self.is_in_flight() && self.is_idempotent && self.may_attempt();
-        if may_abandon {
-            self.return_to_pending(true);
+    /// Records that the current attempt is overdue. The caller has already found a backend for another one.
+    pub fn attempt_overdue(&mut self) -> OverdueAttempt {
+        if !self.is_in_flight() || !self.is_idempotent || !self.may_attempt() {
+            return OverdueAttempt::Awaited;
+        }
+        let was_sent = self.state == RequestState::Sent;
+        self.transition(RequestState::Pending);
+        if !was_sent {
+            return OverdueAttempt::Abandoned;
+        }
+        self.overdue_attempts += 1;
+        OverdueAttempt::Kept
+    }
+
+    /// Returns whether only overdue attempts are in flight.
+    pub fn awaits_overdue_attempt(&self) -> bool {
+        self.state == RequestState::Pending && self.overdue_attempts > 0
+    }
+
+    /// Makes an overdue attempt, which has a response of this class, the current one. Returns false if the response does
+    /// not decide the request: the attempt has failed then.
+    ///
+    /// The attempt that was current is given up, because its response is no longer needed.
+    pub fn resume_overdue_attempt(&mut self, class: ResponseClass) -> bool {
+        let is_last = self.state == RequestState::Pending && self.overdue_attempts == 1;
+        let is_decisive = match class {
+            ResponseClass::Success | ResponseClass::Other => true,
+            ResponseClass::ServerError => is_last,
+            ResponseClass::NotExecuted(_) | ResponseClass::Invalid => false,
+        };
+        let is_open = self.state == RequestState::Pending || self.is_in_flight();
+        if !is_decisive || !is_open || self.overdue_attempts == 0 {
+            return false;
+        }
+        self.had_ambiguous_attempt |= self.state == RequestState::Sent;
+        self.overdue_attempts -= 1;
+        self.transition(RequestState::Sent);
+        true
+    }
+
+    /// Records that an overdue attempt ended without a response that decides the request.
+    pub fn overdue_attempt_failed(&mut self, may_have_executed: bool) -> NextStep {
+        if self.overdue_attempts == 0 {
+            return NextStep::Wait;
+        }
+        self.overdue_attempts -= 1;
+        self.had_ambiguous_attempt |= may_have_executed;
+        let is_last = self.state == RequestState::Pending && self.overdue_attempts == 0;
+        if is_last {
+            NextStep::Retry
+        } else {
+            NextStep::Wait
         }
-        may_abandon
     }
 
     /// Records that the request's deadline has passed.
--- a/crates/data-plane/src/attempt/mod.rs
+++ b/crates/data-plane/src/attempt/mod.rs
@@ -9,7 +9,7 @@
 mod response_class;
 mod response_reader;
 
-pub use lifecycle::{NextStep, RequestLifecycle, RequestState};
+pub use lifecycle::{NextStep, OverdueAttempt, RequestLifecycle, RequestState};
 pub use response_class::{may_reuse_connection, ConnectionState, ResponseClass};
 pub use response_reader::{
     InputState, ReadProgress, ResponseContext, ResponseFailure, ResponseReader, MAX_BUFFERED_RESPONSE_BYTES,
--- a/crates/data-plane/src/load_balancer/mod.rs
+++ b/crates/data-plane/src/load_balancer/mod.rs
@@ -266,6 +266,13 @@
         }
     }
 
+    /// Records that an attempt at a backend is overdue. It is still in flight there.
+    pub fn record_overdue_attempt(&mut self, now: Timestamp, backend_id: &str) {
+        if let Some(backend) = self.backends.get_mut(backend_id) {
+            backend.ejection.attempt_ended(now, AttemptOutcome::Broken);
+        }
+    }
+
     /// Records that a backend announced in a response that it closes its connections.
     pub fn record_connection_close(&mut self, now: Timestamp, backend_id: &str) {
         if let Some(backend) = self.backends.get_mut(backend_id) {
--- a/crates/data-plane/src/request.rs
+++ b/crates/data-plane/src/request.rs
@@ -51,8 +51,10 @@
     pub is_body_complete: bool,
     /// Backends that were already tried, including those that could not be reached.
     pub tried_backends: SmallVec<[Arc<str>; 2]>,
-    /// The connection that carries the attempt in flight.
+    /// The connection that carries the current attempt.
     pub upstream: Option<UpstreamId>,
+    /// The connections that carry overdue attempts.
+    pub overdue_upstreams: SmallVec<[UpstreamId; 1]>,
     /// The state machine of the request.
     pub lifecycle: RequestLifecycle,
     /// Whether the request waits for its tenant's quota to be granted.
@@ -71,10 +73,19 @@
             is_body_complete: false,
             tried_backends: SmallVec::new(),
             upstream: None,
+            overdue_upstreams: SmallVec::new(),
             awaits_quota: false,
         }
     }
 
+    /// Removes an ended attempt from the attempts in flight.
+    pub fn remove_attempt(&mut self, upstream: UpstreamId) {
+        if self.upstream == Some(upstream) {
+            self.upstream = None;
+        }
+        self.overdue_upstreams.retain(|overdue| *overdue != upstream);
+    }
+
     /// The id assigned by the client, which the backend must return in its response.
     pub fn id(&self) -> &[u8] {
         self.info.head.field("x-try-id").unwrap_or_default()
--- a/crates/data-plane/src/server/forwarding.rs
+++ b/crates/data-plane/src/server/forwarding.rs
@@ -1,11 +1,10 @@
 //! Attempts to forward a request: backend selection, retries, and local responses when no backend response is delivered.
 
 use super::downstream::CloseReason;
-use super::outcome_log::Outcome;
 use super::request_head::QUOTA_RETRY_MS;
 use super::Server;
 use crate::attempt::NextStep;
-use crate::ids::{ClientId, RequestId, UpstreamId};
+use crate::ids::{ClientId, RequestId};
 use crate::load_balancer::{AttemptOutcome, SelectionRequest};
 use kitepass_time::{Duration, Timestamp};
 use std::sync::Arc;
@@ -51,7 +50,7 @@
     }
 
     /// Sends a request to the selected backend, or to another one if no connection can be opened. Rejects the request if
-    /// no backend remains.
+    /// no backend remains, unless an overdue attempt is still in flight.
     pub(super) fn start_attempt(&mut self, now: Timestamp, id: RequestId, mut backend: Option<Arc<str>>) {
         while let Some(backend_id) = backend {
             let Some(request) = self.requests.get_mut(&id) else { return };
@@ -63,6 +62,9 @@
             backend = self.select_backend(now, id);
         }
         let Some(request) = self.requests.get(&id) else { return };
+        if request.lifecycle.awaits_overdue_attempt() {
+            return;
+        }
         let status = request.lifecycle.rejection_status();
         self.reject(now, id, status);
     }
@@ -120,13 +122,13 @@
         }
     }
 
-    /// Removes a request. An attempt in flight is ended with the given outcome.
+    /// Removes a request. Its attempts in flight are ended with the given outcome.
     pub(super) fn remove_request(&mut self, id: RequestId, outcome: AttemptOutcome) {
         let now = self.clock.now();
         let Some(mut request) = self.requests.remove(&id) else { return };
         request.lifecycle.client_disconnected();
         self.buffered_body_bytes -= request.body.len().min(self.buffered_body_bytes);
-        if let Some(upstream) = request.upstream {
+        for upstream in request.upstream.into_iter().chain(request.overdue_upstreams) {
             self.abandon_attempt(now, upstream, outcome);
         }
     }
@@ -137,20 +139,4 @@
         let next = request.lifecycle.deadline_expired();
         self.finish_with_local_response(now, id, next);
     }
-
-    /// Replaces an overdue attempt of an idempotent request if another backend is available.
-    pub(super) fn attempt_overdue(&mut self, now: Timestamp, id: RequestId, upstream_id: UpstreamId) {
-        let attempt = self.upstreams.get_mut(&upstream_id).and_then(|upstream| upstream.attempt.as_mut());
-        let Some(attempt) = attempt.filter(|attempt| attempt.request == id) else { return };
-        attempt.overdue_timer = None;
-        // Invariant: an attempt in flight is abandoned only if another backend can replace it.
-        let Some(backend) = self.select_backend(now, id) else { return };
-        if self.requests.get_mut(&id).is_some_and(|r| r.lifecycle.abandon_overdue_attempt()) {
-            self.outcome_log.record(Outcome::AttemptOverdue);
-            self.fail_attempt(now, upstream_id, AttemptOutcome::Broken, "overdue");
-            self.start_attempt(now, id, Some(backend));
-        } else {
-            self.load_balancer.attempt_ended(now, &backend, AttemptOutcome::Abandoned, Duration::ZERO);
-        }
-    }
 }
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -7,7 +7,7 @@
 //! | client connects, or its socket is readable or writable | `downstream`, `request_head`, `request_body` |
 //! | backend connection is established, readable or writable | `upstream`, which passes responses to `response` |
 //! | control process connection is readable or writable | `control_connection` |
-//! | request deadline, overdue attempt or connect timeout | `forwarding`, `upstream` |
+//! | request deadline, overdue attempt or connect timeout | `forwarding`, `overdue_attempts`, `upstream` |
 //! | periodic tick: control session, quota, idle connections | `Server::tick` |
 //! | end of a reporting period | `usage_reports`, `outcome_log` |
 //! | SIGHUP or a changed settings file | `Server::reload_settings` |
@@ -20,6 +20,7 @@
 mod idle_connections;
 mod local_response;
 mod outcome_log;
+mod overdue_attempts;
 mod readiness;
 mod request_body;
 mod request_head;
--- a/crates/data-plane/src/server/request_body.rs
+++ b/crates/data-plane/src/server/request_body.rs
@@ -84,7 +84,8 @@
             let unsent_before = upstream.connection.unsent_bytes();
             let flushed = upstream.connection.flush();
             let has_sent_bytes = upstream.connection.unsent_bytes() < unsent_before;
-            if let Some(request) = sending_request.filter(|_| has_sent_bytes) {
+            let is_current = |request: &&mut Request| request.upstream == Some(id);
+            if let Some(request) = sending_request.filter(|request| has_sent_bytes && is_current(request)) {
                 request.lifecycle.bytes_written();
             }
             match flushed {
--- a/crates/data-plane/src/server/upstream.rs
+++ b/crates/data-plane/src/server/upstream.rs
@@ -94,8 +94,8 @@
         true
     }
 
-    /// Schedules the replacement of an attempt that becomes overdue, if the request allows another attempt and has enough
-    /// time left for it.
+    /// Schedules the time at which an attempt becomes overdue, if the request allows another attempt and has enough time
+    /// left for it.
     fn set_overdue_timer(
         &mut self,
         now: Timestamp,
@@ -188,11 +188,17 @@
     }
 
     /// The request whose attempt is in flight on a connection.
-    fn request_on(&self, id: UpstreamId) -> Option<&Request> {
+    pub(super) fn request_on(&self, id: UpstreamId) -> Option<&Request> {
         let attempt = self.upstreams.get(&id)?.attempt.as_ref()?;
         self.requests.get(&attempt.request)
     }
 
+    /// The request whose attempt is in flight on a connection, for changes.
+    pub(super) fn request_on_mut(&mut self, id: UpstreamId) -> Option<&mut Request> {
+        let attempt = self.upstreams.get(&id)?.attempt.as_ref()?;
+        self.requests.get_mut(&attempt.request)
+    }
+
     /// Whether more of a response may be read: it is not being streamed, or the client's output buffer has capacity.
     fn may_read_response(&self, request: &Request) -> bool {
         request.lifecycle.state() != RequestState::Responding
@@ -245,8 +251,11 @@
         };
         match attempt.response.read(context, &mut upstream.connection.input, input_state) {
             ReadProgress::Partial => {}
-            ReadProgress::Complete => return self.response_complete(now, id, input_state),
-            ReadProgress::BufferFull => self.stream_response(now, id),
+            ReadProgress::Complete if self.resume_if_overdue(now, id) => {
+                return self.response_complete(now, id, input_state);
+            }
+            ReadProgress::BufferFull if self.resume_if_overdue(now, id) => self.stream_response(now, id),
+            ReadProgress::Complete | ReadProgress::BufferFull => return,
             ReadProgress::Failed(failure) => {
                 let is_premature_end =
                     matches!(failure, ResponseFailure::Closed | ResponseFailure::Truncated);
@@ -285,9 +294,12 @@
 
     /// Closes a failed connection and continues its request.
     fn fail_upstream(&mut self, now: Timestamp, id: UpstreamId, outcome: AttemptOutcome, why: &'static str) {
+        let was_overdue = self.is_overdue(id);
         let Some(request_id) = self.fail_attempt(now, id, outcome, why) else { return };
         let Some(request) = self.requests.get_mut(&request_id) else { return };
-        let next = request.lifecycle.attempt_failed();
+        let lifecycle = &mut request.lifecycle;
+        let next =
+            if was_overdue { lifecycle.overdue_attempt_failed(true) } else { lifecycle.attempt_failed() };
         self.continue_request(now, request_id, next);
     }
 
@@ -311,7 +323,7 @@
         self.close_upstream(id);
         let request_id = attempt?.request;
         if let Some(request) = self.requests.get_mut(&request_id) {
-            request.upstream = None;
+            request.remove_attempt(id);
         }
         Some(request_id)
     }
--- a/crates/data-plane/tests/attempt/calls.rs
+++ b/crates/data-plane/tests/attempt/calls.rs
@@ -1,8 +1,8 @@
 //! Explores all sequences of calls to a lifecycle, including those that the server never makes, and checks each result.
 
 use kitepass_data_plane::attempt::{
-    may_reuse_connection, ConnectionState, InputState, NextStep, RequestLifecycle, RequestState,
-    ResponseClass,
+    may_reuse_connection, ConnectionState, InputState, NextStep, OverdueAttempt, RequestLifecycle,
+    RequestState, ResponseClass,
 };
 use kitepass_data_plane::load_balancer::AttemptOutcome;
 use rstest::rstest;
@@ -28,7 +28,9 @@
     ResponseComplete(ResponseClass),
     ResponseExceedsBuffer(ResponseClass),
     DeliverErrorResponse,
-    AbandonOverdueAttempt,
+    AttemptOverdue,
+    ResumeOverdueAttempt(ResponseClass),
+    OverdueAttemptFailed { may_have_executed: bool },
     DeadlineExpired,
     Reject(u16),
     ShutDown,
@@ -44,13 +46,16 @@
         Call::BodyDropped,
         Call::AttemptFailed,
         Call::DeliverErrorResponse,
-        Call::AbandonOverdueAttempt,
+        Call::AttemptOverdue,
+        Call::OverdueAttemptFailed { may_have_executed: true },
+        Call::OverdueAttemptFailed { may_have_executed: false },
         Call::DeadlineExpired,
         Call::ShutDown,
         Call::ClientDisconnected,
     ];
     calls.extend(CLASSES.map(Call::ResponseComplete));
     calls.extend(CLASSES.map(Call::ResponseExceedsBuffer));
+    calls.extend(CLASSES.map(Call::ResumeOverdueAttempt));
     calls.extend([413, 429, 503].map(Call::Reject));
     calls
 }
@@ -63,6 +68,8 @@
     is_written: bool,
     /// Attempts whose connection was established.
     attempts_sent: u32,
+    /// Attempts that are overdue and still in flight.
+    overdue: u32,
     /// Attempts that have ended and may have been executed.
     maybe_executed: u32,
     is_body_dropped: bool,
@@ -78,7 +85,7 @@
     }
 
     fn may_have_executed(&self) -> bool {
-        self.maybe_executed > 0 || self.is_written
+        self.maybe_executed > 0 || self.overdue > 0 || self.is_written
     }
 }
 
@@ -131,7 +138,11 @@
                 }
                 NextStep::Wait
             }
-            Call::AbandonOverdueAttempt => self.abandon_overdue_attempt(),
+            Call::AttemptOverdue => self.attempt_overdue(),
+            Call::ResumeOverdueAttempt(class) => self.resume_overdue_attempt(class),
+            Call::OverdueAttemptFailed { may_have_executed } => {
+                self.overdue_attempt_failed(may_have_executed)
+            }
             Call::DeadlineExpired => {
                 let next = self.lifecycle.deadline_expired();
                 assert!(was_completed || next != NextStep::Wait, "the request waits beyond its deadline");
@@ -200,19 +211,52 @@
         next
     }
 
-    fn abandon_overdue_attempt(&mut self) -> NextStep {
+    fn attempt_overdue(&mut self) -> NextStep {
         let before = self.reference.clone();
-        if self.lifecycle.abandon_overdue_attempt() {
+        let overdue = self.lifecycle.attempt_overdue();
+        if overdue != OverdueAttempt::Awaited {
             let may_retry = !before.is_body_dropped && before.attempts_sent < MAX_ATTEMPTS;
             assert!(
                 before.is_in_flight && self.is_idempotent && may_retry,
                 "abandoned although no retry is allowed: {before:?}"
             );
+            assert_eq!(overdue == OverdueAttempt::Kept, before.is_written, "{before:?}");
+            self.reference.overdue += u32::from(before.is_written);
+            self.reference.end_attempt(false);
+        }
+        NextStep::Wait
+    }
+
+    fn resume_overdue_attempt(&mut self, class: ResponseClass) -> NextStep {
+        let before = self.reference.clone();
+        if self.lifecycle.resume_overdue_attempt(class) {
+            assert!(before.overdue > 0 && !before.has_response_begun, "{before:?}");
+            let is_last = !before.is_in_flight && before.overdue == 1;
+            let is_for_client = matches!(class, ResponseClass::Success | ResponseClass::Other);
+            assert!(
+                is_for_client || is_last && class == ResponseClass::ServerError,
+                "a response of class {class:?} replaces an attempt in flight: {before:?}"
+            );
             self.reference.end_attempt(true);
+            self.reference.overdue -= 1;
+            self.reference.is_in_flight = true;
+            self.reference.is_written = true;
         }
         NextStep::Wait
     }
 
+    fn overdue_attempt_failed(&mut self, may_have_executed: bool) -> NextStep {
+        let before = self.reference.clone();
+        let next = self.lifecycle.overdue_attempt_failed(may_have_executed);
+        if before.overdue > 0 {
+            self.reference.overdue -= 1;
+            self.reference.maybe_executed += u32::from(may_have_executed);
+        }
+        let was_last = before.overdue == 1 && !before.is_in_flight && !self.is_completed();
+        assert_eq!(next == NextStep::Retry, was_last, "{before:?}");
+        next
+    }
+
     /// Checks that what the client gets matches the reference state.
     fn check_next_step(&mut self, before: &ReferenceState, next: NextStep) {
         match next {
@@ -250,6 +294,8 @@
             !lifecycle.may_attempt() || *is_idempotent || !may_have_executed,
             "{lifecycle:?} {reference:?}"
         );
+        let awaits_overdue_attempt = reference.overdue > 0 && !reference.is_in_flight && !is_completed;
+        assert_eq!(lifecycle.awaits_overdue_attempt(), awaits_overdue_attempt, "{lifecycle:?} {reference:?}");
         let promises_no_execution = lifecycle.rejection_status() == 503;
         assert!(is_completed || promises_no_execution != may_have_executed, "{lifecycle:?} {reference:?}");
     }
--- a/crates/data-plane/tests/attempt/model.rs
+++ b/crates/data-plane/tests/attempt/model.rs
@@ -4,7 +4,7 @@
 
 use crate::backend_responses::{Piece, ResponseKind, RESPONSES};
 use crate::model_state::{Client, Connection, ModelState, Request, Work, REQUEST_PARTS};
-use kitepass_data_plane::attempt::{InputState, RequestLifecycle, RequestState};
+use kitepass_data_plane::attempt::{InputState, OverdueAttempt, RequestLifecycle, RequestState};
 use rstest::rstest;
 use stateright::{Checker, Model, Property};
 
@@ -203,8 +203,13 @@
     if request.has_error_response && request.lifecycle.deliver_error_response() {
         return state.finish(index, Client::Responded(500));
     }
+    if request.lifecycle.awaits_overdue_attempt() {
+        return state.expect(state.has_overdue_attempt(index), "a request waits for no attempt");
+    }
     let status = request.lifecycle.rejection_status();
     let next = request.lifecycle.reject(status);
+    let gives_up_backend = state.has_overdue_attempt(index);
+    state.expect(!gives_up_backend, "a request is rejected although an attempt is in flight");
     state.apply_next_step(index, next);
 }
 
@@ -212,7 +217,10 @@
     let connection = &mut state.connections[index];
     let Some(request) = connection.attempt else { return };
     connection.parts_written = parts;
-    state.requests[usize::from(request)].lifecycle.bytes_written();
+    // An overdue attempt does not tell whether anything of the current one was written.
+    if !connection.is_overdue {
+        state.requests[usize::from(request)].lifecycle.bytes_written();
+    }
     let is_new = connection.work.is_none_or(|work| work.request != request);
     let is_answered = connection.responded_to.contains(&request);
     // A backend receives nothing on a broken connection.
@@ -249,6 +257,17 @@
     connection.in_transit.extend(Piece::all_of(request, ResponseKind::Stale));
 }
 
+fn attempt_overdue(state: &mut ModelState, index: usize) {
+    match state.requests[index].lifecycle.attempt_overdue() {
+        OverdueAttempt::Awaited => {}
+        OverdueAttempt::Abandoned => state.close_attempt(index),
+        OverdueAttempt::Kept => {
+            let connection = state.connection_of(index).expect("an attempt in flight has a connection");
+            state.connections[connection].is_overdue = true;
+        }
+    }
+}
+
 fn deadline_expired(state: &mut ModelState, index: usize) {
     let next = state.requests[index].lifecycle.deadline_expired();
     state.apply_next_step(index, next);
@@ -281,6 +300,7 @@
             has_error_response: false,
             executions: 0,
             orphaned_attempts: 0,
+            is_answered_by_overdue: false,
         };
         let requests = vec![request; 2];
         vec![ModelState { requests, connections: Vec::new(), has_shut_down: false, violation: None }]
@@ -331,12 +351,7 @@
                 connection.input_state = input_state;
             }
             Action::Reads { connection, pieces, with_end } => state.read(connection, pieces, with_end),
-            Action::AttemptOverdue(index) => {
-                let lifecycle = &mut state.requests[index].lifecycle;
-                if lifecycle.may_attempt() && lifecycle.abandon_overdue_attempt() {
-                    state.close_attempt(index);
-                }
-            }
+            Action::AttemptOverdue(index) => attempt_overdue(&mut state, index),
             Action::DeadlineExpires(index) => deadline_expired(&mut state, index),
             Action::ClientLeaves(index) => {
                 state.requests[index].lifecycle.client_disconnected();
@@ -365,7 +380,9 @@
             }),
             Property::always("an attempt in flight has one connection", |_, state: &ModelState| {
                 state.requests.iter().enumerate().all(|(index, request)| {
-                    let has_attempt = |connection: &&Connection| connection.attempt == Some(index as u8);
+                    let has_attempt = |connection: &&Connection| {
+                        connection.attempt == Some(index as u8) && !connection.is_overdue
+                    };
                     let count = state.connections.iter().filter(has_attempt).count();
                     let is_responding = request.lifecycle.state() == RequestState::Responding;
                     count == usize::from(request.lifecycle.is_in_flight() || is_responding)
@@ -380,6 +397,17 @@
                     scenario.has_long_body || state.requests.iter().any(is_answered_by_second)
                 },
             ),
+            Property::sometimes(
+                "a request is answered by an overdue attempt",
+                |scenario: &Scenario, state: &ModelState| {
+                    let is_answered = |request: &Request| {
+                        request.client == Client::Responded(200) && request.is_answered_by_overdue
+                    };
+                    !scenario.is_idempotent
+                        || scenario.has_long_body
+                        || state.requests.iter().any(is_answered)
+                },
+            ),
             Property::sometimes("an idle connection is reused", |_, state: &ModelState| {
                 state
                     .connections
--- a/crates/data-plane/tests/attempt/model_state.rs
+++ b/crates/data-plane/tests/attempt/model_state.rs
@@ -42,6 +42,8 @@
     pub(crate) executions: u8,
     /// Attempts on closed connections that a backend may still execute.
     pub(crate) orphaned_attempts: u8,
+    /// Whether the response of an overdue attempt was used.
+    pub(crate) is_answered_by_overdue: bool,
 }
 
 impl Request {
@@ -63,6 +65,8 @@
     pub(crate) is_established: bool,
     /// The request whose attempt uses the connection.
     pub(crate) attempt: Option<u8>,
+    /// Whether the attempt is overdue and another one may be made.
+    pub(crate) is_overdue: bool,
     /// How many of the [`REQUEST_PARTS`] parts of the request were written.
     pub(crate) parts_written: u8,
     /// Pieces that were read for the attempt.
@@ -83,6 +87,7 @@
         Connection {
             is_established: false,
             attempt: Some(request),
+            is_overdue: false,
             parts_written: 0,
             read_pieces: Vec::new(),
             streamed_bytes: 0,
@@ -116,8 +121,18 @@
 }
 
 impl ModelState {
-    fn connection_of(&self, request: usize) -> Option<usize> {
-        self.connections.iter().position(|connection| connection.attempt == Some(request as u8))
+    /// The connection of a request's current attempt.
+    pub(crate) fn connection_of(&self, request: usize) -> Option<usize> {
+        let is_current =
+            |connection: &Connection| connection.attempt == Some(request as u8) && !connection.is_overdue;
+        self.connections.iter().position(is_current)
+    }
+
+    /// Whether a request has an overdue attempt in flight.
+    pub(crate) fn has_overdue_attempt(&self, request: usize) -> bool {
+        let is_overdue =
+            |connection: &Connection| connection.attempt == Some(request as u8) && connection.is_overdue;
+        self.connections.iter().any(is_overdue)
     }
 
     pub(crate) fn close_connection(&mut self, index: usize) {
@@ -146,6 +161,11 @@
         let is_completed = self.requests[request].lifecycle.state() == RequestState::Completed;
         self.expect(is_completed, "a request is finished and its lifecycle is not completed");
         self.close_attempt(request);
+        while let Some(overdue) =
+            self.connections.iter().position(|connection| connection.attempt == Some(request as u8))
+        {
+            self.close_connection(overdue);
+        }
     }
 
     /// Performs a step that does not send a backend's response to the client.
@@ -163,12 +183,37 @@
 
     /// Handles the loss of a connection and of the attempt on it.
     pub(crate) fn lose_connection(&mut self, index: usize) {
-        let request = self.connections[index].attempt.map(usize::from);
+        let Connection { attempt, is_overdue, .. } = self.connections[index];
         self.close_connection(index);
-        if let Some(request) = request {
-            let next = self.requests[request].lifecycle.attempt_failed();
+        if let Some(request) = attempt.map(usize::from) {
+            let lifecycle = &mut self.requests[request].lifecycle;
+            let next =
+                if is_overdue { lifecycle.overdue_attempt_failed(true) } else { lifecycle.attempt_failed() };
+            self.apply_next_step(request, next);
+        }
+    }
+
+    /// Makes an overdue attempt with a response the current one, or ends it. Returns the index of its connection.
+    fn resume_if_overdue(&mut self, index: usize, request: usize, reader: &ResponseReader) -> Option<usize> {
+        if !self.connections[index].is_overdue {
+            return Some(index);
+        }
+        let lifecycle = &mut self.requests[request].lifecycle;
+        let head = reader.head.as_ref().expect("the head precedes the body");
+        let class = ResponseClass::of(head, lifecycle.is_idempotent());
+        if !lifecycle.resume_overdue_attempt(class) {
+            let may_have_executed = !matches!(class, ResponseClass::NotExecuted(_));
+            let next = lifecycle.overdue_attempt_failed(may_have_executed);
+            self.close_connection(index);
             self.apply_next_step(request, next);
+            return None;
         }
+        let replaced = self.connection_of(request);
+        self.connections[index].is_overdue = false;
+        self.requests[request].is_answered_by_overdue = true;
+        let Some(replaced) = replaced else { return Some(index) };
+        self.close_connection(replaced);
+        Some(index - usize::from(replaced < index))
     }
 
     /// Reads this many pieces, and the end of the input after them if `with_end`.
@@ -197,9 +242,15 @@
         match reader.read(context, &mut input, input_state) {
             ReadProgress::Partial => {}
             ReadProgress::Failed(_) => self.lose_connection(index),
-            ReadProgress::BufferFull => self.stream(index, request, &reader),
+            ReadProgress::BufferFull => {
+                if let Some(index) = self.resume_if_overdue(index, request, &reader) {
+                    self.stream(index, request, &reader);
+                }
+            }
             ReadProgress::Complete => {
-                self.response_complete(index, request, reader, input.len(), input_state)
+                if let Some(index) = self.resume_if_overdue(index, request, &reader) {
+                    self.response_complete(index, request, reader, input.len(), input_state);
+                }
             }
         }
     }
--- a/crates/data-plane/tests/sockets/faults.rs
+++ b/crates/data-plane/tests/sockets/faults.rs
@@ -149,10 +149,10 @@
     }
 }
 
-/// An attempt that receives no response is replaced only if the request is idempotent, fully buffered, and another backend
-/// is available. Otherwise the gateway keeps waiting for the response.
+/// An attempt that receives no response is followed by another one only if the request is idempotent, fully buffered, and
+/// another backend is available. It is abandoned only once the other one has a response.
 #[test]
-fn an_overdue_attempt_is_abandoned_only_where_another_can_be_made() {
+fn an_overdue_attempt_is_abandoned_only_where_another_has_a_response() {
     let (gateway, _control, backends) = start_ready_gateway(2);
     let mut clients = [gateway.connect(), gateway.connect(), gateway.connect()];
     let length = 1 << 20;
@@ -173,13 +173,14 @@
     // By the time this attempt is overdue, the first two would have been replaced as well.
     let mut replacement = backends.accept();
     assert_eq!((replacement.receive().field("X-Try-Id"), replacement.backend_index), (Some("t2"), 1));
-    assert!(abandoned.closes_without_data());
+    assert!(abandoned.is_open());
     for (backend, id) in [(&mut replacement, "t2"), (&mut non_idempotent, "t1"), (&mut streaming, "t0")] {
         backend.send(ok(id, id));
     }
     for (n, client) in clients.iter_mut().enumerate() {
         assert_eq!(client.receive().body, format!("t{n}").as_bytes());
     }
+    assert!(abandoned.closes_without_data());
     assert!(backends.has_no_pending_connection());
 }
 
--- a/crates/data-plane/tests/sockets/harness.rs
+++ b/crates/data-plane/tests/sockets/harness.rs
@@ -207,6 +207,14 @@
         &self.input
     }
 
+    /// Whether neither data nor the end of the connection is waiting to be read.
+    pub(crate) fn is_open(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("socket option is set");
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false).expect("socket option is set");
+        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
     fn read_more(&mut self) -> bool {
         let mut buffer = [0; 64 * 1024];
         loop {
