A streamed response is not cut off when its connection closes after it

What callers saw: a response of over 256 KiB that ended early, without its last chunk: after SIGTERM, or at any time where the client had asked with 'Connection: close'. Found while the test of unread responses was traced (clients 116 and 119 closed as completed with a request in progress); no report of it is known. Cause: is_closing is set when the last response's head is written, and flush_client took an empty output buffer for the end of that response. A streamed response empties the buffer many times. Change: the connection is closed once its request has ended and the output is sent. Why it works: the request ends with the last byte of the response, whether streamed or not. Looked for elsewhere: the control process closes after a flush only what was written whole; the in-service gateway streams nothing.

--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -29,7 +29,7 @@
     pub(super) discards_body: bool,
     /// The connection is closed after the response to the current request.
     pub(super) close_after_response: bool,
-    /// The last response has been buffered: no further request is read, and the connection is closed once it is sent.
+    /// The last response has begun: no further request is read, and the connection is closed once the response is sent.
     pub(super) is_closing: bool,
     /// The sending side is shut down, and input is read and discarded until [`DRAIN_TIMEOUT`].
     ///
@@ -123,6 +123,12 @@
         !self.connection.input.is_empty() || self.connection.is_readable()
     }
 
+    /// Whether the last response is sent. A response that is streamed is sent only once its request has ended, although
+    /// the output buffer may be empty before.
+    fn has_sent_last_response(&self) -> bool {
+        self.is_closing && self.request.is_none() && self.connection.unsent_bytes() == 0
+    }
+
     /// Whether the output buffer has capacity for more of a response.
     pub(super) fn has_capacity(&self) -> bool {
         self.connection.unsent_bytes() < MAX_UNSENT_BYTES
@@ -215,10 +221,7 @@
         let was_full = !client.has_capacity();
         match client.connection.flush() {
             Ok(true) if client.is_draining => {}
-            Ok(true) if client.is_closing && client.body_reader.is_some() && !client.has_reached_eof => {
-                self.start_draining(id);
-            }
-            Ok(true) if client.is_closing => self.close_client(id, CloseReason::Completed),
+            Ok(true) if client.has_sent_last_response() => self.finish_client(id),
             Ok(_) => {
                 // A streamed response can continue, as the output buffer has capacity again.
                 let request = client.request.and_then(|request| self.requests.get(&request));
@@ -231,6 +234,16 @@
         }
     }
 
+    /// Closes a connection whose last response is sent. If the client may still be sending a body, its rest is read first.
+    fn finish_client(&mut self, id: ClientId) {
+        let Some(client) = self.clients.get(&id) else { return };
+        if client.body_reader.is_some() && !client.has_reached_eof {
+            self.start_draining(id);
+        } else {
+            self.close_client(id, CloseReason::Completed);
+        }
+    }
+
     /// Shuts down the sending side of a connection after its last response, while the client may still be sending.
     fn start_draining(&mut self, id: ClientId) {
         let now = self.clock.now();
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -1,6 +1,6 @@
 //! Requests that a backend executes while the gateway gives up their attempts or closes their connections.
 
-use crate::harness::{get, ok, response, start_ready_gateway, Gateway, Peer, TestBackends};
+use crate::harness::{get, ok, request, response, start_ready_gateway, Gateway, Peer, TestBackends};
 use rstest::rstest;
 use rustix::process::Signal;
 
@@ -83,6 +83,34 @@
     assert!(backends.has_no_pending_connection());
 }
 
+/// Guards against a streamed response that is cut off, once what was received of it is sent, because its connection closes
+/// after it.
+#[rstest]
+#[case::after_sigterm("", true)]
+#[case::as_the_client_asked("Connection: close\r\n", false)]
+fn a_streamed_response_is_complete_before_its_connection_closes(
+    #[case] fields: &str,
+    #[case] is_shutting_down: bool,
+) {
+    let (gateway, _control, backends) = start_ready_gateway(1);
+    let mut client = gateway.connect();
+    client.send(request("GET", "/once/", "t1") + fields + "\r\n");
+    let mut backend = backends.accept();
+    backend.receive();
+    if is_shutting_down {
+        gateway.signal(Signal::TERM);
+        gateway.wait_for_log("event=leaving");
+    }
+    let whole = ok("t1", &"z".repeat(2 * MIB));
+    let (first, second) = whole.split_at(MIB);
+    backend.send(first);
+    client.wait_for_bytes(MIB / 2); // the gateway may keep the rest until more follows
+    backend.try_send(second);
+    let response = client.receive_or_end().map(|response| response.body.len());
+    assert_eq!(response, Some(2 * MIB), "{} bytes arrived", client.unparsed_input().len());
+    assert!(client.closes_without_data());
+}
+
 /// Sends a request and the whole response to it, of which the client reads nothing yet.
 fn start_unread_response(gateway: &Gateway, backends: &TestBackends, length: usize) -> Peer {
     let id = format!("t{length}");
