A connection is not closed while a response on it is not sent

What callers saw: a response that ended early, where the client or its link was slower than the sockets' buffers: half of the grace period after SIGTERM, or after the idle timeout. Cause: a request whose response is complete in the gateway's buffer is no longer the connection's current request. Both the closing of unused connections at a shutdown and the idle timeout took such a connection for an idle one and dropped what was not sent. Change: at a shutdown such a connection is closed once its output is sent. What a client receives counts as activity, and one with unsent output has as long as one that sends a body. What the end of the grace period cuts is logged before the process ends.

--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -14,8 +14,8 @@
 
 /// How long the rest of a request body is read and discarded after an early response.
 const DRAIN_TIMEOUT: Duration = Duration::from_micros(1_000_000);
-/// Multiple of the idle timeout for which a client may pause while sending a request body.
-const REQUEST_IDLE_FACTOR: i64 = 4;
+/// Multiple of the idle timeout for which a client may pause while sending a request body or receiving a response.
+const PENDING_IDLE_FACTOR: i64 = 4;
 
 /// A client connection.
 pub(super) struct Client {
@@ -141,10 +141,11 @@
         }
         // Once a request has been received in full, only its deadline applies.
         let is_waiting_for_client = self.request.is_none() || self.body_reader.is_some();
-        let idle_timeout = match self.request {
+        let is_message_pending = self.request.is_some() || self.connection.unsent_bytes() > 0;
+        let idle_timeout = match is_message_pending {
             _ if self.is_draining => DRAIN_TIMEOUT,
-            None => idle,
-            Some(_) => idle * REQUEST_IDLE_FACTOR,
+            false => idle,
+            true => idle * PENDING_IDLE_FACTOR,
         };
         let is_idle = is_waiting_for_client && now - self.last_active > idle_timeout;
         (is_head_slow || is_idle).then_some(ClientTimeout::Idle)
@@ -219,7 +220,12 @@
     pub(super) fn flush_client(&mut self, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let was_full = !client.has_capacity();
-        match client.connection.flush() {
+        let unsent_before = client.connection.unsent_bytes();
+        let flushed = client.connection.flush();
+        if client.connection.unsent_bytes() < unsent_before {
+            client.last_active = self.clock.now();
+        }
+        match flushed {
             Ok(true) if client.is_draining => {}
             Ok(true) if client.has_sent_last_response() => self.finish_client(id),
             Ok(_) => {
@@ -256,7 +262,16 @@
         self.process_client(id, None); // the poller reports no event for data already in the socket
     }
 
-    /// Closes a client connection and abandons its request.
+    /// Closes a client connection without a request once all of its output is sent.
+    pub(super) fn close_client_after_flush(&mut self, id: ClientId, reason: CloseReason) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.connection.unsent_bytes() == 0 {
+            return self.close_client(id, reason);
+        }
+        client.is_closing = true;
+    }
+
+    /// Closes a client connection and abandons its request. A response that is not sent yet is lost.
     pub(super) fn close_client(&mut self, id: ClientId, reason: CloseReason) {
         let Some(client) = self.clients.remove(&id) else { return };
         debug!("event=client-closed why={}", reason.name());
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -35,7 +35,10 @@
         }
         let is_complete = is_finished || must_abort;
         if is_complete {
-            info!("event=end requests={}", self.requests.len());
+            let requests = self.requests.len();
+            self.close_all_clients();
+            self.outcome_log.log_period();
+            info!("event=end requests={requests}");
         }
         is_complete
     }
@@ -48,13 +51,20 @@
         self.flush_control_connections();
     }
 
-    /// Closes client connections without a current request or unread input.
+    /// Closes client connections without a current request or unread input, once their last response is sent.
     fn close_clients_without_requests(&mut self) {
         let has_no_request =
             |client: &super::Client| client.request.is_none() && client.connection.input.is_empty();
         let unused: Vec<ClientId> =
             self.clients.iter().filter(|(_, client)| has_no_request(client)).map(|(id, _)| *id).collect();
         for client in unused {
+            self.close_client_after_flush(client, CloseReason::ShutDown);
+        }
+    }
+
+    fn close_all_clients(&mut self) {
+        let clients: Vec<ClientId> = self.clients.keys().copied().collect();
+        for client in clients {
             self.close_client(client, CloseReason::ShutDown);
         }
     }
--- a/crates/data-plane/tests/sockets/faults.rs
+++ b/crates/data-plane/tests/sockets/faults.rs
@@ -5,7 +5,7 @@
 use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
-fn limits(body: usize, idle_ms: u32) -> Vec<kitepass_config::Item> {
+pub(crate) fn limits(body: usize, idle_ms: u32) -> Vec<kitepass_config::Item> {
     change_request(&format!(
         r#"{{"deliver":{{"weight-limits":{{"envelope-bytes":4096,"body-bytes":{body},"envelope-ms":20000,
             "idle-ms":{idle_ms},"edition":"r6"}}}}}}"#
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -1,5 +1,6 @@
 //! Requests that a backend executes while the gateway gives up their attempts or closes their connections.
 
+use crate::faults::limits;
 use crate::harness::{get, ok, request, response, start_ready_gateway, Gateway, Peer, TestBackends};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -119,16 +120,24 @@
     client.send(get("/once/", &id));
     let mut backend = backends.accept();
     backend.receive();
-    std::thread::spawn(move || backend.try_send(ok(&id, &"y".repeat(length))));
+    // The connection is not reused, so that each response has one of its own.
+    let fields = "X-Postmark: p\r\nConnection: close\r\n";
+    std::thread::spawn(move || backend.try_send(response("200 OK", &id, fields, &"y".repeat(length))));
     client
 }
 
 /// Guards against a response that is cut off in the gateway's buffer when idle connections are closed.
 ///
 /// What the sockets' own buffers hold is not known, so the responses have all lengths around it.
-#[test]
-fn a_response_that_is_not_read_yet_outlives_the_closing_of_idle_connections() {
-    let (mut gateway, _control, backends) = start_ready_gateway(1);
+#[rstest]
+#[case::at_sigterm(true)]
+#[case::at_the_idle_timeout(false)]
+fn a_response_that_is_not_read_yet_outlives_the_closing_of_idle_connections(#[case] is_shutting_down: bool) {
+    let (mut gateway, control, backends) = start_ready_gateway(1);
+    if !is_shutting_down {
+        control.publish(&limits(1 << 20, 1_000));
+        control.wait_until_synced();
+    }
     let lengths: Vec<usize> =
         (1..).map(|n| n * LENGTH_STEP).take_while(|length| *length < MAX_LENGTH).collect();
     let clients: Vec<Peer> =
@@ -136,11 +145,15 @@
     let mut idle_client = gateway.connect();
     idle_client.send(get("/void/", "t0"));
     assert_eq!(idle_client.receive().status(), 503);
-    gateway.signal(Signal::TERM);
+    if is_shutting_down {
+        gateway.signal(Signal::TERM);
+    }
     assert!(idle_client.closes_without_data());
     for (mut client, length) in clients.into_iter().zip(lengths) {
         let received = client.receive_or_end().map(|response| response.body.len());
         assert_eq!(received, Some(length), "{} bytes arrived", client.unparsed_input().len());
     }
-    assert_eq!(gateway.wait_for_exit(), Some(0));
+    if is_shutting_down {
+        assert_eq!(gateway.wait_for_exit(), Some(0));
+    }
 }
