A request whose long response is discarded goes on at once

What callers saw: 504 at the deadline for a request to which a backend answered with over 256 KiB that is not for the client (a 5xx to an idempotent request, a success without a postmark). After SIGTERM such a request waited for nothing and was aborted when the grace period ended. Cause: stream_response failed the attempt and did not pass on the next step, so the request stayed pending without an attempt (a known fault). Change: the request is continued with the step that the state machine returned. Why it works: that step is another attempt, or the rejection. Looked for elsewhere: every other caller of fail_attempt continues its request (fail_upstream, the overdue attempts).

--- a/crates/data-plane/src/server/response.rs
+++ b/crates/data-plane/src/server/response.rs
@@ -105,11 +105,10 @@
                 attempt.expect("the attempt is in flight").response.head = Some(head);
             }
             NextStep::StreamMore => {}
-            // The response must not be delivered. Known fault: the request is not continued with `next` but stays
-            // pending until its deadline, although it could be retried or rejected immediately.
-            _ => {
-                self.fail_attempt(now, id, AttemptOutcome::Broken, "invalid-response");
-                return;
+            // The response must not be delivered.
+            next => {
+                let request = self.fail_attempt(now, id, AttemptOutcome::Broken, "invalid-response");
+                return request.into_iter().for_each(|request| self.continue_request(now, request, next));
             }
         }
         if let Some(client) = self.clients.get_mut(&client_id) {
