A control process answers the clients that it has read before it ends

Cause: the end was decided by the state machine alone: its requests, its records, its lease. It knows neither of jobs of the worker, nor of requests that are read in part, nor of output that the socket has not taken. After 2 s the process ended in any case. Change: server/shutdown.rs has the phases. Lease and membership first, 2 s at most, as before; then nothing is accepted, unused connections are closed, and the process ends once no client waits. Responses say that the connection closes. Half a second before the grace period ends (courtesy-s) what is still in progress is redirected. Why it works: what was read is answered before the sockets are closed, or redirected.

--- a/crates/control-plane/src/server/api_client.rs
+++ b/crates/control-plane/src/server/api_client.rs
@@ -76,6 +76,11 @@
         self.pending.as_ref().map_or(0, |pending| pending.bytes.len())
     }
 
+    /// Returns whether the head of a request has been read, and its body only in part.
+    pub(super) fn has_partial_request(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Reads the next request's head, unless it has been read already. Returns false if the head is still incomplete.
     fn read_head(&mut self, transport: &mut Connection) -> Result<bool, RequestError> {
         if self.pending.is_some() {
--- a/crates/control-plane/src/server/connections.rs
+++ b/crates/control-plane/src/server/connections.rs
@@ -50,6 +50,8 @@
     Unresponsive,
     /// The other side does not read, or reads too slowly.
     SlowReader,
+    /// The process shuts down.
+    ShutDown,
     /// The socket failed.
     Socket(Errno),
 }
@@ -64,6 +66,7 @@
             CloseReason::Unrequested => "unrequested",
             CloseReason::Unresponsive => "unresponsive",
             CloseReason::SlowReader => "slow-reader",
+            CloseReason::ShutDown => "shutdown",
             CloseReason::Socket(error) => error_label(error),
         }
     }
@@ -103,10 +106,14 @@
         }
     }
 
-    /// Returns whether this is an API client whose request has been read and whose response has not been sent
-    /// completely.
+    /// Returns whether this is an API client whose request has been read, completely or in part, and whose response has
+    /// not been sent completely.
     pub(super) fn is_client_waiting(&self) -> bool {
-        self.api_client().is_some_and(|client| client.awaits_response || self.unsent_bytes() > 0)
+        let has_request = |client: &ApiClient| {
+            client.awaits_response || client.has_partial_request() || !self.transport.input.is_empty()
+        };
+        self.api_client()
+            .is_some_and(|client| !client.discards_input && has_request(client) || self.unsent_bytes() > 0)
     }
 
     /// Returns the number of bytes that are still to be sent.
@@ -189,7 +196,7 @@
         self.connections.get_mut(&id)
     }
 
-    /// Returns the number of API clients whose request has been read and whose response has not been sent completely.
+    /// Returns the number of API clients that wait for a response; see [`ServerConnection::is_client_waiting`].
     pub(super) fn waiting_clients(&self) -> usize {
         self.connections.values().filter(|connection| connection.is_client_waiting()).count()
     }
--- a/crates/control-plane/src/server/http_response.rs
+++ b/crates/control-plane/src/server/http_response.rs
@@ -73,11 +73,12 @@
     /// Queues a response to a client, whose next request may be read from then on.
     pub(super) fn respond(&mut self, id: ConnectionId, response: &HttpResponse) {
         let now = self.clock.now();
+        let is_shutting_down = self.is_shutting_down();
         let Some(connection) = self.connections.get_mut(id) else { return };
         let ServerConnection { transport, role: Role::ApiClient(client), .. } = connection else { return };
         client.awaits_response = false;
         connection.last_active = now;
-        connection.closes_after_flush |= client.closes_after_response;
+        connection.closes_after_flush |= client.closes_after_response || is_shutting_down;
         let head = response.head(connection.closes_after_flush);
         transport.output.extend_from_slice(head.as_bytes());
         transport.output.extend_from_slice(&response.body);
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -3,7 +3,7 @@
 //! Each module handles one kind of event: `connection_io` the sockets, `api_client`, `operator_api` and `directory_api`
 //! the clients of the APIs, `peer_connections` control processes and gateways, `platform_client` the platform's list of
 //! backends, `persistence` the disk, and `worker` a thread for long computations. `actions` performs the state
-//! machine's actions. `turn_monitor` detects long turns of the loop, and postpones liveness checks until the input that
+//! machine's actions. `shutdown` ends the process after SIGTERM. `turn_monitor` detects long turns of the loop, and postpones liveness checks until the input that
 //! arrived during a long turn has been read.
 
 mod actions;
@@ -17,6 +17,7 @@
 mod peer_connections;
 mod persistence;
 mod platform_client;
+mod shutdown;
 mod turn_monitor;
 mod worker;
 
@@ -36,6 +37,7 @@
 use peer_connections::PeerRegistry;
 use persistence::Record;
 use platform_client::PlatformClient;
+use shutdown::Shutdown;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -49,8 +51,6 @@
 const TICK_INTERVAL: Duration = Duration::from_micros(100_000);
 /// Interval between checks for a changed settings file.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_micros(1_000_000);
-/// Time after SIGTERM for requests in flight, and for the membership change that removes this replica.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_micros(2_000_000);
 
 /// Why the server cannot start or continue.
 #[derive(Debug, Snafu)]
@@ -151,11 +151,11 @@
     }
 }
 
-/// When the loop last did its periodic work, and when the shutdown started.
+/// When the loop last did its periodic work, and the shutdown, once it has started.
 struct LoopTimestamps {
     last_tick: Timestamp,
     last_settings_check: Timestamp,
-    shutdown_started: Option<Timestamp>,
+    shutdown: Option<Shutdown>,
 }
 
 /// A control process: the state machine with its sockets, its store and its clock.
@@ -236,7 +236,7 @@
         let mut times = LoopTimestamps {
             last_tick: Timestamp::default(),
             last_settings_check: self.clock.now(),
-            shutdown_started: None,
+            shutdown: None,
         };
         loop {
             let timeout = self.poll_timeout(times.last_tick);
@@ -249,10 +249,10 @@
             let now = self.clock.now();
             self.report_drained_sessions(now);
             self.run_periodic_work(now, &mut times);
-            self.begin_shutdown_if_requested(now, &mut times);
+            self.advance_shutdown(now, &mut times.shutdown);
             self.perform_actions();
             self.turn_monitor.turn_ended(self.clock.now());
-            if self.has_shut_down(now, &times) {
+            if self.has_shut_down(now, times.shutdown) {
                 info!("event=end clients={}", self.connections.waiting_clients());
                 return Ok(());
             }
@@ -342,20 +342,6 @@
             None => {}
         }
     }
-
-    fn begin_shutdown_if_requested(&mut self, now: Timestamp, times: &mut LoopTimestamps) {
-        if times.shutdown_started.is_none() && self.signals.is_shutdown_requested() {
-            info!("event=leaving");
-            self.state_machine.shut_down(now);
-            times.shutdown_started = Some(now);
-        }
-    }
-
-    fn has_shut_down(&self, now: Timestamp, times: &LoopTimestamps) -> bool {
-        times
-            .shutdown_started
-            .is_some_and(|started| now - started > SHUTDOWN_TIMEOUT || self.state_machine.is_shut_down())
-    }
 }
 
 fn open_listeners(settings: &Settings, poller: &Poller) -> Result<BTreeMap<Listener, OwnedFd>, Error> {
--- a/crates/control-plane/src/state_machine/handlers/requests.rs
+++ b/crates/control-plane/src/state_machine/handlers/requests.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Ends the requests of all callers, because the process ends, and redirects them to another process. What was
+    /// proposed may still be committed by others.
+    pub fn redirect_requests(&mut self, now: Timestamp) {
+        let response = self.redirect(now);
+        for id in self.proposals.pending.ids() {
+            if self.proposals.pending.get(id).is_some_and(|pending| pending.caller.is_some()) {
+                self.finish_request(id, response.clone());
+            }
+        }
+    }
+
     /// Ends requests that have exceeded their time-outs.
     pub(in crate::state_machine) fn expire_requests(&mut self, now: Timestamp) {
         for id in self.proposals.pending.overdue(now) {
--- /dev/null
+++ b/crates/control-plane/tests/shutdown.rs
@@ -0,0 +1,89 @@
+//! SIGTERM while clients of the operator API wait for responses.
+
+mod support;
+
+use rstest::rstest;
+use rustix::net::sockopt;
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
+use std::io::Write;
+use support::cluster::{request, Cluster};
+
+/// A change of this many services is parsed by the worker thread, and the configuration is encoded by it.
+const MANY_SERVICES: usize = 4_000;
+/// A configuration of this many long changes exceeds what the sockets buffer.
+const LONG_CHANGES: usize = 4;
+const LONG_CHANGE_BYTES: usize = 2 * 1024 * 1024;
+const KEY_BYTES: usize = 200;
+const KEYS_PER_TENANT: usize = 100;
+
+/// A change request that publishes services.
+fn change(services: usize, version: u64) -> String {
+    let entry = |n| format!("[\"service-with-a-long-name-{n}\",\"/well\",100,\"r{version}\"]");
+    let entries: Vec<String> = (0..services).map(entry).collect();
+    format!(
+        r#"{{"deliver":{{"carrier-lines":{{"headings":["name","checkpoint","berth-cap","edition"],"entries":[{}]}}}}}}"#,
+        entries.join(",")
+    )
+}
+
+/// A change request that publishes tenants with many long keys.
+fn long_change(number: usize) -> String {
+    let key = |tenant, n| format!("\"{number}-{tenant}-{n}-{}\"", "k".repeat(KEY_BYTES));
+    let entry = |tenant| {
+        let keys: Vec<String> = (0..KEYS_PER_TENANT).map(|n| key(tenant, n)).collect();
+        format!("[\"tenant-{number}-{tenant}\",[{}],1,0,0,\"r1\"]", keys.join(","))
+    };
+    let tenants = LONG_CHANGE_BYTES / (KEYS_PER_TENANT * KEY_BYTES);
+    let entries: Vec<String> = (0..=tenants).map(entry).collect();
+    let headings = r#"["name","permits","class-of-mail","rate-per-s","surge","edition"]"#;
+    format!(r#"{{"deliver":{{"customers":{{"headings":{headings},"entries":[{}]}}}}}}"#, entries.join(","))
+}
+
+fn signal_first_process(cluster: &Cluster, signal: Signal) {
+    let pid = Pid::from_child(&cluster.children[0]);
+    kill_process(pid, signal).expect("signal the process");
+    if signal == Signal::STOP {
+        let stopped = waitpid(Some(pid), WaitOptions::UNTRACED).expect("a child process");
+        assert!(stopped.is_some_and(|(_, status)| status.stopped()), "{stopped:?}");
+    }
+}
+
+/// Guards against a process that ends while a request that it has read is with its worker, or with its peers.
+#[rstest]
+#[case::short_change(request("POST", "Timetable.Patch", &change(1, 2)))]
+#[case::long_change(request("POST", "Timetable.Patch", &change(MANY_SERVICES, 2)))]
+#[case::long_configuration(request("GET", "Timetable.Get", ""))]
+fn a_request_that_was_read_is_answered_in_spite_of_sigterm(#[case] request: String) {
+    let mut cluster = Cluster::start();
+    assert_eq!(cluster.connect().call("POST", "Timetable.Patch", &change(MANY_SERVICES, 1)).0, 200);
+    let mut client = cluster.connect();
+    // Once the process continues, the request and the signal are pending at the same time.
+    signal_first_process(&cluster, Signal::STOP);
+    client.stream.write_all(request.as_bytes()).expect("written");
+    signal_first_process(&cluster, Signal::TERM);
+    signal_first_process(&cluster, Signal::CONT);
+    let (status, body) = client.receive();
+    assert!([200, 307, 503].contains(&status), "{status} {body}");
+    assert!(cluster.children[0].wait().expect("ended").success());
+}
+
+/// Guards against a process that ends before its clients have read what it has buffered for them.
+#[test]
+fn a_response_that_is_not_read_yet_is_complete_in_spite_of_sigterm() {
+    let mut cluster = Cluster::start();
+    for n in 0..LONG_CHANGES {
+        assert_eq!(cluster.connect().call("POST", "Timetable.Patch", &long_change(n)).0, 200);
+    }
+    let (mut client, mut idle_client) = (cluster.connect(), cluster.connect());
+    sockopt::set_socket_recv_buffer_size(&client.stream, 64 * 1024).expect("set the socket option");
+    client.send(&request("GET", "Timetable.Get", ""));
+    while client.input.is_empty() {
+        assert!(client.read_more());
+    }
+    assert_eq!(idle_client.call("POST", "Timetable.Patch", &change(1, 1)).0, 200);
+    signal_first_process(&cluster, Signal::TERM);
+    assert!(idle_client.is_closed_by_peer());
+    let (status, body) = client.receive();
+    assert!(status == 200 && body.len() > LONG_CHANGES * LONG_CHANGE_BYTES, "{status}, {} bytes", body.len());
+    assert!(cluster.children[0].wait().expect("ended").success());
+}
