A connection with a request in its socket is not closed as unused

What callers saw: a request on an open connection that ended without an answer, where it arrived just before the gateway closed its unused connections after SIGTERM or at the idle timeout. Cause: a connection was unused if nothing of a request had been read. On a busy machine a request waits in the socket meanwhile; closing such a socket resets the connection. Change: the socket is asked before it is closed, and before the process ends; so does the control process. Why it works: what is there is read in the next turn and answered with 'Connection: close'. Looked for elsewhere: the in-service gateway asks its sockets already (poll::is_idle).

--- a/crates/control-plane/src/server/connections.rs
+++ b/crates/control-plane/src/server/connections.rs
@@ -106,11 +106,11 @@
         }
     }
 
-    /// Returns whether this is an API client whose request has been read, completely or in part, and whose response has
+    /// Returns whether this is an API client whose request has arrived, completely or in part, and whose response has
     /// not been sent completely.
     pub(super) fn is_client_waiting(&self) -> bool {
         let has_request = |client: &ApiClient| {
-            client.awaits_response || client.has_partial_request() || !self.transport.input.is_empty()
+            client.awaits_response || client.has_partial_request() || !self.transport.is_idle()
         };
         self.api_client()
             .is_some_and(|client| !client.discards_input && has_request(client) || self.unsent_bytes() > 0)
--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -123,10 +123,21 @@
         !self.connection.input.is_empty() || self.connection.is_readable()
     }
 
+    /// Whether all output is sent.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.connection.unsent_bytes() == 0
+    }
+
+    /// Whether a request may have arrived at the socket that the event loop has not read yet.
+    pub(super) fn has_unread_input(&self) -> bool {
+        let reads_requests = self.request.is_none() && !self.is_closing && !self.is_draining;
+        reads_requests && self.connection.input.is_empty() && !self.connection.is_idle()
+    }
+
     /// Whether the last response is sent. A response that is streamed is sent only once its request has ended, although
     /// the output buffer may be empty before.
     fn has_sent_last_response(&self) -> bool {
-        self.is_closing && self.request.is_none() && self.connection.unsent_bytes() == 0
+        self.is_closing && self.request.is_none() && self.is_flushed()
     }
 
     /// Whether the output buffer has capacity for more of a response.
@@ -141,14 +152,14 @@
         }
         // Once a request has been received in full, only its deadline applies.
         let is_waiting_for_client = self.request.is_none() || self.body_reader.is_some();
-        let is_message_pending = self.request.is_some() || self.connection.unsent_bytes() > 0;
+        let is_message_pending = self.request.is_some() || !self.is_flushed();
         let idle_timeout = match is_message_pending {
             _ if self.is_draining => DRAIN_TIMEOUT,
             false => idle,
             true => idle * PENDING_IDLE_FACTOR,
         };
         let is_idle = is_waiting_for_client && now - self.last_active > idle_timeout;
-        (is_head_slow || is_idle).then_some(ClientTimeout::Idle)
+        (is_head_slow || is_idle && !self.has_unread_input()).then_some(ClientTimeout::Idle)
     }
 }
 
@@ -265,7 +276,7 @@
     /// Closes a client connection without a request once all of its output is sent.
     pub(super) fn close_client_after_flush(&mut self, id: ClientId, reason: CloseReason) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.connection.unsent_bytes() == 0 {
+        if client.is_flushed() {
             return self.close_client(id, reason);
         }
         client.is_closing = true;
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -27,8 +27,9 @@
             self.listeners.clear();
             self.close_clients_without_requests();
         }
-        let is_flushed = self.clients.values().all(|client| client.connection.unsent_bytes() == 0);
-        let is_finished = self.listeners.is_empty() && self.requests.is_empty() && is_flushed;
+        let is_finished = self.listeners.is_empty()
+            && self.requests.is_empty()
+            && self.clients.values().all(|client| client.is_flushed() && !client.has_unread_input());
         let must_abort = elapsed > grace_period - ABORT_MARGIN;
         if must_abort {
             self.abort_requests(now);
@@ -53,8 +54,9 @@
 
     /// Closes client connections without a current request or unread input, once their last response is sent.
     fn close_clients_without_requests(&mut self) {
-        let has_no_request =
-            |client: &super::Client| client.request.is_none() && client.connection.input.is_empty();
+        let has_no_request = |client: &super::Client| {
+            client.request.is_none() && client.connection.input.is_empty() && !client.has_unread_input()
+        };
         let unused: Vec<ClientId> =
             self.clients.iter().filter(|(_, client)| has_no_request(client)).map(|(id, _)| *id).collect();
         for client in unused {
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -112,6 +112,42 @@
     assert!(client.closes_without_data());
 }
 
+/// Guards against a connection that is closed as unused while a request waits in its socket.
+///
+/// The gateway is stopped for as long as another one needs to reach the time at which unused connections are closed. Then
+/// that time has passed, and the requests are there, in the same turn of its event loop.
+#[test]
+fn a_request_that_waits_in_its_socket_is_served_when_unused_connections_are_closed() {
+    const CLIENTS: usize = 20;
+    let (mut gateway, _control, backends) = start_ready_gateway(1);
+    let (other, _other_control, _other_backends) = start_ready_gateway(1);
+    let connect = |gateway: &Gateway| {
+        let mut client = gateway.connect();
+        assert_eq!(client.send(get("/void/", "t0")).receive().status(), 503);
+        client
+    };
+    let mut clients: Vec<Peer> = (0..CLIENTS).map(|_| connect(&gateway)).collect();
+    let mut idle_client = connect(&other);
+    gateway.signal(Signal::TERM);
+    gateway.wait_for_log("event=leaving");
+    gateway.pause();
+    other.signal(Signal::TERM);
+    assert!(idle_client.closes_without_data());
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(get("/once/", &format!("t{n}")));
+    }
+    gateway.signal(Signal::CONT);
+    for _ in 0..CLIENTS {
+        let mut backend = backends.accept();
+        let id = backend.receive().field("X-Try-Id").expect("request has an id").to_owned();
+        backend.send(response("200 OK", &id, "X-Postmark: p\r\nConnection: close\r\n", ""));
+    }
+    for mut client in clients {
+        assert_eq!(client.receive_or_end().map(|response| response.status()), Some(200));
+    }
+    assert_eq!(gateway.wait_for_exit(), Some(0));
+}
+
 /// Sends a request and the whole response to it, of which the client reads nothing yet.
 fn start_unread_response(gateway: &Gateway, backends: &TestBackends, length: usize) -> Peer {
     let id = format!("t{length}");
