A gateway that shuts down stops accepting half a second earlier

Cause: a request that is sent in the second half of the grace period may still be at work when the rest is aborted, which is then a lost request. The gateway accepted until exactly half of it (3 s of 6 s), counted from when it noticed the signal, and a busy process notices late. Change: accepting ends half a second earlier. Clients that ask the directory have left by then: its answers are valid for 1 s.

--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -10,6 +10,9 @@
 /// How long after SIGTERM new connections are accepted, at most half of the grace period. Their responses announce that
 /// the connection closes.
 const MAX_ACCEPT_DURATION: Duration = Duration::from_micros(3_000_000);
+/// How much earlier accepting ends, as a busy process notices the signal late. A request accepted in the second half of the
+/// grace period may not have enough time left.
+const LATE_NOTICE_MARGIN: Duration = Duration::from_micros(500_000);
 /// How long before the end of the grace period the remaining requests are aborted.
 const ABORT_MARGIN: Duration = Duration::from_micros(300_000);
 
@@ -23,7 +26,8 @@
         let Some(began) = self.shutdown_started_at else { return false };
         let elapsed = now - began;
         let grace_period = Duration::from_micros(self.settings.bounds.shutdown_grace.as_micros() as i64);
-        if elapsed > MAX_ACCEPT_DURATION.min(grace_period / 2) && !self.listeners.is_empty() {
+        let accept_duration = MAX_ACCEPT_DURATION.min(grace_period / 2) - LATE_NOTICE_MARGIN;
+        if elapsed > accept_duration && !self.listeners.is_empty() {
             self.listeners.clear();
             self.close_clients_without_requests();
         }
