Soak: streamed responses are longer than a gateway buffers

Cause: they had 40,000 bytes, so a gateway sent them as a whole, and no run streamed. That streamed responses were cut after SIGTERM went unseen. Change: 600,000 bytes.

--- a/crates/soak/src/stand_ins/clients.rs
+++ b/crates/soak/src/stand_ins/clients.rs
@@ -28,7 +28,8 @@
 const UPLOAD_BYTES: usize = 300_000;
 /// Number of writes in which a large request body is sent.
 const UPLOAD_WRITES: usize = 4;
-const STREAM_BYTES: usize = 40_000;
+/// More than a gateway buffers, so that it sends the start of a response before it has the end.
+const STREAM_BYTES: usize = 600_000;
 /// Delay before the next connection attempt after one that failed.
 const RECONNECT_DELAY: Duration = Duration::from_millis(60);
 /// The same, for eager clients.
