Control plane: one way to select, redirect and close; one generator of long changes

The end of a process selected connections as close_unresponsive does, redirected requests as finish_all_requests does, and its test had a second generator of long change requests; settings' durations were converted in three places. Change: ConnectionTable::ids_where, redirect_requests_where, tests/support/long_change.rs, and From<std::time::Duration> for the project's duration (used by both programs) serve both sides. Behaviour and assertions are as they were.

--- a/crates/control-plane/src/server/connection_io.rs
+++ b/crates/control-plane/src/server/connection_io.rs
@@ -161,12 +161,7 @@
 
     /// Closes the connections that have been inactive for too long.
     pub(super) fn close_unresponsive(&mut self, now: Timestamp) {
-        let unresponsive: Vec<ConnectionId> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| self.is_unresponsive(now, connection))
-            .map(|(id, _)| id)
-            .collect();
+        let unresponsive = self.connections.ids_where(|connection| self.is_unresponsive(now, connection));
         unresponsive.into_iter().for_each(|id| self.close(id, CloseReason::Unresponsive));
     }
 
--- a/crates/control-plane/src/server/connections.rs
+++ b/crates/control-plane/src/server/connections.rs
@@ -201,6 +201,11 @@
         self.connections.values().filter(|connection| connection.is_client_waiting()).count()
     }
 
+    /// Returns the ids of the connections that the predicate holds for.
+    pub(super) fn ids_where(&self, predicate: impl Fn(&ServerConnection) -> bool) -> Vec<ConnectionId> {
+        self.iter().filter(|(_, connection)| predicate(connection)).map(|(id, _)| id).collect()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (ConnectionId, &ServerConnection)> {
         self.connections.iter().map(|(id, connection)| (*id, connection))
     }
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -3,8 +3,8 @@
 //! Each module handles one kind of event: `connection_io` the sockets, `api_client`, `operator_api` and `directory_api`
 //! the clients of the APIs, `peer_connections` control processes and gateways, `platform_client` the platform's list of
 //! backends, `persistence` the disk, and `worker` a thread for long computations. `actions` performs the state
-//! machine's actions. `shutdown` ends the process after SIGTERM. `turn_monitor` detects long turns of the loop, and postpones liveness checks until the input that
-//! arrived during a long turn has been read.
+//! machine's actions. `shutdown` ends the process after SIGTERM. `turn_monitor` detects long turns of the loop, and
+//! postpones liveness checks until the input that arrived during a long turn has been read.
 
 mod actions;
 mod api_client;
--- a/crates/control-plane/src/server/shutdown.rs
+++ b/crates/control-plane/src/server/shutdown.rs
@@ -6,7 +6,7 @@
 //! | no connection is accepted, unused ones are closed, and clients that wait get their responses | once no client waits |
 //! | requests that are still in progress are redirected | at the end of the grace period |
 
-use super::connections::{CloseReason, ConnectionId};
+use super::connections::{CloseReason, ServerConnection};
 use super::{Listener, Server};
 use crate::state_machine::ReplicaState;
 use kitepass_time::{Duration, Timestamp};
@@ -48,7 +48,7 @@
             self.stop_accepting();
         }
         if elapsed > self.grace_period() - REDIRECT_MARGIN {
-            self.state_machine.redirect_requests(now);
+            self.state_machine.redirect_callers(now);
         }
     }
 
@@ -61,21 +61,16 @@
     }
 
     fn grace_period(&self) -> Duration {
-        Duration::from_micros(self.settings.bounds.shutdown_grace.as_micros() as i64)
+        Duration::from(self.settings.bounds.shutdown_grace)
     }
 
     /// Closes the listeners of both APIs and the connections of clients that wait for nothing.
     fn stop_accepting(&mut self) {
         self.listeners.retain(|listener, _| *listener == Listener::Peers);
-        let is_unused = |connection: &super::connections::ServerConnection| {
+        let is_unused = |connection: &ServerConnection| {
             connection.api_client().is_some() && !connection.is_client_waiting()
         };
-        let unused: Vec<ConnectionId> = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| is_unused(connection))
-            .map(|(id, _)| id)
-            .collect();
+        let unused = self.connections.ids_where(is_unused);
         unused.into_iter().for_each(|id| self.close(id, CloseReason::ShutDown));
     }
 }
--- a/crates/control-plane/src/state_machine/handlers/requests.rs
+++ b/crates/control-plane/src/state_machine/handlers/requests.rs
@@ -80,18 +80,20 @@
 
     /// Ends all requests and redirects their callers to another process.
     pub(in crate::state_machine) fn finish_all_requests(&mut self, now: Timestamp) {
-        let response = self.redirect(now);
-        for id in self.proposals.pending.ids() {
-            self.finish_request(id, response.clone());
-        }
+        self.redirect_requests_where(now, |_| true);
     }
 
     /// Ends the requests of all callers, because the process ends, and redirects them to another process. What was
     /// proposed may still be committed by others.
-    pub fn redirect_requests(&mut self, now: Timestamp) {
+    pub fn redirect_callers(&mut self, now: Timestamp) {
+        self.redirect_requests_where(now, |pending| pending.caller.is_some());
+    }
+
+    /// Ends the requests that the predicate holds for, and redirects their callers, if any, to another process.
+    fn redirect_requests_where(&mut self, now: Timestamp, is_ended: impl Fn(&PendingRequest) -> bool) {
         let response = self.redirect(now);
         for id in self.proposals.pending.ids() {
-            if self.proposals.pending.get(id).is_some_and(|pending| pending.caller.is_some()) {
+            if self.proposals.pending.get(id).is_some_and(&is_ended) {
                 self.finish_request(id, response.clone());
             }
         }
--- a/crates/control-plane/tests/large_changes.rs
+++ b/crates/control-plane/tests/large_changes.rs
@@ -1,11 +1,14 @@
 //! Changes of many MiB in a cluster of three control processes on loopback addresses. Changes within the size limit are
 //! committed and read back; larger ones are rejected before any part of them is stored.
 
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
+use support::long_change::change;
 
 const MIB: usize = 1024 * 1024;
 /// Maximum duration of an event loop turn, in debug builds too: half of the time after which quorum contact is lost.
@@ -113,26 +116,6 @@
     members[name].as_u64().expect("a numeric field")
 }
 
-/// A change request of slightly less than `bytes` bytes: customers with many long keys.
-fn change(name: &str, version: u64, bytes: usize) -> Vec<u8> {
-    let api_key = |customer: usize, n: usize| format!("\"{name}-{customer}-{n}-{}\"", "k".repeat(200));
-    let mut entries = Vec::new();
-    let mut size = 0;
-    while size + 22_000 < bytes {
-        let keys: Vec<String> = (0..100).map(|n| api_key(entries.len(), n)).collect();
-        let entry = format!("[\"{name}-{}\",[{}],1,0,0,\"r{version}\"]", entries.len(), keys.join(","));
-        size += entry.len() + 1;
-        entries.push(entry);
-    }
-    let headings = r#"["name","permits","class-of-mail","rate-per-s","surge","edition"]"#;
-    let request = format!(
-        r#"{{"deliver":{{"customers":{{"headings":{headings},"entries":[{}]}}}}}}"#,
-        entries.join(",")
-    );
-    assert!(request.len() <= bytes && request.len() + 30_000 > bytes);
-    request.into_bytes()
-}
-
 #[test]
 fn changes_within_the_limit_are_committed_and_those_beyond_it_rejected_at_once() {
     let cluster = Cluster::start();
--- a/crates/control-plane/tests/shutdown.rs
+++ b/crates/control-plane/tests/shutdown.rs
@@ -7,14 +7,15 @@
 use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use std::io::Write;
 use support::cluster::{request, Cluster};
+use support::long_change;
 
 /// A change of this many services is parsed by the worker thread, and the configuration is encoded by it.
 const MANY_SERVICES: usize = 4_000;
 /// A configuration of this many long changes exceeds what the sockets buffer.
 const LONG_CHANGES: usize = 4;
 const LONG_CHANGE_BYTES: usize = 2 * 1024 * 1024;
-const KEY_BYTES: usize = 200;
-const KEYS_PER_TENANT: usize = 100;
+/// A change request is shorter than asked for by at most this much.
+const MAX_SHORTFALL_BYTES: usize = 30_000;
 
 /// A change request that publishes services.
 fn change(services: usize, version: u64) -> String {
@@ -26,19 +27,6 @@
     )
 }
 
-/// A change request that publishes tenants with many long keys.
-fn long_change(number: usize) -> String {
-    let key = |tenant, n| format!("\"{number}-{tenant}-{n}-{}\"", "k".repeat(KEY_BYTES));
-    let entry = |tenant| {
-        let keys: Vec<String> = (0..KEYS_PER_TENANT).map(|n| key(tenant, n)).collect();
-        format!("[\"tenant-{number}-{tenant}\",[{}],1,0,0,\"r1\"]", keys.join(","))
-    };
-    let tenants = LONG_CHANGE_BYTES / (KEYS_PER_TENANT * KEY_BYTES);
-    let entries: Vec<String> = (0..=tenants).map(entry).collect();
-    let headings = r#"["name","permits","class-of-mail","rate-per-s","surge","edition"]"#;
-    format!(r#"{{"deliver":{{"customers":{{"headings":{headings},"entries":[{}]}}}}}}"#, entries.join(","))
-}
-
 fn signal_first_process(cluster: &Cluster, signal: Signal) {
     let pid = Pid::from_child(&cluster.children[0]);
     kill_process(pid, signal).expect("signal the process");
@@ -72,7 +60,9 @@
 fn a_response_that_is_not_read_yet_is_complete_in_spite_of_sigterm() {
     let mut cluster = Cluster::start();
     for n in 0..LONG_CHANGES {
-        assert_eq!(cluster.connect().call("POST", "Timetable.Patch", &long_change(n)).0, 200);
+        let change = long_change::change(&format!("long{n}"), 1, LONG_CHANGE_BYTES + MAX_SHORTFALL_BYTES);
+        let change = String::from_utf8(change).expect("text");
+        assert_eq!(cluster.connect().call("POST", "Timetable.Patch", &change).0, 200);
     }
     let (mut client, mut idle_client) = (cluster.connect(), cluster.connect());
     sockopt::set_socket_recv_buffer_size(&client.stream, 64 * 1024).expect("set the socket option");
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod cluster;
 pub(crate) mod command;
 pub(crate) mod golden;
+pub(crate) mod long_change;
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -165,7 +165,7 @@
 
 fn retry_limits(settings: &Settings) -> RetryLimits {
     let bounds = &settings.bounds;
-    let window = Duration::from_micros(bounds.retry_window.as_micros() as i64);
+    let window = Duration::from(bounds.retry_window);
     RetryLimits { ratio: bounds.retry_ratio, window, margin: bounds.retry_margin }
 }
 
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -25,7 +25,7 @@
         }
         let Some(began) = self.shutdown_started_at else { return false };
         let elapsed = now - began;
-        let grace_period = Duration::from_micros(self.settings.bounds.shutdown_grace.as_micros() as i64);
+        let grace_period = Duration::from(self.settings.bounds.shutdown_grace);
         let accept_duration = MAX_ACCEPT_DURATION.min(grace_period / 2) - LATE_NOTICE_MARGIN;
         if elapsed > accept_duration && !self.listeners.is_empty() {
             self.listeners.clear();
--- a/crates/time/src/lib.rs
+++ b/crates/time/src/lib.rs
@@ -41,6 +41,12 @@
     }
 }
 
+impl From<std::time::Duration> for Duration {
+    fn from(duration: std::time::Duration) -> Self {
+        Duration(duration.as_micros() as i64)
+    }
+}
+
 impl Duration {
     /// A duration of zero.
     pub const ZERO: Duration = Duration(0);
