Gateway: an overdue attempt fails as any other does; tests use the backends' actions

The end of an overdue attempt stood twice (with and without a response), its removal from the request stood beside Request::remove_attempt, each complete response looked its request up twice more to see whether it was overdue, and the test had its own copy of attempts::perform. Change: fail_upstream ends both; whether the backend states that it did not execute the request is asked of the outcome. read_upstream asks the request that it holds. The idle timeout of a client is chosen without a match on a flag. perform returns the request's id, which the test asserts.

--- a/crates/data-plane/src/load_balancer/backend.rs
+++ b/crates/data-plane/src/load_balancer/backend.rs
@@ -34,6 +34,13 @@
     Abandoned,
 }
 
+impl AttemptOutcome {
+    /// Whether the backend states that it did not execute the request.
+    pub fn states_not_executed(self) -> bool {
+        matches!(self, AttemptOutcome::Rejected | AttemptOutcome::Misdirected)
+    }
+}
+
 /// A backend that requests are forwarded to.
 #[derive(Debug)]
 pub struct Backend {
--- a/crates/data-plane/src/request.rs
+++ b/crates/data-plane/src/request.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Whether the attempt on a connection is overdue and another one may be made.
+    pub fn is_overdue(&self, upstream: UpstreamId) -> bool {
+        self.overdue_upstreams.contains(&upstream)
+    }
+
     /// Removes an ended attempt from the attempts in flight.
     pub fn remove_attempt(&mut self, upstream: UpstreamId) {
         if self.upstream == Some(upstream) {
--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -152,11 +152,12 @@
         }
         // Once a request has been received in full, only its deadline applies.
         let is_waiting_for_client = self.request.is_none() || self.body_reader.is_some();
-        let is_message_pending = self.request.is_some() || !self.is_flushed();
-        let idle_timeout = match is_message_pending {
-            _ if self.is_draining => DRAIN_TIMEOUT,
-            false => idle,
-            true => idle * PENDING_IDLE_FACTOR,
+        let idle_timeout = if self.is_draining {
+            DRAIN_TIMEOUT
+        } else if self.request.is_some() || !self.is_flushed() {
+            idle * PENDING_IDLE_FACTOR
+        } else {
+            idle
         };
         let is_idle = is_waiting_for_client && now - self.last_active > idle_timeout;
         (is_head_slow || is_idle && !self.has_unread_input()).then_some(ClientTimeout::Idle)
--- a/crates/data-plane/src/server/overdue_attempts.rs
+++ b/crates/data-plane/src/server/overdue_attempts.rs
@@ -34,25 +34,18 @@
         self.start_attempt(now, id, Some(next_backend));
     }
 
-    /// Whether the attempt on a connection is overdue and another one was started.
-    pub(super) fn is_overdue(&self, id: UpstreamId) -> bool {
-        self.request_on(id).is_some_and(|request| request.overdue_upstreams.contains(&id))
-    }
-
-    /// Prepares the response that an attempt has received, completely or more than is buffered: if the attempt is overdue and
-    /// the response decides the request, it becomes the current one. Returns false if it has failed instead.
-    pub(super) fn resume_if_overdue(&mut self, now: Timestamp, id: UpstreamId) -> bool {
-        if !self.is_overdue(id) {
-            return true;
-        }
+    /// Makes an overdue attempt that has received its response, completely or more than is buffered, the current one if the
+    /// response decides the request. Returns false if the attempt has failed instead.
+    pub(super) fn resume_overdue_attempt(&mut self, now: Timestamp, id: UpstreamId) -> bool {
         let Some(class) = self.response_class(id) else { return false };
         let Some(request) = self.request_on_mut(id) else { return false };
         if !request.lifecycle.resume_overdue_attempt(class) {
-            self.overdue_attempt_failed(now, id, class);
+            self.fail_upstream(now, id, class.outcome(), "overdue");
             return false;
         }
-        let replaced = request.upstream.replace(id);
-        request.overdue_upstreams.retain(|overdue| *overdue != id);
+        let replaced = request.upstream;
+        request.remove_attempt(id);
+        request.upstream = Some(id);
         if let Some(replaced) = replaced {
             self.abandon_attempt(now, replaced, AttemptOutcome::Abandoned);
         }
@@ -64,13 +57,4 @@
         let head = self.upstreams.get(&id)?.attempt.as_ref()?.response.head.as_ref()?;
         Some(ResponseClass::of(head, self.request_on(id)?.lifecycle.is_idempotent()))
     }
-
-    /// Ends an overdue attempt whose response does not decide the request, and continues the request.
-    fn overdue_attempt_failed(&mut self, now: Timestamp, id: UpstreamId, class: ResponseClass) {
-        let Some(request_id) = self.fail_attempt(now, id, class.outcome(), "overdue") else { return };
-        let Some(request) = self.requests.get_mut(&request_id) else { return };
-        let may_have_executed = !matches!(class, ResponseClass::NotExecuted(_));
-        let next = request.lifecycle.overdue_attempt_failed(may_have_executed);
-        self.continue_request(now, request_id, next);
-    }
 }
--- a/crates/data-plane/src/server/upstream.rs
+++ b/crates/data-plane/src/server/upstream.rs
@@ -243,6 +243,7 @@
             return;
         };
         let Some(request) = self.requests.get(&attempt.request) else { return };
+        let is_overdue = request.is_overdue(id);
         let context = ResponseContext {
             request_id: request.id(),
             is_head_request: request.is_head_request(),
@@ -251,11 +252,13 @@
         };
         match attempt.response.read(context, &mut upstream.connection.input, input_state) {
             ReadProgress::Partial => {}
-            ReadProgress::Complete if self.resume_if_overdue(now, id) => {
-                return self.response_complete(now, id, input_state);
+            ReadProgress::Complete | ReadProgress::BufferFull
+                if is_overdue && !self.resume_overdue_attempt(now, id) =>
+            {
+                return;
             }
-            ReadProgress::BufferFull if self.resume_if_overdue(now, id) => self.stream_response(now, id),
-            ReadProgress::Complete | ReadProgress::BufferFull => return,
+            ReadProgress::Complete => return self.response_complete(now, id, input_state),
+            ReadProgress::BufferFull => self.stream_response(now, id),
             ReadProgress::Failed(failure) => {
                 let is_premature_end =
                     matches!(failure, ResponseFailure::Closed | ResponseFailure::Truncated);
@@ -293,13 +296,21 @@
     }
 
     /// Closes a failed connection and continues its request.
-    fn fail_upstream(&mut self, now: Timestamp, id: UpstreamId, outcome: AttemptOutcome, why: &'static str) {
-        let was_overdue = self.is_overdue(id);
+    pub(super) fn fail_upstream(
+        &mut self,
+        now: Timestamp,
+        id: UpstreamId,
+        outcome: AttemptOutcome,
+        why: &'static str,
+    ) {
+        let was_overdue = self.request_on(id).is_some_and(|request| request.is_overdue(id));
         let Some(request_id) = self.fail_attempt(now, id, outcome, why) else { return };
         let Some(request) = self.requests.get_mut(&request_id) else { return };
-        let lifecycle = &mut request.lifecycle;
-        let next =
-            if was_overdue { lifecycle.overdue_attempt_failed(true) } else { lifecycle.attempt_failed() };
+        let next = if was_overdue {
+            request.lifecycle.overdue_attempt_failed(!outcome.states_not_executed())
+        } else {
+            request.lifecycle.attempt_failed()
+        };
         self.continue_request(now, request_id, next);
     }
 
--- a/crates/data-plane/tests/sockets/attempts.rs
+++ b/crates/data-plane/tests/sockets/attempts.rs
@@ -8,7 +8,7 @@
 
 /// How a backend reacts to a request that it has read.
 #[derive(Clone, Copy, Debug)]
-enum Action {
+pub(crate) enum Action {
     /// Sends a response with this status and these header fields.
     Respond(&'static str, &'static str),
     /// Sends an incomplete response and closes the connection.
@@ -18,16 +18,21 @@
     Reset,
 }
 
-fn perform(mut backend: Peer, action: Action) {
+/// Reads a request and reacts to it. Returns the request's id.
+pub(crate) fn perform(mut backend: Peer, action: Action) -> String {
     let id = backend.receive().field("X-Try-Id").expect("request has an id").to_owned();
     match action {
         Action::Respond(status, fields) => backend.try_send(response(status, &id, fields, "its own")),
         Action::Truncate => backend.try_send(ok(&id, "a long answer").trim_end_matches("answer")),
         Action::SendRaw(bytes) => backend.try_send(bytes),
         Action::Close => {}
-        Action::Reset => return backend.reset(),
+        Action::Reset => {
+            backend.reset();
+            return id;
+        }
     }
     backend.close();
+    id
 }
 
 #[rstest]
@@ -115,7 +120,7 @@
     backend.close();
     // The second attempt is the last, even if it fails in the same way.
     client.send(get("/safe/", "t2"));
-    (0..2).for_each(|_| perform(backends.accept(), first));
+    (0..2).for_each(|_| _ = perform(backends.accept(), first));
     assert_eq!(client.receive().status(), status);
     assert!(backends.has_no_pending_connection());
 }
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -1,5 +1,6 @@
 //! Requests that a backend executes while the gateway gives up their attempts or closes their connections.
 
+use crate::attempts::{perform, Action};
 use crate::faults::limits;
 use crate::harness::{get, ok, request, response, start_ready_gateway, Gateway, Peer, TestBackends};
 use rstest::rstest;
@@ -12,38 +13,16 @@
 /// The longest response.
 const MAX_LENGTH: usize = 7 * MIB;
 
-/// How a backend ends the attempt that follows an overdue one.
-#[derive(Clone, Copy, Debug)]
-enum SecondAttempt {
-    Rejected,
-    Failed,
-    Closed,
-}
-
-fn end_second_attempt(mut backend: Peer, how: SecondAttempt) {
-    assert_eq!(backend.receive().field("X-Try-Id"), Some("t1"));
-    match how {
-        SecondAttempt::Rejected => {
-            backend.send(response("503 Service Unavailable", "t1", "X-Not-Delivered: full\r\n", ""));
-        }
-        SecondAttempt::Failed => {
-            backend.send(response("200 OK", "t1", "", "without a postmark"));
-        }
-        SecondAttempt::Closed => {}
-    }
-    backend.close();
-}
-
 /// Guards against 502 for a request whose overdue attempt was given up for one that no backend took.
 #[rstest]
-#[case::rejected(SecondAttempt::Rejected, false)]
-#[case::failed(SecondAttempt::Failed, false)]
-#[case::closed(SecondAttempt::Closed, false)]
-#[case::rejected_after_sigterm(SecondAttempt::Rejected, true)]
-#[case::failed_after_sigterm(SecondAttempt::Failed, true)]
-#[case::closed_after_sigterm(SecondAttempt::Closed, true)]
+#[case::rejected(Action::Respond("503 Service Unavailable", "X-Not-Delivered: full\r\n"), false)]
+#[case::failed(Action::Respond("200 OK", ""), false)]
+#[case::closed(Action::Close, false)]
+#[case::rejected_after_sigterm(Action::Respond("503 Service Unavailable", "X-Not-Delivered: full\r\n"), true)]
+#[case::failed_after_sigterm(Action::Respond("200 OK", ""), true)]
+#[case::closed_after_sigterm(Action::Close, true)]
 fn an_overdue_attempt_is_kept_until_another_one_has_a_response(
-    #[case] second: SecondAttempt,
+    #[case] second: Action,
     #[case] is_shutting_down: bool,
 ) {
     let (gateway, _control, backends) = start_ready_gateway(2);
@@ -54,7 +33,7 @@
     if is_shutting_down {
         gateway.signal(Signal::TERM);
     }
-    end_second_attempt(backends.accept(), second);
+    assert_eq!(perform(backends.accept(), second), "t1");
     // The gateway has handled the end of the second attempt once this request, which it reads later, has been rejected.
     assert_eq!(gateway.connect().send(get("/void/", "t2")).receive().status(), 503);
     overdue.try_send(ok("t1", "late"));
