Control plane: a change is not proposed once its caller may have left

Cause: nothing tied a change to its caller. The server executed what it found in a socket, however old and with the connection closed behind it; and a pending change was attempted again for up to 2.5 s after its caller had gone. Each attempt at an evacuation draws the next version, so a late one overrides all that was acknowledged before it.

Change: a change is not proposed, for the first time or again, once its connection is lost, its sending side has ended, or 0.9 s (1 s more for each MiB) have gone by since it arrived; it gets 503. Input counts as old as the time at which the poller last looked at the sockets, so a standstill counts. A proposal that was made in time keeps its version, which was drawn before anything its caller did later. New log events: caller-left, request-abandoned.

--- a/crates/control-plane/src/request.rs
+++ b/crates/control-plane/src/request.rs
@@ -8,6 +8,10 @@
 /// know the current state.
 pub(crate) const NO_QUORUM_REASON: &str = "out of contact with the core";
 
+/// The reason given to a client whose change is not proposed, because the client has disconnected or has probably turned
+/// to another process.
+pub(crate) const ABANDONED_REASON: &str = "the caller has left, or waited too long";
+
 /// Paths of the operators' API and the directory API. Clients rely on them.
 pub(crate) mod path {
     /// The directory API: which gateways a client should use.
@@ -57,6 +61,11 @@
         }
     }
 
+    /// Returns whether the request is an operator's and has a lasting effect.
+    pub fn is_change(&self) -> bool {
+        matches!(self, Request::Patch(_) | Request::Evacuate { .. })
+    }
+
     /// Returns the request's name for log lines.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/control-plane/src/server/api_client.rs
+++ b/crates/control-plane/src/server/api_client.rs
@@ -35,6 +35,9 @@
     pub(super) target: Vec<u8>,
     /// Whether the connection is closed after the next response.
     pub(super) closes_after_response: bool,
+    /// When the newest input arrived, or the last response was sent, whichever is later. Input may have arrived after this.
+    /// A client that sends requests ahead waits for each of them since the response before it.
+    pub(super) waits_since: Timestamp,
     /// Whether a request is being executed. The next one is read after its response.
     pub(super) awaits_response: bool,
     /// Whether further input is read and dropped because a request was rejected before it was complete. Closing a
--- a/crates/control-plane/src/server/connection_io.rs
+++ b/crates/control-plane/src/server/connection_io.rs
@@ -64,7 +64,7 @@
             Ok(is_eof) => {
                 self.flush(id);
                 if is_eof {
-                    self.handle_end_of_input(id);
+                    self.handle_end_of_input(now, id);
                 }
             }
             Err(reason) => self.close(id, reason),
@@ -78,14 +78,7 @@
     /// here, as long as the buffer is being consumed.
     fn read_and_handle(&mut self, now: Timestamp, id: ConnectionId) -> Result<bool, CloseReason> {
         for _ in 0..MAX_READS_PER_TURN {
-            let Some(connection) = self.connections.get_mut(id) else { return Ok(false) };
-            let is_eof = connection
-                .transport
-                .read_available(&mut self.read_buffer, MAX_INPUT_BYTES)
-                .map_err(CloseReason::Socket)?;
-            if !connection.transport.input.is_empty() {
-                connection.last_active = now;
-            }
+            let is_eof = self.read_input(now, id)?;
             self.handle_input(now, id, is_eof)?;
             if is_eof || !self.can_read_more(id) {
                 return Ok(is_eof);
@@ -96,6 +89,29 @@
         Ok(false)
     }
 
+    /// Reads a connection's input, as far as its buffer has space. Returns whether the end of the input has been reached.
+    fn read_input(&mut self, now: Timestamp, id: ConnectionId) -> Result<bool, CloseReason> {
+        let Some(connection) = self.connections.get_mut(id) else { return Ok(false) };
+        let ServerConnection { transport, role, .. } = connection;
+        let previous_length = transport.input.len();
+        let result = match role {
+            // Invariant: a request is executed only after it is known whether its client has left.
+            Role::ApiClient(_) => transport.read_to_end(&mut self.read_buffer, MAX_INPUT_BYTES),
+            _ => transport.read_available(&mut self.read_buffer, MAX_INPUT_BYTES),
+        };
+        let is_eof = result.map_err(CloseReason::Socket)?;
+        if !transport.input.is_empty() {
+            connection.last_active = now;
+        }
+        if let Role::ApiClient(client) = role {
+            if transport.input.len() > previous_length {
+                client.waits_since = client.waits_since.max(self.turn_monitor.input_arrived_after());
+            }
+        }
+        connection.has_input_ended |= is_eof;
+        Ok(is_eof)
+    }
+
     fn handle_input(&mut self, now: Timestamp, id: ConnectionId, is_eof: bool) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get(id) else { return Ok(()) };
         match connection.role {
@@ -111,10 +127,10 @@
     }
 
     /// Handles the end of a connection's input. A client may still be waiting for a response.
-    fn handle_end_of_input(&mut self, id: ConnectionId) {
+    fn handle_end_of_input(&mut self, now: Timestamp, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         match connection.api_client() {
-            Some(client) if client.awaits_response => {}
+            Some(client) if client.awaits_response => self.state_machine.caller_left(now, id.0),
             Some(_) if connection.transport.unsent_bytes() > 0 => connection.closes_after_flush = true,
             _ => self.close(id, CloseReason::Closed),
         }
@@ -155,7 +171,8 @@
                 self.peers.forget_connection(&address);
             }
             Role::Platform(_) => self.platform.forget_connection(),
-            Role::IncomingPeer { .. } | Role::Unidentified | Role::ApiClient(_) => {}
+            Role::ApiClient(_) => self.state_machine.caller_left(now, id.0),
+            Role::IncomingPeer { .. } | Role::Unidentified => {}
         }
     }
 
--- a/crates/control-plane/src/server/connections.rs
+++ b/crates/control-plane/src/server/connections.rs
@@ -82,6 +82,8 @@
     pub(super) role: Role,
     /// When the connection was opened, last received input, or last got a response queued for its client.
     pub(super) last_active: Timestamp,
+    /// Whether the other side has closed its sending side.
+    pub(super) has_input_ended: bool,
     /// Whether the connection is closed once all its output has been sent.
     pub(super) closes_after_flush: bool,
 }
@@ -94,6 +96,7 @@
             send_queue: SendQueue::default(),
             role,
             last_active: now,
+            has_input_ended: false,
             closes_after_flush: false,
         }
     }
@@ -116,6 +119,12 @@
             .is_some_and(|client| !client.discards_input && has_request(client) || self.unsent_bytes() > 0)
     }
 
+    /// Returns whether the client of this connection has probably left: it can send nothing more. A client that has only
+    /// closed its sending side cannot be told from one that has left.
+    pub(super) fn has_client_left(&self) -> bool {
+        self.has_input_ended || self.transport.is_read_closed()
+    }
+
     /// Returns the number of bytes that are still to be sent.
     pub(super) fn unsent_bytes(&self) -> usize {
         self.transport.unsent_bytes() + self.send_queue.queued_bytes()
--- a/crates/control-plane/src/server/http_response.rs
+++ b/crates/control-plane/src/server/http_response.rs
@@ -77,6 +77,7 @@
         let Some(connection) = self.connections.get_mut(id) else { return };
         let ServerConnection { transport, role: Role::ApiClient(client), .. } = connection else { return };
         client.awaits_response = false;
+        client.waits_since = now;
         connection.last_active = now;
         connection.closes_after_flush |= client.closes_after_response || is_shutting_down;
         let head = response.head(connection.closes_after_flush);
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -240,8 +240,9 @@
         };
         loop {
             let timeout = self.poll_timeout(times.last_tick);
-            self.poller.wait(Some(timeout), &mut ready).context(SystemSnafu { what: "waiting" })?;
-            self.turn_monitor.turn_started(self.clock.now());
+            let is_all_reported =
+                self.poller.wait(Some(timeout), &mut ready).context(SystemSnafu { what: "waiting" })?;
+            self.turn_monitor.turn_started(self.clock.now(), is_all_reported);
             for event in ready.drain(..) {
                 self.handle_event(&event)?;
             }
--- a/crates/control-plane/src/server/operator_api.rs
+++ b/crates/control-plane/src/server/operator_api.rs
@@ -6,7 +6,7 @@
 use super::http_response::HttpResponse;
 use super::worker::{parse_change, Job, MIN_OFFLOAD_BYTES};
 use super::Server;
-use crate::request::{ApiCall, Request};
+use crate::request::{ApiCall, Request, ABANDONED_REASON};
 use crate::state_machine::{millis, ReplicaContact, COORDINATOR_ROLE};
 use kitepass_coordination::protocol::Member;
 use kitepass_coordination::quorum_contact::CONTACT_TIMEOUT;
@@ -57,8 +57,14 @@
         if matches!(&request, Request::Evacuate { zone, .. } if self.is_unknown_zone(now, zone)) {
             return self.respond(id, &HttpResponse::text(404, "no such zone"));
         }
+        let Some(connection) = self.connections.get(id) else { return };
+        if request.is_change() && connection.has_client_left() {
+            info!("event=caller-left request={} phase=unread", request.name());
+            return self.respond(id, &HttpResponse::unavailable(ABANDONED_REASON));
+        }
+        let arrived_at = connection.api_client().map_or(now, |client| client.waits_since);
         self.await_response(id);
-        self.state_machine.handle_request(now, id.0, request);
+        self.state_machine.handle_request(now, id.0, request, arrived_at);
     }
 
     /// Marks the client as waiting for a response. Its next request is read only afterwards.
--- a/crates/control-plane/src/server/turn_monitor.rs
+++ b/crates/control-plane/src/server/turn_monitor.rs
@@ -1,4 +1,4 @@
-//! Measures the turns of the event loop, and postpones liveness checks after a long turn.
+//! Measures the turns of the event loop, postpones liveness checks after a long turn, and bounds the age of input.
 //!
 //! A control process uses a single thread for the loop, so every connection waits for the current turn to end. Work
 //! that grows with the size of a request is offloaded ([`super::worker`]); what remains on the loop takes well under a
@@ -20,6 +20,11 @@
 #[derive(Debug, Default)]
 pub(super) struct TurnMonitor {
     started: Timestamp,
+    ended: Timestamp,
+    /// Input that is read in this turn arrived after this.
+    input_arrived_after: Timestamp,
+    /// Input that is read in the next turn arrives after this.
+    next_input_arrives_after: Timestamp,
     longest_turn: Duration,
     long_turn_count: u64,
     /// Since when the sockets may contain unread input that arrived during a long turn.
@@ -27,11 +32,24 @@
 }
 
 impl TurnMonitor {
-    /// Records the start of a turn, when the poller has returned.
-    pub(super) fn turn_started(&mut self, now: Timestamp) {
+    /// Records the start of a turn, when the poller has returned. `is_all_reported` says whether it has reported all sockets
+    /// that were ready.
+    pub(super) fn turn_started(&mut self, now: Timestamp, is_all_reported: bool) {
+        self.input_arrived_after = self.next_input_arrives_after;
+        if is_all_reported {
+            // The process may stand still at any point after the poller has looked at the sockets, and that was after the
+            // end of the previous turn.
+            self.next_input_arrives_after = self.ended;
+        }
         self.started = now;
     }
 
+    /// Returns a time after which any input has arrived that is read in this turn, as it would have been read in an earlier
+    /// turn otherwise. If the process stood still, or was slow, the input may be as old as this.
+    pub(super) fn input_arrived_after(&self) -> Timestamp {
+        self.input_arrived_after
+    }
+
     /// Returns whether the liveness of peers and quorum contact may be checked now. After a long turn, all sockets have
     /// to be read first; `has_unread_input` means that a socket had more input than was read in this turn.
     pub(super) fn may_check_liveness(&mut self, now: Timestamp, has_unread_input: bool) -> bool {
@@ -49,6 +67,7 @@
 
     /// Records the end of a turn, when all its work is done.
     pub(super) fn turn_ended(&mut self, now: Timestamp) {
+        self.ended = now;
         let duration = now - self.started;
         self.longest_turn = self.longest_turn.max(duration);
         if duration > LONG_TURN_THRESHOLD {
--- a/crates/control-plane/src/server/turn_monitor/tests.rs
+++ b/crates/control-plane/src/server/turn_monitor/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use rstest::rstest;
 
 fn at(ms: i64) -> Timestamp {
     Timestamp::default() + Duration::from_micros(ms * 1_000)
@@ -6,7 +7,7 @@
 
 fn monitor_in_turn_from(ms: i64) -> TurnMonitor {
     let mut monitor = TurnMonitor::default();
-    monitor.turn_started(at(ms));
+    monitor.turn_started(at(ms), true);
     monitor
 }
 
@@ -21,9 +22,9 @@
 fn sockets_are_read_first_after_long_turn() {
     let mut monitor = monitor_in_turn_from(0);
     assert!(!monitor.may_check_liveness(at(1_200), false));
-    monitor.turn_started(at(1_201));
+    monitor.turn_started(at(1_201), true);
     assert!(!monitor.may_check_liveness(at(1_210), true), "a socket has more input than one turn reads");
-    monitor.turn_started(at(1_211));
+    monitor.turn_started(at(1_211), true);
     assert!(monitor.may_check_liveness(at(1_215), false));
 }
 
@@ -31,11 +32,11 @@
 fn liveness_check_is_postponed_for_bounded_time() {
     let mut monitor = monitor_in_turn_from(0);
     assert!(!monitor.may_check_liveness(at(1_200), true));
-    monitor.turn_started(at(1_201));
+    monitor.turn_started(at(1_201), true);
     assert!(!monitor.may_check_liveness(at(1_699), true));
-    monitor.turn_started(at(1_699));
+    monitor.turn_started(at(1_699), true);
     assert!(monitor.may_check_liveness(at(1_700), true));
-    monitor.turn_started(at(1_701));
+    monitor.turn_started(at(1_701), true);
     assert!(monitor.may_check_liveness(at(1_702), true), "no further delay before the next long turn");
 }
 
@@ -43,7 +44,29 @@
 fn long_turns_are_counted_and_longest_is_recorded() {
     let mut monitor = monitor_in_turn_from(0);
     monitor.turn_ended(at(500));
-    monitor.turn_started(at(600));
+    monitor.turn_started(at(600), true);
     monitor.turn_ended(at(1_101));
     assert_eq!((monitor.long_turn_count(), monitor.longest_turn()), (1, Duration::from_micros(501_000)));
 }
+
+/// Guards against a request that waited in its socket while the process stood still, and is taken for a new one.
+#[rstest]
+#[case::stopped_in_the_wait(&[(1_300, true)])]
+#[case::interrupted_by_the_signal_that_continues_it(&[(1_300, false), (1_301, true)])]
+#[case::stopped_after_the_wait_reported_nothing(&[(1_300, true), (1_301, true)])]
+#[case::reported_only_in_a_later_turn(&[(1_300, false), (1_301, false), (1_302, true)])]
+fn input_is_as_old_as_a_standstill(#[case] turns: &[(i64, bool)]) {
+    let mut monitor = monitor_in_turn_from(0);
+    monitor.turn_ended(at(1));
+    monitor.turn_started(at(100), true);
+    monitor.turn_ended(at(101));
+    for (started, is_all_reported) in turns {
+        monitor.turn_started(at(*started), *is_all_reported);
+        assert!(monitor.input_arrived_after() <= at(101), "the process stood still from 101 ms on");
+        monitor.turn_ended(at(*started));
+    }
+    monitor.turn_started(at(1_310), true);
+    monitor.turn_ended(at(1_310));
+    monitor.turn_started(at(1_311), true);
+    assert!(monitor.input_arrived_after() >= at(1_300), "input of later turns is new");
+}
--- a/crates/control-plane/src/state_machine/handlers/prepare.rs
+++ b/crates/control-plane/src/state_machine/handlers/prepare.rs
@@ -15,6 +15,9 @@
     /// Starts an attempt at a request.
     pub(in crate::state_machine) fn start_attempt(&mut self, now: Timestamp, id: PendingId) {
         let Some(pending) = self.proposals.pending.get(id) else { return };
+        if pending.is_abandoned(now) {
+            return self.abandon_request(id);
+        }
         let keys = pending.keys();
         // A replica set that may already be chosen as the incoming one is resolved first, because it fences off all
         // other requests.
@@ -165,8 +168,7 @@
         let Some(pending) = self.proposals.pending.get(id) else { return };
         // Invariant: acceptances under a ballot of an earlier epoch are not counted toward a quorum of a later
         // replica set. Reads in the earlier epoch do not see them, and two proposals could be chosen for one version.
-        let is_accepting = matches!(pending.phase, Phase::Accepting(_) | Phase::Rejecting(..));
-        if is_accepting && pending.ballot.epoch < self.configuration.epoch() {
+        if pending.is_proposed() && pending.ballot.epoch < self.configuration.epoch() {
             return self.start_attempt(now, id);
         }
         match &pending.phase {
@@ -222,6 +224,9 @@
                 proposal_id.into_iter().for_each(|proposal_id| self.proposals.watch_list.remove(proposal_id));
                 self.finish_request(id, Response::Conflict(conflict_message(&item)));
             }
+            Decision::Propose(_) | Decision::Reject { .. } if pending.is_abandoned(now) => {
+                self.abandon_request(id)
+            }
             Decision::Propose(proposal) => self.propose(now, id, &proposal),
             Decision::Reject { proposal, reason } => {
                 resolved_id.into_iter().for_each(|proposal_id| self.proposals.watch_list.remove(proposal_id));
--- a/crates/control-plane/src/state_machine/handlers/requests.rs
+++ b/crates/control-plane/src/state_machine/handlers/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of callers: accepted, resumed after a back-off, and answered.
 
-use crate::request::{Request, Response};
-use crate::state_machine::proposals::{activated_replica_set, PendingId, PendingRequest, Phase};
+use crate::request::{Request, Response, ABANDONED_REASON};
+use crate::state_machine::proposals::{activated_replica_set, Caller, PendingId, PendingRequest, Phase};
 use crate::state_machine::{Action, StateMachine};
 use kitepass_config::{ConfigurationSnapshot, Item, Kind};
 use kitepass_coordination::consensus::{observe, ObservedProposals, Proposal};
@@ -40,19 +40,33 @@
 }
 
 impl StateMachine {
-    /// Handles a request of an operator. It is answered with an [`Action::Respond`] for the number `caller`.
-    pub fn handle_request(&mut self, now: Timestamp, caller: u64, request: Request) {
+    /// Handles a request of an operator, which has arrived at `arrived_at` or later. It is answered with an
+    /// [`Action::Respond`] for the number `caller`.
+    pub fn handle_request(&mut self, now: Timestamp, caller: u64, request: Request, arrived_at: Timestamp) {
         match self.unavailable_response(now) {
             Some(response) => self.push_action(Action::Respond(caller, response)),
-            None => self.start_request(now, Some(caller), request),
+            None => {
+                let caller = Caller::new(caller, &request, arrived_at);
+                self.start_request(now, Some(caller), request);
+            }
+        }
+    }
+
+    /// Handles the disconnection of an operator. Its change is not proposed from now on. A proposal that was made already
+    /// may still be committed, and its outcome is the response.
+    pub fn caller_left(&mut self, now: Timestamp, caller: u64) {
+        let Some(id) = self.proposals.pending.caller_left(now, caller) else { return };
+        if let Some(pending) = self.proposals.pending.get(id) {
+            info!("event=caller-left request={} phase={}", pending.request.name(), pending.phase.name());
         }
+        self.expire_requests(now);
     }
 
     /// Starts a request. `caller` receives its response, if given.
     pub(in crate::state_machine) fn start_request(
         &mut self,
         now: Timestamp,
-        caller: Option<u64>,
+        caller: Option<Caller>,
         request: Request,
     ) {
         let id = PendingId(self.next_request_id());
@@ -74,10 +88,22 @@
     pub(in crate::state_machine) fn finish_request(&mut self, id: PendingId, response: Response) {
         let Some(pending) = self.proposals.pending.remove(id) else { return };
         if let Some(caller) = pending.caller {
-            self.push_action(Action::Respond(caller, response));
+            self.push_action(Action::Respond(caller.id, response));
         }
     }
 
+    /// Ends a change that is not proposed, because its caller may have turned to another process.
+    pub(in crate::state_machine) fn abandon_request(&mut self, id: PendingId) {
+        if let Some(pending) = self.proposals.pending.get(id) {
+            info!(
+                "event=request-abandoned request={} phase={}",
+                pending.request.name(),
+                pending.phase.name()
+            );
+        }
+        self.finish_request(id, Response::Unavailable(ABANDONED_REASON));
+    }
+
     /// Ends all requests and redirects their callers to another process.
     pub(in crate::state_machine) fn finish_all_requests(&mut self, now: Timestamp) {
         self.redirect_requests_where(now, |_| true);
@@ -99,12 +125,16 @@
         }
     }
 
-    /// Ends requests that have exceeded their time-outs.
+    /// Ends requests that have exceeded their time-outs, and changes that are not proposed and whose callers may have turned
+    /// to another process.
     pub(in crate::state_machine) fn expire_requests(&mut self, now: Timestamp) {
         for id in self.proposals.pending.overdue(now) {
-            if let Some(pending) = self.proposals.pending.get(id) {
-                warn!("event=request-timeout request={}", pending.request.name());
+            let Some(pending) = self.proposals.pending.get(id) else { continue };
+            if pending.is_abandoned(now) && !pending.is_proposed() {
+                self.abandon_request(id);
+                continue;
             }
+            warn!("event=request-timeout request={}", pending.request.name());
             self.finish_request(id, Response::Unavailable("the core did not bear it out in time"));
         }
     }
--- a/crates/control-plane/src/state_machine/proposals/mod.rs
+++ b/crates/control-plane/src/state_machine/proposals/mod.rs
@@ -21,7 +21,7 @@
 
 pub(super) use decision::{decide, Decision};
 pub(super) use pending::{
-    activated_replica_set, transfer_time, PendingId, PendingRequest, PendingRequests, Phase,
+    activated_replica_set, transfer_time, Caller, PendingId, PendingRequest, PendingRequests, Phase,
     INITIAL_MAX_BACKOFF_MICROS, MAX_BACKOFF_DOUBLINGS,
 };
 pub(super) use watch::{is_resolved, WatchList};
--- a/crates/control-plane/src/state_machine/proposals/pending.rs
+++ b/crates/control-plane/src/state_machine/proposals/pending.rs
@@ -12,6 +12,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_micros(2_500_000);
 /// Added to the time-out for each MiB of a request. Callers wait correspondingly longer.
 const REQUEST_TIMEOUT_PER_MIB: Duration = Duration::from_micros(1_000_000);
+/// A caller without a response turns to another process after a second, and later for a long request. This is less by
+/// what a request may have been on its way.
+const CALLER_PATIENCE: Duration = Duration::from_micros(900_000);
 /// Upper bound of the random back-off after the first rejection of a request. It doubles with each further rejection,
 /// at most [`MAX_BACKOFF_DOUBLINGS`] times.
 ///
@@ -46,10 +49,44 @@
     Rejecting(BTreeSet<String>, Response),
 }
 
+impl Phase {
+    /// Returns the phase's name for log lines.
+    pub(in crate::state_machine) fn name(&self) -> &'static str {
+        match self {
+            Phase::Preparing(_) => "preparing",
+            Phase::BackingOff(_) => "backing-off",
+            Phase::Blocked(_) => "blocked",
+            Phase::Accepting(_) => "accepting",
+            Phase::Rejecting(..) => "rejecting",
+        }
+    }
+}
+
+/// The caller of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::state_machine) struct Caller {
+    /// The number under which the caller is answered.
+    pub(in crate::state_machine) id: u64,
+    /// From this time on the caller may have turned to another process.
+    waits_until: Timestamp,
+}
+
+impl Caller {
+    /// Returns the caller of a request that has arrived at `arrived_at` or later.
+    pub(in crate::state_machine) fn new(id: u64, request: &Request, arrived_at: Timestamp) -> Caller {
+        Caller { id, waits_until: arrived_at + CALLER_PATIENCE + transfer_time(request.item_bytes()) }
+    }
+
+    /// Returns whether the caller may have turned to another process.
+    pub(in crate::state_machine) fn may_have_left(&self, now: Timestamp) -> bool {
+        now >= self.waits_until
+    }
+}
+
 /// A request in progress.
 pub(in crate::state_machine) struct PendingRequest {
     /// The caller that is waiting for the response, if any.
-    pub(in crate::state_machine) caller: Option<u64>,
+    pub(in crate::state_machine) caller: Option<Caller>,
     pub(in crate::state_machine) request: Request,
     /// The proposal, or `None` for a read and for an evacuation before its first attempt.
     pub(in crate::state_machine) proposal: Option<Proposal>,
@@ -73,7 +110,7 @@
     /// Creates a request that has not started its first attempt.
     pub(in crate::state_machine) fn new(
         now: Timestamp,
-        caller: Option<u64>,
+        caller: Option<Caller>,
         request: Request,
         proposal: Option<Proposal>,
         observed: ObservedProposals,
@@ -169,6 +206,20 @@
         self.proposal.is_none() && !matches!(self.request, Request::Evacuate { .. })
     }
 
+    /// Returns whether the request is a change whose caller may have turned to another process.
+    ///
+    /// Invariant: such a request is not proposed any more, for the first time or again. Its caller may have sent it to
+    /// another process, and may have had an acknowledgement, a rejection, or a later change acknowledged there, which this
+    /// process would undo. The versions of a proposal that was made in time, and its ballot, order it before those.
+    pub(in crate::state_machine) fn is_abandoned(&self, now: Timestamp) -> bool {
+        self.request.is_change() && self.caller.is_some_and(|caller| caller.may_have_left(now))
+    }
+
+    /// Returns whether the current attempt has proposed the change, or its rejection.
+    pub(in crate::state_machine) fn is_proposed(&self) -> bool {
+        matches!(self.phase, Phase::Accepting(_) | Phase::Rejecting(..))
+    }
+
     /// Returns whether the request changes the replica set.
     fn changes_replica_set(&self) -> bool {
         matches!(
@@ -274,9 +325,23 @@
         self.requests.values().filter_map(|pending| Some(pending.proposal.as_ref()?.proposal_id())).collect()
     }
 
-    /// Returns the requests that have exceeded their time-outs.
+    /// Records that a caller has disconnected. Returns its change, if that is pending.
+    pub(in crate::state_machine) fn caller_left(&mut self, now: Timestamp, caller: u64) -> Option<PendingId> {
+        let is_from = |pending: &PendingRequest| {
+            pending.caller.is_some_and(|known| known.id == caller && !known.may_have_left(now))
+        };
+        let mut requests = self.requests.iter_mut();
+        let (id, pending) = requests.find(|(_, pending)| is_from(pending) && pending.request.is_change())?;
+        pending.caller = Some(Caller { id: caller, waits_until: now });
+        Some(*id)
+    }
+
+    /// Returns the requests that have exceeded their time-outs, and those that are not proposed and are not to be.
     pub(in crate::state_machine) fn overdue(&self, now: Timestamp) -> Vec<PendingId> {
-        let is_overdue = |pending: &PendingRequest| now - pending.started_at > pending.timeout();
+        let is_overdue = |pending: &PendingRequest| {
+            let has_timed_out = now - pending.started_at > pending.timeout();
+            has_timed_out || pending.is_abandoned(now) && !pending.is_proposed()
+        };
         self.requests.iter().filter(|(_, pending)| is_overdue(pending)).map(|(id, _)| *id).collect()
     }
 
--- a/crates/control-plane/tests/support/cluster.rs
+++ b/crates/control-plane/tests/support/cluster.rs
@@ -4,6 +4,7 @@
 use kitepass_coordination::protocol::framing::encode_message;
 use kitepass_coordination::protocol::Message;
 use rustix::net::sockopt;
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -125,6 +126,21 @@
     pub(crate) fn connect(&self) -> Connection {
         Connection::open(self.operator_api)
     }
+
+    /// Opens a connection to a process's operator API.
+    pub(crate) fn connect_to(&self, n: usize) -> Connection {
+        Connection::open(SocketAddr::new(self.addresses[n].into(), OPERATOR_API_PORT))
+    }
+
+    /// Sends a signal to the first process. Returns after the process has stopped, if the signal stops it.
+    pub(crate) fn signal_first_process(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.children[0]);
+        kill_process(pid, signal).expect("signal the process");
+        if signal == Signal::STOP {
+            let stopped = waitpid(Some(pid), WaitOptions::UNTRACED).expect("a child process");
+            assert!(stopped.is_some_and(|(_, status)| status.stopped()), "{stopped:?}");
+        }
+    }
 }
 
 /// A client connection to a control process.
@@ -202,6 +218,14 @@
         !self.read_more() && self.input.is_empty()
     }
 
+    /// Waits for a response for this long. Returns whether nothing arrived.
+    pub(crate) fn has_no_response_within(&self, patience: Duration) -> bool {
+        self.stream.set_read_timeout(Some(patience)).expect("set the socket option");
+        let result = self.stream.peek(&mut [0]);
+        self.stream.set_read_timeout(Some(TIMEOUT)).expect("set the socket option");
+        result.is_err_and(|error| matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+    }
+
     /// Closes the connection with a TCP reset, which a linger time of zero causes.
     pub(crate) fn reset(self) {
         sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).expect("set the socket option");
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -109,6 +109,27 @@
         Ok(false)
     }
 
+    /// Does the same as [`Connection::read_available`], and in addition notices that the peer has closed its write side
+    /// although the poller has not reported it yet. This takes one more system call if it has not.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error; the connection is lost.
+    pub fn read_to_end(&mut self, scratch: &mut [u8], max_input_bytes: usize) -> Result<bool> {
+        let is_end = self.read_available(scratch, max_input_bytes)?;
+        if !is_end && self.is_established && !self.is_readable {
+            self.is_readable = true;
+            return self.read_available(scratch, max_input_bytes);
+        }
+        Ok(is_end)
+    }
+
+    /// Whether the peer has closed its write side, or the connection is lost, as far as the poller has reported it. Data
+    /// that was received before may be unread.
+    pub fn is_read_closed(&self) -> bool {
+        self.is_read_closed
+    }
+
     /// Writes as much output as the socket accepts. Returns true if nothing is left to send.
     ///
     /// # Errors
--- a/crates/net/src/poller.rs
+++ b/crates/net/src/poller.rs
@@ -75,21 +75,23 @@
     }
 
     /// Waits until a socket is ready or `timeout` has passed, and appends the events to `ready`. Without a timeout it
-    /// waits indefinitely. A signal ends the wait early.
+    /// waits indefinitely. A signal ends the wait early. Returns whether every socket that was ready is reported; otherwise
+    /// the next wait reports the others.
     ///
     /// # Errors
     ///
     /// The operating system's error; none is expected.
-    pub fn wait(&mut self, timeout: Option<Duration>, ready: &mut Vec<ReadyEvent>) -> Result<()> {
+    pub fn wait(&mut self, timeout: Option<Duration>, ready: &mut Vec<ReadyEvent>) -> Result<bool> {
         let timeout = timeout.map(to_timespec);
         self.events.clear();
         let spare_capacity = rustix::buffer::spare_capacity(&mut self.events);
-        match epoll::wait(&self.epoll, spare_capacity, timeout.as_ref()) {
-            Ok(_) | Err(Errno::INTR) => {}
+        let was_interrupted = match epoll::wait(&self.epoll, spare_capacity, timeout.as_ref()) {
+            Ok(_) => false,
+            Err(Errno::INTR) => true,
             Err(error) => return Err(error),
-        }
+        };
         ready.extend(self.events.iter().map(to_ready_event));
-        Ok(())
+        Ok(!was_interrupted && self.events.len() < MAX_EVENTS)
     }
 }
 
--- a/crates/simulation/src/checker/mod.rs
+++ b/crates/simulation/src/checker/mod.rs
@@ -63,19 +63,20 @@
     zone: &'a str,
     is_evacuated: bool,
     started: i64,
-    answered: Option<i64>,
+    /// When the request was answered or its operator turned to another process, whichever came first.
+    ended: Option<i64>,
     is_confirmed: bool,
 }
 
 impl EvacuationRequest<'_> {
-    /// Time after which a later confirmed request overrides this one: never, unless this one was confirmed.
-    /// An unconfirmed request may still take effect at any time.
+    /// Time after which a later confirmed request overrides this one: when it has ended for its operator. Until then an
+    /// unconfirmed request may still take effect.
     fn overridable_from(&self) -> i64 {
-        if self.is_confirmed {
-            self.answered.unwrap_or(i64::MAX)
-        } else {
-            i64::MAX
-        }
+        self.ended.unwrap_or(i64::MAX)
+    }
+
+    fn end(&mut self, at: i64) {
+        self.ended.get_or_insert(at);
     }
 }
 
@@ -141,15 +142,20 @@
             HistoryEvent::EvacuationStarted { at, request, zone, is_evacuated } => {
                 let (is_evacuated, started) = (*is_evacuated, *at);
                 let evacuation =
-                    EvacuationRequest { zone, is_evacuated, started, answered: None, is_confirmed: false };
+                    EvacuationRequest { zone, is_evacuated, started, ended: None, is_confirmed: false };
                 self.evacuations.insert(*request, evacuation);
             }
             HistoryEvent::EvacuationAnswered { at, request, is_confirmed } => {
                 if let Some(evacuation) = self.evacuations.get_mut(request) {
-                    evacuation.answered = Some(*at);
+                    evacuation.end(*at);
                     evacuation.is_confirmed = *is_confirmed;
                 }
             }
+            HistoryEvent::EvacuationAbandoned { at, request } => {
+                if let Some(evacuation) = self.evacuations.get_mut(request) {
+                    evacuation.end(*at);
+                }
+            }
             HistoryEvent::EvacuationObserved { at, node, zone, is_evacuated } => {
                 self.evacuation_observed(*at, *node, zone, *is_evacuated);
             }
--- a/crates/simulation/src/digest.rs
+++ b/crates/simulation/src/digest.rs
@@ -130,6 +130,7 @@
         HistoryEvent::EvacuationAnswered { at, request, is_confirmed } => {
             hash.timed_event(14, *at, &[request.0, u64::from(*is_confirmed)]);
         }
+        HistoryEvent::EvacuationAbandoned { at, request } => hash.timed_event(17, *at, &[request.0]),
         HistoryEvent::EvacuationObserved { at, node, zone, is_evacuated } => {
             hash.timed_event(15, *at, &[*node as u64]);
             hash.string(zone);
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -202,6 +202,13 @@
         /// True if the zone is to be evacuated, false if its evacuation is to end.
         is_evacuated: bool,
     },
+    /// The operator of an evacuation request has waited long enough for the response, and turns to another process.
+    EvacuationAbandoned {
+        /// Simulated time.
+        at: i64,
+        /// The request.
+        request: AttemptId,
+    },
     /// A process responded to an evacuation request.
     EvacuationAnswered {
         /// Time of the event.
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -190,8 +190,14 @@
         self.state_machine.records_persisted(now, request_id);
     }
 
-    /// Handles an operator's request.
-    pub fn handle_request(&mut self, now: Timestamp, attempt: AttemptId, request: OperatorRequest) {
+    /// Handles an operator's request, which arrived at `arrived_at`.
+    pub fn handle_request(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        request: OperatorRequest,
+        arrived_at: Timestamp,
+    ) {
         let request = match request {
             OperatorRequest::Read => Request::Get,
             OperatorRequest::Change(items) => Request::Patch(items),
@@ -199,7 +205,7 @@
                 Request::Evacuate { zone, evacuated: is_evacuated }
             }
         };
-        self.state_machine.handle_request(now, attempt.0, request);
+        self.state_machine.handle_request(now, attempt.0, request, arrived_at);
     }
 
     /// Handles the hello message of a gateway on a new session.
--- a/crates/simulation/src/simulation/operators.rs
+++ b/crates/simulation/src/simulation/operators.rs
@@ -6,6 +6,7 @@
 use crate::operator::{Operation, Operator, PlannedWrite, RESPONSE_TIMEOUT};
 use crate::process::OperatorResponse;
 use crate::scenario::MILLISECOND;
+use kitepass_time::Duration;
 use std::ops::Range;
 
 /// Range of the latency of a request or a response.
@@ -26,6 +27,8 @@
     operation: Operation,
     pub(super) node: usize,
     sent_at: i64,
+    /// When the request arrives at the process, which may be paused then.
+    arrives_at: i64,
 }
 
 impl Simulation {
@@ -80,6 +83,9 @@
         let attempt = self.add_attempt(Some(operator_index), operation, node);
         self.operators[operator_index].awaited_attempt = Some(attempt);
         let at = self.now + self.operator_rng.in_range(REQUEST_DELAYS);
+        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+            attempt.arrives_at = at;
+        }
         self.schedule(at, Event::RequestDue { attempt });
         self.schedule(self.now + RESPONSE_TIMEOUT, Event::ResponseTimeout { attempt });
     }
@@ -95,7 +101,7 @@
             self.history.push(HistoryEvent::ChangeSent { attempt, change });
         }
         let sent_at = self.now;
-        self.attempts.insert(attempt, Attempt { operator, operation, node, sent_at });
+        self.attempts.insert(attempt, Attempt { operator, operation, node, sent_at, arrives_at: sent_at });
         attempt
     }
 
@@ -137,6 +143,7 @@
         let Some(attempt) = self.attempts.get(&id) else { return };
         let (operator, node, operation) = (attempt.operator, attempt.node, attempt.operation.clone());
         let now = self.monotonic_time(node);
+        let arrived_at = now - Duration::from_micros(self.now - attempt.arrives_at);
         if self.nodes[node].process.is_none() {
             // The connection is refused, so the operator does not wait for a timeout before it tries another
             // node.
@@ -159,7 +166,7 @@
         self.count_contradiction(&operation);
         let request = self.registry.to_request(&operation);
         if let Some(process) = &mut self.nodes[node].process {
-            process.handle_request(now, id, request);
+            process.handle_request(now, id, request, arrived_at);
         }
     }
 
@@ -274,6 +281,9 @@
     pub(super) fn response_timeout(&mut self, id: AttemptId) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         if let Some(operator) = self.waiting_operator(attempt.operator, id) {
+            if matches!(attempt.operation, Operation::Evacuation { .. }) {
+                self.history.push(HistoryEvent::EvacuationAbandoned { at: self.now, request: id });
+            }
             self.coverage.count("answer-timeout");
             self.retry(operator, None);
         }
--- a/crates/simulation/tests/checker.rs
+++ b/crates/simulation/tests/checker.rs
@@ -73,6 +73,18 @@
     HistoryEvent::EvacuationObserved { at, node: 0, zone: zone.to_owned(), is_evacuated }
 }
 
+/// The end of the evacuation of the zone `z`, which its operator gives up, and its evacuation by a confirmed request later.
+fn evacuation_ended_by_nobody_and_started_again() -> Vec<HistoryEvent> {
+    let (ended, started) = (AttemptId(2), AttemptId(3));
+    let zone = || "z".to_owned();
+    vec![
+        HistoryEvent::EvacuationStarted { at: 3, request: ended, zone: zone(), is_evacuated: false },
+        HistoryEvent::EvacuationAbandoned { at: 4, request: ended },
+        HistoryEvent::EvacuationStarted { at: 5, request: started, zone: zone(), is_evacuated: true },
+        HistoryEvent::EvacuationAnswered { at: 6, request: started, is_confirmed: true },
+    ]
+}
+
 /// A history with a change that is confirmed and read, and a second one that is rejected for writing the same
 /// version with different content.
 fn correct_history() -> Vec<HistoryEvent> {
@@ -189,6 +201,10 @@
 )]
 #[case::two_replica_sets_of_a_version(vec![replica_set(2, 8)], Invariant::OneReplicaSetPerVersion)]
 #[case::an_evacuation_is_undone(vec![evacuation_observed(9, "z", false)], Invariant::EvacuationsPersist)]
+#[case::an_abandoned_request_undoes_a_later_evacuation(
+    [evacuation_ended_by_nobody_and_started_again(), vec![evacuation_observed(9, "z", false)]].concat(),
+    Invariant::EvacuationsPersist
+)]
 #[case::a_zone_is_evacuated_without_a_request(
     vec![evacuation_observed(9, "y", true)],
     Invariant::EvacuationsPersist
