Gateway: a request whose client has left is not started

Callers saw (by a test; nobody has reported it): a gateway stands still, a client closes its connection without an answer, and once the gateway goes on a backend executes the client's non-idempotent request for nobody.

Cause: the request and the end of its connection were found together, and the request was started before the end was acted upon. A connection just accepted was read before the poller had reported its state, so its end was unknown.

Change: a connection is read once the poller has reported its state, and a request is started only if its client has not closed its sending side. One read fewer for a new connection, no system call more for a request.

--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -118,6 +118,12 @@
             && self.connection.input.len() < MAX_UNSENT_BYTES
     }
 
+    /// Whether the client has left: it has closed its sending side, and waits for no response. Requests that it sent before
+    /// may be unread. The response to a readiness check changes nothing, and is sent all the same.
+    fn has_left(&self) -> bool {
+        !self.is_readiness_check && (self.has_reached_eof || self.connection.is_read_closed())
+    }
+
     /// Whether input may be available in the buffer or in the socket.
     pub(super) fn has_input(&self) -> bool {
         !self.connection.input.is_empty() || self.connection.is_readable()
@@ -181,8 +187,8 @@
                 continue;
             }
             let client = Client::new(socket, token == READINESS_LISTENER, self.clock.now());
+            // It is read once the poller has reported its state, because the client may have left already.
             self.clients.insert(id, client);
-            self.process_client(id, None);
         }
     }
 
@@ -212,10 +218,15 @@
                 }
                 return;
             }
-            if client.has_reached_eof && client.request.is_some() {
+            if client.has_left() && client.request.is_some() {
                 // The client no longer waits for the response.
                 return self.close_client(id, CloseReason::Gone);
             }
+            // Invariant: a request is started only if its client is still there when it is read. The process may have stood
+            // still since the request arrived.
+            if client.has_left() {
+                break;
+            }
             self.read_client(now, id);
             // The poller reports no further event for data that a read left in the socket.
             if !self.clients.get(&id).is_some_and(Client::has_more_to_read) {
@@ -223,7 +234,8 @@
             }
         }
         self.flush_client(id);
-        if self.clients.get(&id).is_some_and(|client| client.has_reached_eof && client.request.is_none()) {
+        let is_gone = |client: &Client| client.has_left() || client.has_reached_eof;
+        if self.clients.get(&id).is_some_and(|client| is_gone(client) && client.request.is_none()) {
             self.close_client(id, CloseReason::Gone);
         }
     }
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -172,3 +172,42 @@
         assert_eq!(gateway.wait_for_exit(), Some(0));
     }
 }
+
+/// How a client leaves without having received a response.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    Close,
+    Reset,
+}
+
+/// Guards against a request that a gateway reads from its socket when the client has long left, and that a backend then
+/// executes for nobody.
+#[rstest]
+fn a_request_whose_client_left_while_the_gateway_stood_still_is_not_forwarded(
+    #[values(Departure::Close, Departure::Reset)] departure: Departure,
+    // More than fits in the gateway's socket would still be on its way, with the end of the connection behind it.
+    #[values(0, 100, 30_000)] body_bytes: usize,
+    #[values(false, true)] is_kept_connection: bool,
+) {
+    let (gateway, _control, backends) = start_ready_gateway(1);
+    let mut left = gateway.connect();
+    if is_kept_connection {
+        left.send(get("/void/", "t0"));
+        assert_eq!(left.receive().status(), 503);
+    }
+    gateway.pause();
+    let head = request("POST", "/once/", "left") + &format!("Content-Length: {body_bytes}\r\n\r\n");
+    left.send(head + &"b".repeat(body_bytes));
+    match departure {
+        Departure::Close => left.close(),
+        Departure::Reset => left.reset(),
+    }
+    let mut client = gateway.connect();
+    client.send(get("/once/", "stays"));
+    gateway.signal(Signal::CONT);
+    let mut backend = backends.accept();
+    assert_eq!(backend.receive().field("X-Try-Id"), Some("stays"));
+    backend.send(ok("stays", ""));
+    assert_eq!(client.receive().status(), 200);
+    assert!(backends.has_no_pending_connection());
+}
