--- a/crates/control-plane/tests/abandoned_unread_requests.rs
+++ b/crates/control-plane/tests/abandoned_unread_requests.rs
@@ -32,7 +32,9 @@
 /// Leaves the connection. Returns it if it is still open.
 fn leave(connection: Connection, departure: Departure) -> Option<Connection> {
     match departure {
-        Departure::Close => drop(connection),
+        // Invariant: the socket is shut down explicitly. A child process that another test is starting holds a copy of the
+        // descriptor until exec, so dropping the socket alone might not close the connection yet.
+        Departure::Close => connection.stream.shutdown(Shutdown::Both).expect("closed"),
         Departure::Reset => connection.reset(),
         Departure::EndOfSending => {
             connection.stream.shutdown(Shutdown::Write).expect("ended");
