Soak: the test of an interrupted run knows all processes before it interrupts

The interrupt may reach the soak test right after it has started the six shells, so that all end before the first one writes. The test then had nothing to check, which it noticed only when it removed the file. Change: the programs write their ids into a FIFO, and the test reads all six, and sees them run, before it interrupts. It checks as much as before, and now always all six.

--- a/crates/soak/tests/command.rs
+++ b/crates/soak/tests/command.rs
@@ -2,10 +2,14 @@
 //! no process behind.
 
 use rstest::rstest;
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
+/// Number of processes of a soak test, by default.
+const PROCESSES: usize = 6;
+
 fn soak(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-soak"));
     command.args(arguments).output().expect("the program starts")
@@ -92,22 +96,29 @@
 #[test]
 fn an_interrupted_soak_leaves_no_process_behind() {
     let folder = folder("interrupted");
-    let marker = folder.with_extension("pids");
-    let script = format!("echo $$ >> {}\nexec sleep 1000", marker.display());
+    let fifo = folder.with_extension("pids");
+    rustix::fs::mkfifoat(rustix::fs::CWD, &fifo, rustix::fs::Mode::RWXU).expect("a FIFO");
+    // Opened for writing too, so that it never ends and no process waits for a reader.
+    let pids = File::options().read(true).write(true).open(&fifo).expect("it can be read");
+    let script = format!("echo $$ > {}\nexec sleep 1000", fifo.display());
     let programs = programs(&folder, &script);
     let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-soak"));
     command.arg("run").arg("--programs").arg(&programs).arg("--folder").arg(&folder);
     let mut child = command.env("KITEPASS_LOG", "info").stderr(Stdio::piped()).spawn().expect("it starts");
     let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map_while(Result::ok);
     assert!(log.any(|line| line.contains("event=started")), "the start of all processes is logged");
+    let pids: Vec<String> = BufReader::new(pids).lines().map_while(Result::ok).take(PROCESSES).collect();
+    assert!(pids.iter().all(|pid| is_running(pid)), "{pids:?}");
     let pid = rustix::process::Pid::from_child(&child);
     rustix::process::kill_process(pid, rustix::process::Signal::INT).expect("it runs");
     assert!(log.any(|line| line.contains("interrupted")));
     assert_eq!(child.wait().expect("ended").code(), Some(3));
-    let pids = std::fs::read_to_string(&marker).unwrap_or_default();
-    let orphan = pids.lines().find(|pid| Path::new(&format!("/proc/{pid}")).exists());
-    assert_eq!(orphan, None);
+    assert_eq!(pids.iter().find(|pid| is_running(pid)), None);
     std::fs::remove_dir_all(folder).expect("a folder");
     std::fs::remove_dir_all(programs).expect("a folder");
-    std::fs::remove_file(marker).expect("a file");
+    std::fs::remove_file(fifo).expect("a file");
+}
+
+fn is_running(pid: &str) -> bool {
+    Path::new("/proc").join(pid).exists()
 }
