Control plane: connections in the backlog are answered before a process ends

A signal that interrupts the wait leaves the event loop's turn without events; where there was nothing to hand over the listeners were closed in that turn, and with them the connections in their backlog. Change: what is in the backlog is accepted, read and answered before the listeners of both APIs are closed.

--- a/crates/control-plane/src/server/shutdown.rs
+++ b/crates/control-plane/src/server/shutdown.rs
@@ -66,6 +66,10 @@
 
     /// Closes the listeners of both APIs and the connections of clients that wait for nothing.
     fn stop_accepting(&mut self) {
+        // Invariant: closing a listener resets the connections in its backlog, whose requests may have arrived.
+        for listener in [Listener::OperatorApi, Listener::DirectoryApi] {
+            self.accept_connections(listener);
+        }
         self.listeners.retain(|listener, _| *listener == Listener::Peers);
         let is_unused = |connection: &ServerConnection| {
             connection.api_client().is_some() && !connection.is_client_waiting()
--- a/crates/control-plane/tests/shutdown.rs
+++ b/crates/control-plane/tests/shutdown.rs
@@ -6,7 +6,9 @@
 use rustix::net::sockopt;
 use rustix::process::Signal;
 use std::io::Write;
-use support::cluster::{request, Cluster};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::cluster::{request, Cluster, Connection};
 use support::long_change;
 
 /// A change of this many services is parsed by the worker thread, and the configuration is encoded by it.
@@ -17,6 +19,9 @@
 /// A change request is shorter than asked for by at most this much.
 const MAX_SHORTFALL_BYTES: usize = 30_000;
 
+/// After this time a process has done what was pending, and all its periodic work is due.
+const STANDSTILL: Duration = Duration::from_millis(1_100);
+
 /// A change request that publishes services.
 fn change(services: usize, version: u64) -> String {
     let entry = |n| format!("[\"service-with-a-long-name-{n}\",\"/well\",100,\"r{version}\"]");
@@ -46,6 +51,31 @@
     assert!(cluster.children[0].wait().expect("ended").success());
 }
 
+/// Guards against a process that has nothing to hand over and closes its listeners, when it notices SIGTERM, with clients'
+/// connections in their backlog.
+#[rstest]
+#[case::operator_api(|cluster: &Cluster| cluster.operator_api, request("POST", "Timetable.Patch", &change(1, 1)))]
+#[case::directory_api(|cluster: &Cluster| cluster.directory_api, request("GET", "route-lookup?host=h.example&path=/p/", ""))]
+fn a_request_on_a_connection_that_was_not_accepted_is_answered_in_spite_of_sigterm(
+    #[case] listener: fn(&Cluster) -> SocketAddr,
+    #[case] request: String,
+) {
+    let mut cluster = Cluster::start_alone();
+    // A process that is stopped while it waits for events continues without any, and notices the signal first.
+    let idle_client = cluster.connect();
+    assert!(idle_client.has_no_response_within(STANDSTILL));
+    cluster.signal_first_process(Signal::STOP);
+    let mut client = Connection::open(listener(&cluster));
+    client.send(&request);
+    assert!(client.has_no_response_within(STANDSTILL));
+    cluster.signal_first_process(Signal::TERM);
+    cluster.signal_first_process(Signal::CONT);
+    let (status, body) = client.receive();
+    assert!([307, 503].contains(&status), "{status} {body}");
+    assert!(client.is_closed_by_peer());
+    assert!(cluster.children[0].wait().expect("ended").success());
+}
+
 /// Guards against a process that ends before its clients have read what it has buffered for them.
 #[test]
 fn a_response_that_is_not_read_yet_is_complete_in_spite_of_sigterm() {
