Gateway: connections in the backlog are served before the listeners close

Cause: the same as in the control plane, 2.5 s after SIGTERM: a gateway that finds in one turn that it stops accepting closed its listeners with clients' connections, and the requests on them, in the backlog. Clients saw a reset. Change: the backlog is accepted before the listeners close; connections with a request in their sockets stay, as before.

--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -28,8 +28,7 @@
         let grace_period = Duration::from(self.settings.bounds.shutdown_grace);
         let accept_duration = MAX_ACCEPT_DURATION.min(grace_period / 2) - LATE_NOTICE_MARGIN;
         if elapsed > accept_duration && !self.listeners.is_empty() {
-            self.listeners.clear();
-            self.close_clients_without_requests();
+            self.stop_accepting();
         }
         let is_finished = self.listeners.is_empty()
             && self.requests.is_empty()
@@ -56,6 +55,17 @@
         self.flush_control_connections();
     }
 
+    /// Closes the listeners and the connections of clients without requests.
+    fn stop_accepting(&mut self) {
+        // Invariant: closing a listener resets the connections in its backlog, whose requests may have arrived.
+        let tokens: Vec<u64> = self.listeners.iter().map(|listener| listener.token).collect();
+        for token in tokens {
+            self.accept(token);
+        }
+        self.listeners.clear();
+        self.close_clients_without_requests();
+    }
+
     /// Closes client connections without a current request or unread input, once their last response is sent.
     fn close_clients_without_requests(&mut self) {
         let has_no_request = |client: &super::Client| {
--- a/crates/data-plane/tests/sockets/lost_requests.rs
+++ b/crates/data-plane/tests/sockets/lost_requests.rs
@@ -91,12 +91,17 @@
     assert!(client.closes_without_data());
 }
 
-/// Guards against a connection that is closed as unused while a request waits in its socket.
+/// Guards against a connection that is closed as unused while a request waits in its socket, and against one that is lost
+/// with its request because the listener closes before the connection was accepted.
 ///
 /// The gateway is stopped for as long as another one needs to reach the time at which unused connections are closed. Then
 /// that time has passed, and the requests are there, in the same turn of its event loop.
-#[test]
-fn a_request_that_waits_in_its_socket_is_served_when_unused_connections_are_closed() {
+#[rstest]
+#[case::on_kept_connections(true)]
+#[case::on_new_connections(false)]
+fn a_request_that_waits_in_its_socket_is_served_when_unused_connections_are_closed(
+    #[case] are_connections_kept: bool,
+) {
     const CLIENTS: usize = 20;
     let (mut gateway, _control, backends) = start_ready_gateway(1);
     let (other, _other_control, _other_backends) = start_ready_gateway(1);
@@ -105,13 +110,19 @@
         assert_eq!(client.send(get("/void/", "t0")).receive().status(), 503);
         client
     };
-    let mut clients: Vec<Peer> = (0..CLIENTS).map(|_| connect(&gateway)).collect();
+    let mut clients: Vec<Peer> = Vec::new();
+    if are_connections_kept {
+        clients.extend((0..CLIENTS).map(|_| connect(&gateway)));
+    }
     let mut idle_client = connect(&other);
     gateway.signal(Signal::TERM);
     gateway.wait_for_log("event=leaving");
     gateway.pause();
     other.signal(Signal::TERM);
     assert!(idle_client.closes_without_data());
+    if !are_connections_kept {
+        clients.extend((0..CLIENTS).map(|_| gateway.connect()));
+    }
     for (n, client) in clients.iter_mut().enumerate() {
         client.send(get("/once/", &format!("t{n}")));
     }
