Test: a long change of a silent client, read in parts, is not executed

Change: a test with changes of 1.1 and 2.6 MB, sent to a process that stands still for as long as their client waits. No product code.

--- a/crates/control-plane/tests/abandoned_unread_requests.rs
+++ b/crates/control-plane/tests/abandoned_unread_requests.rs
@@ -8,6 +8,7 @@
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 use support::cluster::{request, Cluster, Connection, TIMEOUT};
+use support::long_change;
 
 /// A change of this many services is parsed by the worker thread.
 const MANY_SERVICES: usize = 4_000;
@@ -28,6 +29,8 @@
 
 /// Clients turn to another process after this time without a response.
 const CLIENT_PATIENCE: Duration = Duration::from_secs(1);
+/// Added to it for each MiB of a request.
+const CLIENT_PATIENCE_PER_MIB: Duration = Duration::from_secs(1);
 
 /// Leaves the connection. Returns it if it is still open.
 fn leave(connection: Connection, departure: Departure) -> Option<Connection> {
@@ -174,3 +177,24 @@
     assert_eq!(connection.receive().0, 200);
     assert!(connection.is_closed_by_peer());
 }
+
+/// Guards against a change that takes several turns to read, so that its end seems to have arrived after the standstill.
+#[rstest]
+#[case::two_turns(1_100_000)]
+#[case::three_turns(2_600_000)]
+fn an_abandoned_change_that_is_read_in_parts_is_not_executed(#[case] bytes: usize) {
+    let cluster = Cluster::start();
+    let mut connection = cluster.connect();
+    assert_eq!(connection.call("GET", "members", "").0, 200);
+    let change = String::from_utf8(long_change::change("late", 1, bytes)).expect("text");
+    cluster.signal_first_process(Signal::STOP);
+    connection.send(&request("POST", "Timetable.Patch", &change));
+    assert!(
+        connection.has_no_response_within(CLIENT_PATIENCE + CLIENT_PATIENCE_PER_MIB * (bytes >> 20) as u32)
+    );
+    cluster.signal_first_process(Signal::CONT);
+    let (status, reason) = connection.receive();
+    assert!([307, 503].contains(&status), "{status} {reason}");
+    let configuration = cluster.connect_to(1).call("GET", "Timetable.Get", "").1;
+    assert!(!configuration.contains("late-0"));
+}
