Gateway: requests sent ahead on one connection are served with constant stack

Those answered in a loop (404) were read and their responses buffered without bound if the client read none. Change: clients that can go on without a socket event are noted and served by the event loop, once a turn; heads and parts of bodies are bounded in a turn; no request is read while 256 KiB of responses are unsent.

--- a/crates/data-plane/src/server/downstream.rs
+++ b/crates/data-plane/src/server/downstream.rs
@@ -14,6 +14,9 @@
 
 /// How long the rest of a request body is read and discarded after an early response.
 const DRAIN_TIMEOUT: Duration = Duration::from_micros(1_000_000);
+/// Maximum number of request heads, and of parts of request bodies, that are read from one client before the others are
+/// served.
+const MAX_READS_PER_TURN: usize = 64;
 /// Multiple of the idle timeout for which a client may pause while sending a request body or receiving a response.
 const PENDING_IDLE_FACTOR: i64 = 4;
 
@@ -202,6 +205,7 @@
                 return self.close_client(id, CloseReason::Socket(error));
             }
         }
+        let mut remaining_reads = MAX_READS_PER_TURN;
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
             match client.connection.read_available(&mut self.read_buffer, MAX_UNSENT_BYTES) {
@@ -209,14 +213,7 @@
                 Err(error) => return self.close_client(id, CloseReason::Socket(error)),
             }
             if client.is_draining {
-                client.connection.input.clear();
-                if client.has_reached_eof {
-                    return self.close_client(id, CloseReason::Completed);
-                }
-                if client.connection.is_readable() {
-                    continue;
-                }
-                return;
+                return self.discard_input(id);
             }
             if client.has_left() && client.request.is_some() {
                 // The client no longer waits for the response.
@@ -227,7 +224,11 @@
             if client.has_left() {
                 break;
             }
-            self.read_client(now, id);
+            self.read_client(now, id, &mut remaining_reads);
+            if remaining_reads == 0 {
+                self.resumable_clients.insert(id);
+                break;
+            }
             // The poller reports no further event for data that a read left in the socket.
             if !self.clients.get(&id).is_some_and(Client::has_more_to_read) {
                 break;
@@ -240,6 +241,17 @@
         }
     }
 
+    /// Discards the input of a client that has been sent its last response.
+    fn discard_input(&mut self, id: ClientId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.connection.input.clear();
+        if client.has_reached_eof {
+            self.close_client(id, CloseReason::Completed);
+        } else if client.connection.is_readable() {
+            self.resumable_clients.insert(id);
+        }
+    }
+
     /// Sends buffered output to a client until the socket blocks.
     pub(super) fn flush_client(&mut self, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -252,6 +264,9 @@
         match flushed {
             Ok(true) if client.is_draining => {}
             Ok(true) if client.has_sent_last_response() => self.finish_client(id),
+            Ok(_) if was_full && client.request.is_none() && client.has_capacity() => {
+                self.resumable_clients.insert(id);
+            }
             Ok(_) => {
                 // A streamed response can continue, as the output buffer has capacity again.
                 let request = client.request.and_then(|request| self.requests.get(&request));
@@ -331,12 +346,19 @@
         }
     }
 
-    /// Processes a client's input: request heads while there is no current request, else the body of that request.
-    fn read_client(&mut self, now: Timestamp, id: ClientId) {
+    /// Processes a client's input: request heads while there is no current request, else the body of that request. Each head
+    /// and each part of a body takes one of the remaining reads.
+    fn read_client(&mut self, now: Timestamp, id: ClientId, remaining_reads: &mut usize) {
         while let Some(client) = self.clients.get(&id).filter(|client| !client.is_closing) {
+            if *remaining_reads == 0 {
+                return;
+            }
+            *remaining_reads -= 1;
             let may_continue = match client.request {
                 _ if client.discards_body => self.discard_body(id),
                 Some(request) => self.read_body(now, id, request),
+                // `flush_client` continues once the client has read enough of its responses.
+                None if !client.has_capacity() => false,
                 None => self.read_head(now, id),
             };
             if !may_continue {
--- a/crates/data-plane/src/server/forwarding.rs
+++ b/crates/data-plane/src/server/forwarding.rs
@@ -113,12 +113,12 @@
         client.discards_body = client.body_reader.is_some();
     }
 
-    /// Processes the next request if it may already be in the input buffer.
+    /// Schedules the next request if it may already be in the input buffer.
     pub(super) fn read_next_request(&mut self, id: ClientId) {
         let may_have_more =
             |client: &super::Client| !client.connection.input.is_empty() || client.has_reached_eof;
         if self.clients.get(&id).is_some_and(may_have_more) {
-            self.process_client(id, None);
+            self.resumable_clients.insert(id); // no recursion, as the stack would grow with the requests sent ahead
         }
     }
 
--- a/crates/data-plane/src/server/mod.rs
+++ b/crates/data-plane/src/server/mod.rs
@@ -52,7 +52,7 @@
 use outcome_log::OutcomeLog;
 use schedule::Schedule;
 use snafu::{OptionExt, ResultExt, Snafu};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use upstream::Upstream;
@@ -145,7 +145,9 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     idle_connections: IdleConnections,
     /// Connections to backends that have unread data and can be read without waiting for a socket event.
-    readable_upstreams: Vec<UpstreamId>,
+    readable_upstreams: BTreeSet<UpstreamId>,
+    /// Client connections whose input can be processed without waiting for a socket event.
+    resumable_clients: BTreeSet<ClientId>,
     control_session: ControlSession,
     control_connection: Option<ControlConnection>,
     /// A connection that is being opened to another control process.
@@ -250,7 +252,8 @@
             buffered_body_bytes: 0,
             upstreams: BTreeMap::new(),
             idle_connections: IdleConnections::default(),
-            readable_upstreams: Vec::new(),
+            readable_upstreams: BTreeSet::new(),
+            resumable_clients: BTreeSet::new(),
             configuration: Configuration::new(),
             outcome_log: OutcomeLog::default(),
             control_session,
@@ -281,9 +284,7 @@
             for event in ready_events.drain(..) {
                 self.handle_socket_event(&event);
             }
-            while let Some(upstream) = self.readable_upstreams.pop() {
-                self.process_upstream(upstream, None);
-            }
+            self.resume_connections();
             let now = self.clock.now();
             self.timers.take_due(now, &mut due_timers);
             for timer in due_timers.drain(..) {
@@ -312,7 +313,7 @@
 
     /// How long to wait for socket events: until the next timer or tick, or not at all while unread data is pending.
     fn poll_timeout(&self, schedule: &Schedule) -> Duration {
-        if !self.readable_upstreams.is_empty() {
+        if !self.readable_upstreams.is_empty() || !self.resumable_clients.is_empty() {
             return Duration::ZERO;
         }
         let now = self.clock.now();
@@ -320,6 +321,16 @@
         self.timers.next_deadline().map_or(until_tick, |at| until_tick.min((at - now).max(Duration::ZERO)))
     }
 
+    /// Continues the connections that need no socket event. Each is served once in a turn, so that none delays the others.
+    fn resume_connections(&mut self) {
+        for upstream in std::mem::take(&mut self.readable_upstreams) {
+            self.process_upstream(upstream, None);
+        }
+        for client in std::mem::take(&mut self.resumable_clients) {
+            self.process_client(client, None);
+        }
+    }
+
     fn handle_socket_event(&mut self, event: &ReadyEvent) {
         let is_control = |connection: &ControlConnection| connection.id == event.token;
         match event.token {
--- a/crates/data-plane/src/server/shutdown.rs
+++ b/crates/data-plane/src/server/shutdown.rs
@@ -32,6 +32,7 @@
         }
         let is_finished = self.listeners.is_empty()
             && self.requests.is_empty()
+            && self.resumable_clients.is_empty()
             && self.clients.values().all(|client| client.is_flushed() && !client.has_unread_input());
         let must_abort = elapsed > grace_period - ABORT_MARGIN;
         if must_abort {
--- a/crates/data-plane/src/server/upstream.rs
+++ b/crates/data-plane/src/server/upstream.rs
@@ -275,7 +275,7 @@
         let has_capacity = self.request_on(id).is_some_and(|request| self.may_read_response(request));
         let is_readable = |upstream: &Upstream| upstream.connection.is_readable();
         if has_capacity && self.upstreams.get(&id).is_some_and(is_readable) {
-            self.readable_upstreams.push(id); // no recursion, as the stack would grow with the response
+            self.readable_upstreams.insert(id); // no recursion, as the stack would grow with the response
         }
     }
 
--- a/crates/data-plane/src/server/usage_reports.rs
+++ b/crates/data-plane/src/server/usage_reports.rs
@@ -1,5 +1,6 @@
 //! Usage reports to the control plane's shared quota counter, and the quota decisions that follow from its replies.
 
+use super::downstream::Client;
 use super::Server;
 use crate::quota::{Decision, PERIOD};
 use kitepass_coordination::protocol::{Message, TenantUsage, UsageReport, UsageTotals};
@@ -70,7 +71,9 @@
             let client = request.info.client;
             self.start_next_attempt(now, id);
             // The poller reports no further event for data that is already in the client's socket.
-            self.process_client(client, None);
+            if self.clients.get(&client).is_some_and(Client::has_input) {
+                self.resumable_clients.insert(client);
+            }
         }
     }
 }
--- a/crates/data-plane/tests/sockets/harness.rs
+++ b/crates/data-plane/tests/sockets/harness.rs
@@ -24,6 +24,9 @@
 /// A connection that accepts no more bytes for this long is considered full.
 const SEND_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Stack of the gateway, in KiB. It may not grow with what clients and backends send.
+const STACK_KIB: usize = 256;
+
 /// A loopback address that is used nowhere else, in this process or another test process.
 fn unique_address() -> IpAddr {
     static NEXT_HOST: AtomicU8 = AtomicU8::new(2);
@@ -576,8 +579,14 @@
         );
         let settings_path = std::env::temp_dir().join(format!("data-plane-{address}.toml"));
         std::fs::write(&settings_path, &settings_text).expect("file can be written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_kitepass-data-plane"));
-        command.arg("--settings").arg(&settings_path).env("KITEPASS_LOG", "info").stderr(Stdio::piped());
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -s {STACK_KIB} && exec \"$@\""), "sh"]);
+        command
+            .arg(env!("CARGO_BIN_EXE_kitepass-data-plane"))
+            .arg("--settings")
+            .arg(&settings_path)
+            .env("KITEPASS_LOG", "info")
+            .stderr(Stdio::piped());
         let mut child = command.spawn().expect("gateway starts");
         let (lines, (sender, log_lines)) =
             (BufReader::new(child.stderr.take().expect("piped")).lines(), channel());
--- a/crates/data-plane/tests/sockets/main.rs
+++ b/crates/data-plane/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod harness;
 mod lost_requests;
+mod pipelining;
 mod reconfiguration;
 mod start;
 
