Control plane: a poll of the list continues on another connection

Nothing was logged. Change: a poll requests the page that it has reached on a new connection where the response ends its connection, or the connection is lost before the page is complete: at most three times a page, within 3 s.

--- a/crates/control-plane/src/server/connection_io.rs
+++ b/crates/control-plane/src/server/connection_io.rs
@@ -1,7 +1,6 @@
 //! Accepts connections, reads and writes them when they are ready, and closes them.
 
 use super::connections::{CloseReason, ConnectionId, Role, ServerConnection, UNACKNOWLEDGED_TIMEOUT};
-use super::platform_client::PAGE_TIMEOUT;
 use super::{Listener, Server};
 use crate::state_machine::SESSION_TIMEOUT;
 use kitepass_coordination::protocol::framing::MAX_FRAME_BYTES;
@@ -170,7 +169,7 @@
                 debug!("event=peer-connection-lost address={address} why={}", reason.name());
                 self.peers.forget_connection(&address);
             }
-            Role::Platform(_) => self.platform.forget_connection(),
+            Role::Platform(_) => self.platform_connection_lost(now, id, reason),
             Role::ApiClient(_) => self.state_machine.caller_left(now, id.0),
             Role::IncomingPeer { .. } | Role::Unidentified => {}
         }
@@ -199,9 +198,7 @@
             // The state machine closes unresponsive sessions after flushing their output; this closes those whose
             // output cannot be flushed.
             Role::GatewaySession => idle_time > SESSION_TIMEOUT + UNACKNOWLEDGED_TIMEOUT,
-            Role::Platform(_) => {
-                self.platform.poll_started().is_some_and(|started| now - started > PAGE_TIMEOUT * 3)
-            }
+            Role::Platform(_) => self.platform.has_poll_timed_out(now),
         }
     }
 }
--- a/crates/control-plane/tests/support/cluster.rs
+++ b/crates/control-plane/tests/support/cluster.rs
@@ -24,6 +24,8 @@
 /// A cluster of three control processes, of which all or only the first are started. Requests go to the first one. The
 /// processes are killed when the cluster is dropped.
 pub(crate) struct Cluster {
+    /// Appended to the settings of each process.
+    settings: String,
     /// The processes that were started.
     pub(crate) children: Vec<Child>,
     /// Directory of the settings files and of the processes' data.
@@ -49,7 +51,7 @@
 }
 
 impl Cluster {
-    fn new() -> Cluster {
+    fn new(settings: &str) -> Cluster {
         // The addresses are derived from the id of this test process and a counter, so that tests that run at the same
         // time do not share any.
         static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
@@ -58,6 +60,7 @@
         let addresses = [0, 1, 2].map(|n| Ipv4Addr::new(127, high | 32, low, first_host + n));
         let listener = |port| SocketAddr::new(addresses[0].into(), port);
         Cluster {
+            settings: settings.to_owned(),
             children: Vec::new(),
             dir: std::env::temp_dir().join(format!("kitepass-control-plane-{}", addresses[0])),
             addresses,
@@ -69,7 +72,12 @@
 
     /// Starts all processes, and waits until the first one returns its configuration.
     pub(crate) fn start() -> Cluster {
-        let mut cluster = Cluster::new();
+        Cluster::start_with_settings("")
+    }
+
+    /// Does the same, with additional settings.
+    pub(crate) fn start_with_settings(settings: &str) -> Cluster {
+        let mut cluster = Cluster::new(settings);
         let addresses = cluster.addresses;
         (0..addresses.len()).for_each(|n| cluster.spawn(n, &addresses));
         let started_at = Instant::now();
@@ -87,7 +95,7 @@
 
     /// Starts only the first process. It has no configuration, and the peers that it tries to reach are not running.
     pub(crate) fn start_alone() -> Cluster {
-        let mut cluster = Cluster::new();
+        let mut cluster = Cluster::new("");
         let others = [cluster.addresses[1], cluster.addresses[2]];
         cluster.spawn(0, &others);
         let started_at = Instant::now();
@@ -113,8 +121,9 @@
             "station = \"s{n}\"\nip = \"{address}\"\ndistrict = \"d{n}\"\nprovince = \"p\"\nsidings = [{PEER_PORT}, 7110]\n\
              first-stops = [{}]\nmaiden-run = true\non-roll = true\narchive-dir = {data_dir:?}\n\
              [districts]\nd0 = \"p\"\nd1 = \"p\"\nd2 = \"p\"\n\
-             [counters]\ncontrol-desk = \"{address}:{OPERATOR_API_PORT}\"\ndirectory-desk = \"{address}:{DIRECTORY_API_PORT}\"\n",
-            bootstrap.join(", ")
+             [counters]\ncontrol-desk = \"{address}:{OPERATOR_API_PORT}\"\ndirectory-desk = \"{address}:{DIRECTORY_API_PORT}\"\n{}",
+            bootstrap.join(", "),
+            self.settings
         );
         std::fs::write(&file, text).expect("write the settings file");
         let mut command = Command::new(PROGRAM);
